--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['out/tests/**/*.spec.js'],
+  timeout: '120s',
+  concurrency: 4,
+  workerThreads: false,
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,28 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/', 'out/', '**/gen/', 'node_modules/', '**/*.mjs', '**/*.js'] },
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'inline-type-imports' }],
+      '@typescript-eslint/no-extraneous-class': ['error', { allowWithDecorator: true }],
+      '@typescript-eslint/naming-convention': [
+        'error',
+        { selector: 'classProperty', modifiers: ['private'], format: ['camelCase'], leadingUnderscore: 'require' },
+        { selector: 'classMethod', modifiers: ['private'], format: ['camelCase'], leadingUnderscore: 'require' },
+      ],
+      'max-lines': ['error', { max: 500, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    // The Nest module class is a shell by design; consumers of test titles nest functions deeply.
+    files: ['tests/**/*.ts', 'bench/**/*.ts', 'examples/**/*.ts'],
+    rules: { 'max-lines-per-function': 'off' },
+  },
+);
--- /dev/null
+++ b/packages/cli/bin/gentiandrum.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from '../dist/client/main.js';
+
+process.exitCode = await main(process.argv);
--- /dev/null
+++ b/packages/cli/src/client/configCommands.ts
@@ -0,0 +1,264 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Commands about the configuration: apply, get, diff, history, validate, drain. */
+
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { userInfo } from 'node:os';
+import { mergePatch } from '@gentiandrum/core';
+import { configSchema, type PatchRequest } from '@gentiandrum/protocol';
+import { parse, stringify } from 'yaml';
+import { DaemonClient, type DaemonError, errorText } from './daemonClient.js';
+import { CommandError, kExit, printJson, printLine, printTable } from './output.js';
+import type { StatusAnswer } from './statusCommands.js';
+
+const kSubmitTries = 5;
+const kSubmitPauseMs = 400;
+const kWaitPollMs = 200;
+
+/** Options that all commands share. */
+export interface CommonOptions {
+  daemon: string;
+  json?: boolean;
+}
+
+interface ConfigAnswer {
+  version: number;
+  config: unknown;
+}
+
+/** Submits the patch in a file against a version. */
+export async function apply(
+  file: string,
+  options: CommonOptions & { base?: number; wait?: boolean; timeout: number; author?: string },
+): Promise<void> {
+  const base = wholeNumber('--base', options.base);
+  const patch = readYaml(file);
+  if (typeof patch !== 'object' || patch === null || Array.isArray(patch)) {
+    throw new CommandError(kExit.usage, `expected ${file} to hold a map of settings to change, got ${JSON.stringify(patch)}`);
+  }
+  await submit(
+    { patchId: randomUUID(), base, author: options.author ?? userInfo().username, patch: patch as Record<string, unknown> },
+    options,
+  );
+}
+
+/** Marks a target as leaving. */
+export async function drain(
+  target: string,
+  options: CommonOptions & { wait?: boolean; timeout: number; undo?: boolean; author?: string },
+): Promise<void> {
+  const { version } = unwrap(await new DaemonClient(options.daemon).get<ConfigAnswer>('/-/config'));
+  const patch = { targets: { [target]: options.undo === true ? null : 'leaving' } };
+  await submit({ patchId: randomUUID(), base: version, author: options.author ?? userInfo().username, patch }, options);
+}
+
+/** Prints the configuration. */
+export async function get(options: CommonOptions & { at?: number }): Promise<void> {
+  const answer = await fetchConfig(options.daemon, options.at);
+  if (options.json === true) {
+    printJson(answer);
+    return;
+  }
+  printLine(`# version ${answer.version}`);
+  printLine(stringify(answer.config).trimEnd());
+}
+
+/** Prints what a patch would change. */
+export async function diff(file: string, options: CommonOptions): Promise<void> {
+  const patch = readYaml(file);
+  const { version, config } = await fetchConfig(options.daemon);
+  const after = mergePatch(config, patch);
+  const issues = issuesOf(after);
+  const changes = changed(config, after, '');
+  if (options.json === true) {
+    printJson({ base: version, changes, issues });
+  } else {
+    printLine(`# against version ${version}`);
+    for (const { path, before, after: now } of changes) {
+      printLine(`${path}: ${valueText(before)} -> ${valueText(now)}`);
+    }
+    issues.forEach((issue) => {
+      printLine(`invalid: ${issue}`);
+    });
+  }
+  if (issues.length > 0) {
+    throw new CommandError(kExit.usage, 'the patch gives an invalid configuration');
+  }
+}
+
+/** Prints the latest versions. */
+export async function history(options: CommonOptions): Promise<void> {
+  const answer = unwrap(
+    await new DaemonClient(options.daemon).get<{ versions: { version: number; author: string; patchId: string }[] }>('/-/history'),
+  );
+  if (options.json === true) {
+    printJson(answer);
+    return;
+  }
+  printTable(
+    ['VERSION', 'AUTHOR', 'PATCH'],
+    answer.versions.map(({ version, author, patchId }) => [String(version), author, patchId]),
+  );
+}
+
+/** Checks a file that holds a whole configuration, without any daemon. */
+export function validate(file: string, options: { json?: boolean }): void {
+  const issues = issuesOf(readYaml(file));
+  if (options.json === true) {
+    printJson({ valid: issues.length === 0, issues });
+  } else {
+    issues.forEach((issue) => {
+      printLine(`${file}: ${issue}`);
+    });
+  }
+  if (issues.length > 0) {
+    throw new CommandError(kExit.usage, `${file} has ${issues.length} faults`);
+  }
+  if (options.json !== true) {
+    printLine(`${file}: the configuration is valid`);
+  }
+}
+
+/** Submits a patch; when its fate is unknown it is asked again under the same patch id. */
+async function submit(patch: PatchRequest, options: CommonOptions & { wait?: boolean; timeout: number }): Promise<void> {
+  const client = new DaemonClient(options.daemon);
+  let version: number | undefined;
+  for (let i = 0; version === undefined; i++) {
+    const answer = await client.post<{ version: number }>('/-/patches', patch);
+    if (answer.ok) {
+      version = answer.val.version;
+    } else if (i + 1 >= kSubmitTries || !mayAskAgain(answer.val)) {
+      throw submitError(answer.val);
+    } else {
+      await pause(kSubmitPauseMs);
+    }
+  }
+  const missing = options.wait === true ? await waitEverywhere(client, version, options.timeout) : undefined;
+  reportApplied(version, missing, options);
+}
+
+function reportApplied(version: number, report: WaitReport | undefined, options: CommonOptions): void {
+  if (options.json === true) {
+    printJson({ version, ...report });
+  } else {
+    printLine(`version ${version} is accepted`);
+    for (const { zone, holding, of } of report?.zones ?? []) {
+      printLine(`  ${zone}: in force on ${holding} of ${of} daemons`);
+    }
+  }
+  if (report && report.missing.length > 0) {
+    throw new CommandError(kExit.incomplete, `version ${version} is not in force on: ${report.missing.join(', ')}`);
+  }
+}
+
+interface WaitReport {
+  zones: { zone: string; holding: number; of: number }[];
+  missing: string[];
+}
+
+async function waitEverywhere(client: DaemonClient, version: number, seconds: number): Promise<WaitReport> {
+  const end = performance.now() + seconds * 1_000;
+  for (;;) {
+    const { members } = unwrap(await client.get<StatusAnswer>('/-/status'));
+    const living = members.filter((member) => member.state !== 'left');
+    const missing = living.filter((member) => member.state !== 'alive' || member.configVersion < version).map((member) => member.id);
+    if (missing.length === 0 || performance.now() > end) {
+      const zones = [...new Set(living.map((member) => member.zone))].sort().map((zone) => {
+        const inZone = living.filter((member) => member.zone === zone);
+        return { zone, holding: inZone.filter((member) => member.configVersion >= version).length, of: inZone.length };
+      });
+      return { zones, missing };
+    }
+    await pause(kWaitPollMs);
+  }
+}
+
+function mayAskAgain(error: DaemonError): boolean {
+  return error.kind === 'problem' && (error.error === 'patch_unsettled' || error.error === 'log_unavailable');
+}
+
+function submitError(error: DaemonError): CommandError {
+  if (error.kind === 'unreachable') {
+    return new CommandError(kExit.unavailable, errorText(error));
+  }
+  switch (error.error) {
+    case 'patch_conflict':
+      return new CommandError(kExit.conflict, errorText(error));
+    case 'patch_invalid':
+      return new CommandError(kExit.usage, errorText(error));
+    case 'patch_unsettled':
+    case 'log_unavailable':
+      return new CommandError(kExit.unavailable, errorText(error));
+    default:
+      return new CommandError(kExit.failed, errorText(error));
+  }
+}
+
+async function fetchConfig(daemon: string, at?: number): Promise<ConfigAnswer> {
+  const query = at === undefined ? '' : `?at=${wholeNumber('--at', at)}`;
+  return unwrap(await new DaemonClient(daemon).get<ConfigAnswer>(`/-/config${query}`));
+}
+
+function readYaml(file: string): unknown {
+  try {
+    return parse(readFileSync(file, 'utf8'));
+  } catch (err) {
+    throw new CommandError(kExit.usage, `expected a readable YAML file, got ${file}: ${err instanceof Error ? err.message : String(err)}`);
+  }
+}
+
+function issuesOf(config: unknown): string[] {
+  const checked = configSchema.safeParse(config);
+  return checked.success ? [] : checked.error.issues.map((issue) => `${issue.path.join('.') || 'file'}: ${issue.message}`);
+}
+
+interface Change {
+  path: string;
+  before: unknown;
+  after: unknown;
+}
+
+function changed(before: unknown, after: unknown, path: string): Change[] {
+  if (isMap(before) && isMap(after)) {
+    const keys = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
+    return keys.flatMap((key) => changed(before[key], after[key], path === '' ? key : `${path}.${key}`));
+  }
+  return JSON.stringify(before) === JSON.stringify(after) ? [] : [{ path, before, after }];
+}
+
+function valueText(value: unknown): string {
+  return value === undefined ? 'absent' : JSON.stringify(value);
+}
+
+function isMap(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/** Value of an option that must be a whole number. */
+export function wholeNumber(option: string, value: unknown): number {
+  const number = typeof value === 'string' && value !== '' ? Number(value) : value;
+  if (typeof number !== 'number' || !Number.isInteger(number) || number < 0) {
+    throw new CommandError(
+      kExit.usage,
+      `expected ${option} to be a whole number, got ${value === undefined ? 'nothing' : JSON.stringify(value)}`,
+    );
+  }
+  return number;
+}
+
+/** The answer, or the error that ends the command. */
+export function unwrap<T>(answer: { ok: true; val: T } | { ok: false; val: DaemonError }): T {
+  if (answer.ok) {
+    return answer.val;
+  }
+  const code = answer.val.kind === 'unreachable' ? kExit.unavailable : kExit.failed;
+  throw new CommandError(code, errorText(answer.val));
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/cli/src/client/daemonClient.ts
@@ -0,0 +1,68 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Talks to a daemon over HTTP. */
+
+import { Err, Ok, type Result } from '@gentiandrum/core';
+import { request } from 'undici';
+
+const kTimeoutMs = 10_000;
+
+/** Error of a call to a daemon. */
+export type DaemonError =
+  /** Nothing answered at the address. */
+  | { kind: 'unreachable'; address: string; cause: string }
+  /** The daemon refused; fields of its problem answer. */
+  | { kind: 'problem'; status: number; error: string; detail: string; body: Record<string, unknown> };
+
+/** Client of one daemon. */
+export class DaemonClient {
+  constructor(readonly address: string) {}
+
+  /** GETs a JSON answer. */
+  get<T>(path: string): Promise<Result<T, DaemonError>> {
+    return this._call<T>('GET', path);
+  }
+
+  /** POSTs a JSON body. */
+  post<T>(path: string, body: unknown): Promise<Result<T, DaemonError>> {
+    return this._call<T>('POST', path, JSON.stringify(body));
+  }
+
+  private async _call<T>(method: 'GET' | 'POST', path: string, body?: string): Promise<Result<T, DaemonError>> {
+    try {
+      const options = {
+        method,
+        body,
+        headers: { 'content-type': 'application/json' },
+        headersTimeout: kTimeoutMs,
+        bodyTimeout: kTimeoutMs,
+      };
+      const res = await request(`http://${this.address}${path}`, options);
+      const answer = (await res.body.json()) as Record<string, unknown>;
+      if (res.statusCode < 400) {
+        return Ok(answer as T);
+      }
+      const { kind, detail, message } = answer;
+      return Err({ kind: 'problem', status: res.statusCode, error: textOf(kind), detail: textOf(detail ?? message), body: answer });
+    } catch (err) {
+      return Err({ kind: 'unreachable', address: this.address, cause: err instanceof Error ? err.message : String(err) });
+    }
+  }
+}
+
+/** Text of an error for people. */
+export function errorText(error: DaemonError): string {
+  switch (error.kind) {
+    case 'unreachable':
+      return `expected a daemon at ${error.address}, got no answer (${error.cause})`;
+    case 'problem':
+      return `${error.error || `status ${error.status}`}: ${error.detail}`;
+  }
+}
+
+function textOf(value: unknown): string {
+  return typeof value === 'string' ? value : '';
+}
--- /dev/null
+++ b/packages/cli/src/client/main.ts
@@ -0,0 +1,78 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Command line of `gentiandrum`. */
+
+import { cac } from 'cac';
+import { apply, type CommonOptions, diff, drain, get, history, validate } from './configCommands.js';
+import { CommandError, type ExitCode, kExit } from './output.js';
+import { explain, status } from './statusCommands.js';
+
+const kDaemon = process.env.GENTIANDRUM_DAEMON ?? '127.0.0.1:7400';
+const kWaitSeconds = 10;
+
+/** Runs one command; gives the exit code. */
+export async function main(argv: string[]): Promise<ExitCode> {
+  const cli = cac('gentiandrum');
+  cli.option('--daemon <address>', 'Any daemon, IP:PORT; GENTIANDRUM_DAEMON sets the default', { default: kDaemon });
+  cli.option('--json', 'Print JSON');
+  cli.help();
+  const waiting = (command: ReturnType<typeof cli.command>): ReturnType<typeof cli.command> =>
+    command
+      .option('--wait', 'Wait until the version is in force on every daemon')
+      .option('--timeout <seconds>', 'Longest wait', { default: kWaitSeconds })
+      .option('--author <name>', 'Author of the change; the login name unless given');
+  waiting(cli.command('apply <file>', 'Submit a patch (RFC 7396, YAML) against a version'))
+    .option('--base <version>', 'Version that the patch was written against')
+    .example('  gentiandrum apply surge.yaml --base 41 --wait')
+    .action((file: string, options: CommonOptions & { timeout: number }) => apply(file, options));
+  cli
+    .command('get', 'Print the configuration')
+    .option('--at <version>', 'An earlier version')
+    .example('  gentiandrum get --at 40 --json')
+    .action((options: CommonOptions) => get(options));
+  cli
+    .command('diff <file>', 'Print what a patch would change')
+    .example('  gentiandrum diff surge.yaml')
+    .action((file: string, options: CommonOptions) => diff(file, options));
+  cli.command('history', 'Print the latest versions').action((options: CommonOptions) => history(options));
+  cli
+    .command('validate <file>', 'Check a whole configuration, without a daemon')
+    .example('  gentiandrum validate examples/tengerline.yaml')
+    .action((file: string, options: CommonOptions) => {
+      validate(file, options);
+    });
+  cli.command('status', 'Print zones, daemons, versions, targets and levels').action((options: CommonOptions) => status(options));
+  waiting(cli.command('drain <target>', 'Let a target take no new work'))
+    .option('--undo', 'Let it take work again')
+    .example('  gentiandrum drain hazards-2 --wait')
+    .action((target: string, options: CommonOptions & { timeout: number }) => drain(target, options));
+  cli
+    .command('explain <request>', 'Print what was decided for a request, and why')
+    .example('  gentiandrum explain host-1~lq3x~9')
+    .action((request: string, options: CommonOptions) => explain(request, options));
+  return runCommand(cli, argv);
+}
+
+async function runCommand(cli: ReturnType<typeof cac>, argv: string[]): Promise<ExitCode> {
+  try {
+    cli.parse(argv, { run: false });
+    if (cli.options.help === true) {
+      return kExit.ok;
+    }
+    if (!cli.matchedCommand) {
+      const given = cli.args[0] === undefined ? 'none' : `"${cli.args[0]}"`;
+      throw new CommandError(kExit.usage, `expected a command, got ${given}; see gentiandrum --help`);
+    }
+    await cli.runMatchedCommand();
+    return kExit.ok;
+  } catch (err) {
+    process.stderr.write(`gentiandrum: ${err instanceof Error ? err.message : String(err)}\n`);
+    if (err instanceof CommandError) {
+      return err.code;
+    }
+    return err instanceof Error && err.name === 'CACError' ? kExit.usage : kExit.failed;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/client/statusCommands.ts
@@ -0,0 +1,97 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Commands that show what the system does: status, explain. */
+
+import { unwrap, type CommonOptions } from './configCommands.js';
+import { DaemonClient } from './daemonClient.js';
+import { CommandError, kExit, printJson, printLine, printTable } from './output.js';
+
+/** A daemon as the status lists it. */
+export interface MemberRow {
+  id: string;
+  address: string;
+  zone: string;
+  region: string;
+  state: string;
+  target: string;
+  service: string;
+  targetState: string;
+  slots: number;
+  level: number;
+  configVersion: number;
+}
+
+/** Answer of a daemon to a status request. */
+export interface StatusAnswer {
+  daemon: string;
+  version: number;
+  members: MemberRow[];
+  openLevel: number;
+}
+
+interface DecisionRow {
+  request: string;
+  step: string;
+  cls: string;
+  reason: string;
+  target?: string;
+  weighed?: { target: string; score: number }[];
+  at: number;
+}
+
+/** Prints zones, daemons, versions, targets and levels. */
+export async function status(options: CommonOptions): Promise<void> {
+  const answer = unwrap(await new DaemonClient(options.daemon).get<StatusAnswer>('/-/status'));
+  if (options.json === true) {
+    printJson(answer);
+    return;
+  }
+  const { members, openLevel } = answer;
+  printLine(`seen by ${answer.daemon}, configuration version ${answer.version}`);
+  const rows = [...members].sort((a, b) => (`${a.zone}/${a.id}` < `${b.zone}/${b.id}` ? -1 : 1));
+  printTable(
+    ['ZONE', 'DAEMON', 'STATE', 'VERSION', 'SERVICE', 'TARGET', 'TAKES WORK', 'SLOTS', 'ADMITS'],
+    rows.map((m) => [
+      m.zone,
+      m.id,
+      m.state,
+      String(m.configVersion),
+      m.service || '-',
+      m.target || '-',
+      m.targetState,
+      String(m.slots),
+      `${Math.round((m.level / openLevel) * 100)}%`,
+    ]),
+  );
+}
+
+/** Prints what was decided for a request, and why. */
+export async function explain(request: string, options: CommonOptions): Promise<void> {
+  const client = new DaemonClient(options.daemon);
+  const { members } = unwrap(await client.get<StatusAnswer>('/-/status'));
+  const first = members.find((member) => member.id === request.split('~')[0]);
+  const entry = await decisionsAt(first?.address ?? options.daemon, request);
+  const targets = new Set(entry.flatMap(({ target }) => (target === undefined ? [] : [target])));
+  const gates = members.filter((member) => targets.has(member.target) && member.id !== first?.id);
+  const more = await Promise.all(gates.map((member) => decisionsAt(member.address, request)));
+  const all = [...entry, ...more.flat()].sort((a, b) => a.at - b.at);
+  if (all.length === 0) {
+    throw new CommandError(kExit.failed, `expected a request of the last minutes, got "${request}": no daemon remembers it`);
+  }
+  if (options.json === true) {
+    printJson({ request, decisions: all });
+    return;
+  }
+  for (const { at, step, cls, reason, target, weighed } of all) {
+    const considered = weighed ? ` among ${weighed.map((w) => `${w.target}=${w.score}`).join(', ')}` : '';
+    printLine(`${new Date(at).toISOString()} ${step} [${cls}]${target === undefined ? '' : ` ${target}`}: ${reason}${considered}`);
+  }
+}
+
+async function decisionsAt(address: string, request: string): Promise<DecisionRow[]> {
+  const answer = await new DaemonClient(address).get<{ decisions: DecisionRow[] }>(`/-/decisions/${encodeURIComponent(request)}`);
+  return answer.ok ? answer.val.decisions : [];
+}
--- /dev/null
+++ b/packages/core/src/chain/retryLedger.ts
@@ -0,0 +1,135 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Retry allowances of the calls that a daemon delivered to its target.
+ *
+ * An allowance is divided and never copied: what a child reserves leaves the parent's entry, and only what the child
+ * returns unspent comes back. So over a whole chain no more retries happen than the root was granted.
+ */
+
+interface LedgerEntry {
+  remaining: number;
+  level: number;
+  retriedBelow: boolean;
+  onwardCalls: number;
+  openOnward: number;
+  /** Time with at least one onward call open, in milliseconds. */
+  waitedMs: number;
+  waitingSince: number;
+}
+
+/** What a ledger entry tells once its call has ended. */
+export interface LedgerSummary {
+  unspent: number;
+  /** Tightest admission level met below. */
+  level: number;
+  retriedBelow: boolean;
+  onwardCalls: number;
+  /** Time that the target waited for its own onward calls, in milliseconds. */
+  waitedMs: number;
+}
+
+/** Ledger of the allowances at one daemon. */
+export class RetryLedger {
+  private readonly _entries = new Map<string, LedgerEntry>();
+
+  /** Number of open entries. */
+  get size(): number {
+    return this._entries.size;
+  }
+
+  /** Opens an entry with the allowance that came with a call. */
+  open(id: string, allowance: number, level: number): void {
+    this._entries.set(id, {
+      remaining: allowance,
+      level,
+      retriedBelow: false,
+      onwardCalls: 0,
+      openOnward: 0,
+      waitedMs: 0,
+      waitingSince: 0,
+    });
+  }
+
+  /** Whether the entry is open. After a restart of the daemon no earlier entry is. */
+  has(id: string): boolean {
+    return this._entries.has(id);
+  }
+
+  /**
+   * Takes a share for an onward call: half of what remains, rounded up, so that one unit reaches any depth and
+   * parallel siblings find something left. An unknown entry gives zero.
+   */
+  reserve(id: string): number {
+    const entry = this._entries.get(id);
+    if (!entry) {
+      return 0;
+    }
+    const share = Math.ceil(entry.remaining / 2);
+    entry.remaining -= share;
+    return share;
+  }
+
+  /** Units left in an entry; zero for an unknown one. */
+  remaining(id: string): number {
+    return this._entries.get(id)?.remaining ?? 0;
+  }
+
+  /** Takes one more unit for a call whose own share is used up; false when none is left. */
+  takeOne(id: string): boolean {
+    const entry = this._entries.get(id);
+    if (!entry || entry.remaining === 0) {
+      return false;
+    }
+    entry.remaining--;
+    return true;
+  }
+
+  /** Notes that an onward call began; `now` in milliseconds. */
+  beginOnward(id: string, now: number): void {
+    const entry = this._entries.get(id);
+    if (!entry) {
+      return;
+    }
+    entry.onwardCalls++;
+    if (entry.openOnward === 0) {
+      entry.waitingSince = now;
+    }
+    entry.openOnward++;
+  }
+
+  /** Notes the end of an onward call, and takes back what it left unspent. */
+  endOnward(id: string, now: number, end: { unspent: number; level: number; final: boolean }): void {
+    const entry = this._entries.get(id);
+    if (!entry) {
+      return;
+    }
+    entry.remaining += end.unspent;
+    entry.level = Math.min(entry.level, end.level);
+    entry.retriedBelow ||= end.final;
+    entry.openOnward--;
+    if (entry.openOnward === 0) {
+      entry.waitedMs += now - entry.waitingSince;
+    }
+  }
+
+  /** Closes an entry. Shares still lent at that time are spent: their later return finds no entry. */
+  close(id: string, now: number): LedgerSummary | undefined {
+    const entry = this._entries.get(id);
+    if (!entry) {
+      return undefined;
+    }
+    this._entries.delete(id);
+    const open = entry.openOnward > 0 ? now - entry.waitingSince : 0;
+    return {
+      unspent: entry.remaining,
+      level: entry.level,
+      retriedBelow: entry.retriedBelow,
+      onwardCalls: entry.onwardCalls,
+      waitedMs: entry.waitedMs + open,
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/claims/keySettler.ts
@@ -0,0 +1,118 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Keys that one daemon settles from its own memory: numbered keys of the namespaces it minted, and keys derived for
+ * calls inside the chains that entered here. Neither needs the log. When the daemon's memory is gone, so is the right
+ * to run under its keys.
+ */
+
+/** Who may run the call of a key. */
+export type KeyVerdict =
+  { kind: 'granted' } | { kind: 'held'; holder: string; address: string } | { kind: 'mismatch' } | { kind: 'unknown' };
+
+/** A request to run under a key. */
+export interface KeyBid {
+  key: string;
+  body: string;
+  /** Names the bidding call; the same bid made twice is answered alike. */
+  claimant: string;
+  address: string;
+}
+
+interface Grant {
+  body: string;
+  claimant: string;
+  address: string;
+}
+
+/** Keys remembered per namespace. Older numbers count as used. */
+const kKeysPerNamespace = 10_000;
+const kMaxNamespaces = 10_000;
+
+interface Namespace {
+  grants: Map<number, Grant>;
+  /** Numbers below it are forgotten and count as used. */
+  floor: number;
+}
+
+/** Settles keys at one daemon. */
+export class KeySettler {
+  private readonly _namespaces = new Map<string, Namespace>();
+  private readonly _roots = new Map<string, Map<string, Grant>>();
+
+  /** Opens a namespace for a caller. */
+  openNamespace(name: string): void {
+    this._namespaces.set(name, { grants: new Map(), floor: 0 });
+    const oldest = this._namespaces.keys().next();
+    if (this._namespaces.size > kMaxNamespaces && !oldest.done) {
+      this._namespaces.delete(oldest.value);
+    }
+  }
+
+  /** Settles a numbered key, `namespace/sequence`. */
+  settleMinted(bid: KeyBid): KeyVerdict {
+    const slash = bid.key.lastIndexOf('/');
+    const namespace = bid.key.slice(0, slash);
+    const sequence = Number(bid.key.slice(slash + 1));
+    const known = this._namespaces.get(namespace);
+    if (!known || sequence < known.floor) {
+      return { kind: 'unknown' };
+    }
+    const verdict = settle(known.grants.get(sequence), bid);
+    if (verdict.kind === 'granted') {
+      known.grants.set(sequence, bid);
+      this._raiseFloor(known);
+    }
+    return verdict;
+  }
+
+  /** Notes that a root request is being served here; its chain's derived keys are settled until it ends. */
+  openRoot(root: string): void {
+    if (!this._roots.has(root)) {
+      this._roots.set(root, new Map());
+    }
+  }
+
+  /** Notes that a root request ended: no call of its chain may start any more. */
+  closeRoot(root: string): void {
+    this._roots.delete(root);
+  }
+
+  /** Settles a key derived inside the chain of a root request. */
+  settleDerived(root: string, bid: KeyBid): KeyVerdict {
+    const grants = this._roots.get(root);
+    if (!grants) {
+      return { kind: 'unknown' };
+    }
+    const verdict = settle(grants.get(bid.key), bid);
+    if (verdict.kind === 'granted') {
+      grants.set(bid.key, bid);
+    }
+    return verdict;
+  }
+
+  private _raiseFloor(namespace: Namespace): void {
+    if (namespace.grants.size <= kKeysPerNamespace) {
+      return;
+    }
+    const lowest = Math.min(...namespace.grants.keys());
+    namespace.grants.delete(lowest);
+    namespace.floor = lowest + 1;
+  }
+}
+
+function settle(grant: Grant | undefined, bid: KeyBid): KeyVerdict {
+  if (!grant) {
+    return { kind: 'granted' };
+  }
+  if (grant.body !== bid.body) {
+    return { kind: 'mismatch' };
+  }
+  if (grant.claimant === bid.claimant) {
+    return { kind: 'granted' };
+  }
+  return { kind: 'held', holder: grant.claimant, address: grant.address };
+}
--- /dev/null
+++ b/packages/core/src/config/configFold.ts
@@ -0,0 +1,161 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * The configuration as a fold over the stream of patches.
+ *
+ * Every daemon folds the same records in the same order with the same rules, so all hold the same version without
+ * agreeing on anything else. A patch is accepted when its base is the current version and the result is valid.
+ */
+
+import { type Config, type SnapshotRecord, configSchema, patchRecordSchema, snapshotRecordSchema } from '@gentiandrum/protocol';
+import { mergePatch } from './mergePatch.js';
+
+/** Patch ids whose fate is remembered, for submitters whose reply was lost. */
+const kRecentPatches = 1_000;
+/** Versions kept for `get --at` and `history`. */
+const kHistory = 100;
+
+/** What became of a patch. */
+export type PatchVerdict =
+  | { kind: 'accepted'; version: number }
+  | { kind: 'conflict'; current: number; wonBy: string }
+  | { kind: 'invalid'; issues: { path: string; message: string }[] };
+
+/** One accepted version. */
+export interface HistoryEntry {
+  version: number;
+  author: string;
+  patchId: string;
+  config: unknown;
+}
+
+/** Folded configuration of one daemon. */
+export class ConfigFold {
+  private _version = 0;
+  private _next = 0;
+  /** What operators wrote, before defaults: patches apply to it. */
+  private _written: unknown = {};
+  private _config: Config = configSchema.parse({});
+  private _recent = new Map<string, PatchVerdict>();
+  private _history: HistoryEntry[] = [];
+  private _lastAuthor = '';
+
+  /** Current version; 0 before the first accepted patch. */
+  get version(): number {
+    return this._version;
+  }
+
+  /** Offset of the next record to fold. */
+  get next(): number {
+    return this._next;
+  }
+
+  /** Current configuration with all defaults. */
+  get config(): Config {
+    return this._config;
+  }
+
+  /** Current configuration as operators wrote it. */
+  get written(): unknown {
+    return this._written;
+  }
+
+  /** Latest accepted versions, oldest first. */
+  get history(): readonly HistoryEntry[] {
+    return this._history;
+  }
+
+  /** What became of a patch, if it is known. */
+  verdict(patchId: string): PatchVerdict | undefined {
+    return this._recent.get(patchId);
+  }
+
+  /**
+   * Folds one record. Records before `next` were folded already and change nothing. True when a new version came of it.
+   */
+  apply(offset: number, value: unknown): boolean {
+    if (offset < this._next) {
+      return false;
+    }
+    this._next = offset + 1;
+    const parsed = patchRecordSchema.safeParse(value);
+    if (!parsed.success || this._recent.has(parsed.data.patchId)) {
+      return false;
+    }
+    const { patchId, base, patch, author } = parsed.data;
+    const verdict = this._judge(base, patch);
+    this._remember(patchId, verdict);
+    if (verdict.kind !== 'accepted') {
+      return false;
+    }
+    this._lastAuthor = author;
+    this._history.push({ version: this._version, author, patchId, config: this._written });
+    this._history = this._history.slice(-kHistory);
+    return true;
+  }
+
+  /** Checks a patch against the current version without folding it. */
+  check(base: number, patch: unknown): PatchVerdict {
+    if (base !== this._version) {
+      return { kind: 'conflict', current: this._version, wonBy: this._lastAuthor };
+    }
+    const result = configSchema.safeParse(mergePatch(this._written, patch));
+    if (!result.success) {
+      return { kind: 'invalid', issues: result.error.issues.map((issue) => ({ path: issue.path.join('.'), message: issue.message })) };
+    }
+    return { kind: 'accepted', version: this._version + 1 };
+  }
+
+  /** The fold's state as a snapshot record; `hash` digests its text. */
+  snapshot(hash: (text: string) => string): SnapshotRecord {
+    const recentPatches = [...this._recent].map(([patchId, verdict]) => ({ patchId, verdict }));
+    const body = { offset: this._next, version: this._version, config: this._written, recentPatches };
+    return { ...body, digest: hash(JSON.stringify(body)) };
+  }
+
+  /**
+   * Adopts a snapshot if it is ahead of what is held; a late or damaged one changes nothing. True when it was adopted.
+   */
+  adopt(value: unknown, hash: (text: string) => string): boolean {
+    const parsed = snapshotRecordSchema.safeParse(value);
+    if (!parsed.success) {
+      return false;
+    }
+    const { digest, ...body } = parsed.data;
+    if (body.version < this._version || body.offset <= this._next || digest !== hash(JSON.stringify(body))) {
+      return false;
+    }
+    const config = configSchema.safeParse(body.config);
+    if (!config.success) {
+      return false;
+    }
+    const moved = body.version > this._version;
+    this._next = body.offset;
+    this._version = body.version;
+    this._written = body.config;
+    this._config = config.data;
+    this._recent = new Map(body.recentPatches.map(({ patchId, verdict }) => [patchId, verdict as PatchVerdict]));
+    return moved;
+  }
+
+  private _judge(base: number, patch: unknown): PatchVerdict {
+    const verdict = this.check(base, patch);
+    if (verdict.kind === 'accepted') {
+      this._written = mergePatch(this._written, patch);
+      this._config = configSchema.parse(this._written);
+      this._version = verdict.version;
+    }
+    return verdict;
+  }
+
+  private _remember(patchId: string, verdict: PatchVerdict): void {
+    this._recent.set(patchId, verdict);
+    const oldest = this._recent.keys().next();
+    if (this._recent.size > kRecentPatches && !oldest.done) {
+      this._recent.delete(oldest.value);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/config/mergePatch.ts
@@ -0,0 +1,29 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Merge patches, RFC 7396. */
+
+/** Applies a merge patch to a JSON value; neither is changed. */
+export function mergePatch(target: unknown, patch: unknown): unknown {
+  if (!isObject(patch)) {
+    return patch;
+  }
+  const merged: Record<string, unknown> = isObject(target) ? { ...target } : {};
+  for (const [key, value] of Object.entries(patch)) {
+    if (key === '__proto__') {
+      continue;
+    }
+    if (value === null) {
+      Reflect.deleteProperty(merged, key);
+    } else {
+      merged[key] = mergePatch(merged[key], value);
+    }
+  }
+  return merged;
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/packages/core/src/errors/errorKind.ts
@@ -0,0 +1,81 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * The closed list of error kinds, and the one table that says how each is answered.
+ */
+
+/** What is known of a call that ended in an error. */
+export type Outcome = 'not_run' | 'unknown' | 'ran';
+
+/** How an error kind is answered. */
+export interface ErrorAnswer {
+  /** HTTP status. */
+  status: number;
+  /** What the kind alone proves; the attempts of a call may prove less, see `proveOutcome`. */
+  outcome: Outcome;
+  /** Whether the caller may repeat the same request, with the same key if it has one. */
+  repeat: boolean;
+  /** Whether the answer tells when to come back. */
+  retryAfter: boolean;
+  /** Short text for people. */
+  title: string;
+}
+
+/** Kind → answer. */
+export const kErrorAnswers = {
+  bad_request: { status: 400, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Malformed request' },
+  bad_chain_token: { status: 400, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Chain token forged or truncated' },
+  body_too_large: { status: 413, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Body over the limit' },
+  unknown_service: { status: 404, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Unknown service' },
+  unknown_class: { status: 404, outcome: 'not_run', repeat: false, retryAfter: false, title: 'No request class matches' },
+  chain_too_deep: { status: 508, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Chain too deep' },
+  key_mismatch: { status: 422, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Idempotency key used with another body' },
+  bad_key: { status: 400, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Malformed idempotency key' },
+  overloaded: { status: 503, outcome: 'not_run', repeat: true, retryAfter: true, title: 'Shed under overload' },
+  no_target: { status: 503, outcome: 'not_run', repeat: true, retryAfter: true, title: 'No target accepts work' },
+  target_leaving: { status: 503, outcome: 'not_run', repeat: true, retryAfter: true, title: 'Target is leaving' },
+  target_shed: { status: 503, outcome: 'not_run', repeat: true, retryAfter: true, title: 'Shed by the target' },
+  stopping: { status: 503, outcome: 'not_run', repeat: true, retryAfter: true, title: 'Daemon is stopping' },
+  log_unavailable: { status: 503, outcome: 'not_run', repeat: true, retryAfter: true, title: "The platform's log is unavailable" },
+  settler_unreachable: {
+    status: 503,
+    outcome: 'not_run',
+    repeat: true,
+    retryAfter: true,
+    title: 'The daemon that settles the key is unreachable',
+  },
+  deadline_before_start: { status: 504, outcome: 'not_run', repeat: true, retryAfter: true, title: 'Deadline would pass before an answer' },
+  cancelled_before_start: { status: 499, outcome: 'not_run', repeat: true, retryAfter: false, title: 'Cancelled before the start' },
+  cancelled: { status: 499, outcome: 'unknown', repeat: true, retryAfter: false, title: 'Cancelled' },
+  deadline_exceeded: { status: 504, outcome: 'unknown', repeat: true, retryAfter: true, title: 'Deadline passed' },
+  attempt_lost: { status: 502, outcome: 'unknown', repeat: true, retryAfter: true, title: 'Answer lost' },
+  answer_truncated: { status: 502, outcome: 'unknown', repeat: true, retryAfter: true, title: 'Answer incomplete' },
+  answer_too_large: { status: 502, outcome: 'ran', repeat: false, retryAfter: false, title: 'Answer over the limit' },
+  target_failed: { status: 502, outcome: 'unknown', repeat: true, retryAfter: true, title: 'Target failed' },
+  outcome_unknown: { status: 502, outcome: 'unknown', repeat: false, retryAfter: false, title: 'Outcome of an earlier run unknown' },
+  patch_conflict: { status: 409, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Patch lost to another' },
+  patch_invalid: { status: 422, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Patch gives an invalid configuration' },
+  patch_unsettled: {
+    status: 503,
+    outcome: 'unknown',
+    repeat: true,
+    retryAfter: true,
+    title: 'Fate of the patch unknown until the log answers',
+  },
+} as const satisfies Record<string, ErrorAnswer>;
+
+/** One of the error kinds. */
+export type ErrorKind = keyof typeof kErrorAnswers;
+
+/** Tells whether a text names an error kind. */
+export function isErrorKind(text: string): text is ErrorKind {
+  return Object.hasOwn(kErrorAnswers, text);
+}
+
+/** Looks up how a kind is answered. */
+export function answerOf(kind: ErrorKind): ErrorAnswer {
+  return kErrorAnswers[kind];
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,41 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Decisions of the overload control layer, without input or output. */
+
+export * from './admission/adaptiveLimit.js';
+export * from './admission/admissionLevel.js';
+export * from './admission/admissionQueue.js';
+export * from './admission/gate.js';
+export * from './admission/rank.js';
+export * from './admission/rootFilter.js';
+export * from './chain/retryLedger.js';
+export * from './chain/retryRatio.js';
+export * from './claims/answerStore.js';
+export * from './claims/claimIndex.js';
+export * from './claims/keySettler.js';
+export * from './config/configFold.js';
+export * from './config/mergePatch.js';
+export * from './errors/errorKind.js';
+export * from './membership/memberView.js';
+export * from './procedures/attempt.js';
+export * from './procedures/callContext.js';
+export * from './procedures/claimInLog.js';
+export * from './procedures/effects.js';
+export * from './procedures/gateCall.js';
+export * from './procedures/lifecycle.js';
+export * from './procedures/releaseClaim.js';
+export * from './procedures/runAttempts.js';
+export * from './procedures/runProcedure.js';
+export * from './procedures/serveCall.js';
+export * from './procedures/served.js';
+export * from './procedures/settleCall.js';
+export * from './procedures/submitPatch.js';
+export * from './routing/classifier.js';
+export * from './routing/targetPicker.js';
+export * from './routing/targetStats.js';
+export * from './util/clock.js';
+export * from './util/random.js';
+export * from './util/results.js';
--- /dev/null
+++ b/packages/core/src/membership/memberView.ts
@@ -0,0 +1,238 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * What one daemon knows of the others.
+ *
+ * Records spread with the daemons' pings. A daemon alone changes its own record and numbers each change; others may only
+ * raise suspicion, which the suspected daemon refutes with a higher number. Suspicion that stands becomes death; the dead
+ * are still tried now and then, so that a healed partition is noticed.
+ */
+
+import type { Random } from '../util/random.js';
+
+/** State of a daemon. */
+export type MemberState = 'alive' | 'suspect' | 'dead' | 'left';
+/** State of the target on a daemon's host. */
+export type TargetState = 'absent' | 'serving' | 'leaving';
+
+/** Record of a daemon. */
+export interface Member {
+  id: string;
+  /** Grows with each start. */
+  incarnation: number;
+  /** Grows with each change that the daemon announces of itself. */
+  revision: number;
+  address: string;
+  zone: string;
+  region: string;
+  state: MemberState;
+  target: string;
+  service: string;
+  targetState: TargetState;
+  slots: number;
+  level: number;
+  configVersion: number;
+}
+
+interface Known {
+  member: Member;
+  /** Monotonic time of the latest change of state, in milliseconds. */
+  since: number;
+  /** How often the latest change was passed on. */
+  sent: number;
+}
+
+/** Time from suspicion to death. */
+export const kSuspicionMs = 2_000;
+/** Time after which a dead or departed daemon is forgotten. */
+const kForgetMs = 3_600_000;
+const kMaxChanges = 24;
+const kRetransmit = 3;
+/** Share of the probes that go to the dead. */
+const kProbeDead = 0.1;
+const kStateRank: Record<MemberState, number> = { alive: 0, suspect: 1, dead: 2, left: 3 };
+
+/** Membership view of one daemon. */
+export class MemberView {
+  private readonly _known = new Map<string, Known>();
+  private _probeOrder: string[] = [];
+  private _changed = 0;
+
+  constructor(
+    private _self: Member,
+    private readonly _random: Random,
+    now: number,
+  ) {
+    this._known.set(_self.id, { member: _self, since: now, sent: 0 });
+  }
+
+  /** Own record. */
+  get self(): Member {
+    return this._self;
+  }
+
+  /** Number that grows with every change of the view. */
+  get changed(): number {
+    return this._changed;
+  }
+
+  /** All records. */
+  all(): Member[] {
+    return [...this._known.values()].map(({ member }) => member);
+  }
+
+  /** Record of one daemon. */
+  get(id: string): Member | undefined {
+    return this._known.get(id)?.member;
+  }
+
+  /** Changes the own record; nothing happens when all values are as they were. */
+  update(change: Partial<Member>, now: number): void {
+    const next = { ...this._self, ...change };
+    if (JSON.stringify(next) === JSON.stringify(this._self)) {
+      return;
+    }
+    this._setSelf({ ...next, revision: this._self.revision + 1 }, now);
+  }
+
+  /** Takes a record from another daemon; true when it was news. */
+  merge(member: Member, now: number): boolean {
+    if (member.id === this._self.id) {
+      this._refute(member, now);
+      return false;
+    }
+    const known = this._known.get(member.id);
+    if (known && !supersedes(member, known.member)) {
+      return false;
+    }
+    if (!known && (member.state === 'dead' || member.state === 'left')) {
+      return false;
+    }
+    this._known.set(member.id, { member, since: now, sent: 0 });
+    this._changed++;
+    return true;
+  }
+
+  /** Notes that a daemon answered: suspicion of it, raised here, is dropped. */
+  answered(id: string, now: number): void {
+    const known = this._known.get(id);
+    if (!known || known.member.state === 'alive' || known.member.state === 'left') {
+      return;
+    }
+    this._known.set(id, { member: { ...known.member, state: 'alive' }, since: now, sent: kRetransmit * 10 });
+    this._changed++;
+  }
+
+  /** Raises suspicion of a daemon that didn't answer. */
+  suspect(id: string, now: number): void {
+    const known = this._known.get(id);
+    if (known?.member.state !== 'alive' || id === this._self.id) {
+      return;
+    }
+    this._known.set(id, { member: { ...known.member, state: 'suspect' }, since: now, sent: 0 });
+    this._changed++;
+  }
+
+  /** Turns suspicion that stands into death, and forgets what died long ago. */
+  tick(now: number): void {
+    for (const [id, known] of this._known) {
+      const age = now - known.since;
+      if (known.member.state === 'suspect' && age >= kSuspicionMs) {
+        this._known.set(id, { member: { ...known.member, state: 'dead' }, since: now, sent: 0 });
+        this._changed++;
+      } else if (kStateRank[known.member.state] >= kStateRank.dead && age >= kForgetMs) {
+        this._known.delete(id);
+        this._changed++;
+      }
+    }
+  }
+
+  /** After the process was paused: what the view knows may be stale, so nobody's suspicion may ripen from it. */
+  resumed(now: number): void {
+    for (const known of this._known.values()) {
+      if (known.member.state === 'suspect') {
+        known.since = now;
+      }
+    }
+  }
+
+  /** Changes to pass on with a ping, the least spread first. */
+  takeChanges(): Member[] {
+    const enough = kRetransmit * Math.ceil(Math.log2(this._known.size + 1));
+    const due = [...this._known.values()].filter((known) => known.sent < enough);
+    due.sort((a, b) => a.sent - b.sent);
+    const taken = due.slice(0, kMaxChanges);
+    for (const known of taken) {
+      known.sent++;
+    }
+    return taken.map(({ member }) => member);
+  }
+
+  /** Next daemon to ping: each in turn, in an order drawn anew each round; now and then a dead one. */
+  nextProbe(): Member | undefined {
+    const dead = this._others((state) => state === 'dead');
+    if (dead.length > 0 && this._random() < kProbeDead) {
+      return dead[Math.floor(this._random() * dead.length)];
+    }
+    for (let i = 0; i < 2; i++) {
+      for (let id = this._probeOrder.pop(); id !== undefined; id = this._probeOrder.pop()) {
+        const member = this.get(id);
+        if (member && (member.state === 'alive' || member.state === 'suspect')) {
+          return member;
+        }
+      }
+      this._probeOrder = this._shuffled();
+    }
+    return dead[0];
+  }
+
+  /** Up to `count` daemons at random that are believed alive, those of the own zone if `zone` is given. */
+  someAlive(count: number, zone?: string): Member[] {
+    const alive = this._others((state) => state === 'alive').filter((member) => zone === undefined || member.zone === zone);
+    const drawn: Member[] = [];
+    while (drawn.length < count && alive.length > 0) {
+      drawn.push(...alive.splice(Math.floor(this._random() * alive.length), 1));
+    }
+    return drawn;
+  }
+
+  private _others(wanted: (state: MemberState) => boolean): Member[] {
+    return this.all().filter((member) => member.id !== this._self.id && wanted(member.state));
+  }
+
+  private _shuffled(): string[] {
+    const ids = this._others((state) => state === 'alive' || state === 'suspect').map((member) => member.id);
+    for (let i = ids.length - 1; i > 0; i--) {
+      const j = Math.floor(this._random() * (i + 1));
+      [ids[i], ids[j]] = [ids[j] ?? '', ids[i] ?? ''];
+    }
+    return ids;
+  }
+
+  private _refute(rumour: Member, now: number): void {
+    const aboutThisRun = rumour.incarnation === this._self.incarnation;
+    if (aboutThisRun && rumour.state !== this._self.state && rumour.revision >= this._self.revision) {
+      this._setSelf({ ...this._self, revision: rumour.revision + 1 }, now);
+    }
+  }
+
+  private _setSelf(self: Member, now: number): void {
+    this._self = self;
+    this._known.set(self.id, { member: self, since: now, sent: 0 });
+    this._changed++;
+  }
+}
+
+/** Whether a record is newer than the one held. */
+function supersedes(member: Member, held: Member): boolean {
+  if (member.incarnation !== held.incarnation) {
+    return member.incarnation > held.incarnation;
+  }
+  if (member.revision !== held.revision) {
+    return member.revision > held.revision;
+  }
+  return kStateRank[member.state] > kStateRank[held.state];
+}
--- /dev/null
+++ b/packages/core/src/procedures/callContext.ts
@@ -0,0 +1,117 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What a procedure that serves a call knows and uses. */
+
+import type { OfferTerms } from '@gentiandrum/protocol';
+import type { RootFilter } from '../admission/rootFilter.js';
+import type { RetryLedger } from '../chain/retryLedger.js';
+import type { RetryRatio } from '../chain/retryRatio.js';
+import type { AnswerStore } from '../claims/answerStore.js';
+import type { ClaimIndex } from '../claims/claimIndex.js';
+import type { KeySettler } from '../claims/keySettler.js';
+import type { NamedClass } from '../routing/classifier.js';
+import type { Candidate, Choice, TargetPicker } from '../routing/targetPicker.js';
+import type { Payload } from './effects.js';
+import type { Served } from './served.js';
+
+/** How a call is identified for the sake of running it at most once. */
+export type CallKey =
+  | { kind: 'none' }
+  /** The caller's own `Idempotency-Key`, digested. */
+  | { kind: 'own'; key: string }
+  /** A numbered key, `namespace/sequence`, of a namespace that a daemon minted. */
+  | { kind: 'minted'; key: string; owner: string; address: string; incarnation: number }
+  /** Derived from the chain; settled by the daemon where the root request entered. */
+  | { kind: 'derived'; key: string };
+
+/** Where a call stands in its chain. */
+export interface ChainPlace {
+  /** Id of the root request. */
+  root: string;
+  /** Ledger entry of the parent call at this daemon; none for a root request. */
+  parent?: string;
+  importance: number;
+  cohort: number;
+  depth: number;
+  rootDaemon: string;
+  rootAddress: string;
+  rootIncarnation: number;
+  /** Whether an ancestor may be sent more than once. */
+  repeatable: boolean;
+}
+
+/** A call to be served at this daemon. */
+export interface Call {
+  id: string;
+  cls: NamedClass;
+  chain: ChainPlace;
+  key: CallKey;
+  /** Digest of method, path and body. */
+  bodyDigest: string;
+  payload: Payload;
+  /** Monotonic time at which the deadline passes, in milliseconds. */
+  deadline: number;
+}
+
+/** One decision, for the log: what was chosen, from what, and why. */
+export interface Decision {
+  request: string;
+  step: 'refuse' | 'route' | 'retry' | 'compete' | 'settle' | 'join' | 'end';
+  cls: string;
+  target?: string;
+  weighed?: Choice['weighed'];
+  reason: string;
+}
+
+/** What serving a call uses of its daemon. */
+export interface ServeContext {
+  daemon: { id: string; incarnation: number; address: string };
+  stopping: () => boolean;
+  candidates: (service: string) => readonly Candidate[];
+  picker: TargetPicker;
+  rootFilter: RootFilter;
+  ledger: RetryLedger;
+  retryRatio: (service: string) => RetryRatio;
+  answers: AnswerStore;
+  settler: KeySettler;
+  /** Shard of a key; `relay` is the address of the daemon that batches for it, when that is another. */
+  claimShard: (key: string) => { shard: number; index: ClaimIndex; relay?: string };
+  newId: () => string;
+  decide: (decision: Decision) => void;
+}
+
+/** Terms of an offer for an attempt of a call. */
+export function offerTerms(call: Call, attempt: string, choice: Choice, allowance: number, now: number): OfferTerms {
+  const { chain, cls } = call;
+  return {
+    attempt,
+    root: chain.root,
+    request: call.id,
+    service: cls.service,
+    target: choice.candidate.target,
+    className: cls.name,
+    importance: chain.importance,
+    cohort: chain.cohort,
+    depth: chain.depth,
+    allowance,
+    remainingMs: call.deadline - now,
+    idempotent: cls.idempotent,
+    repeatable: chain.repeatable || (cls.idempotent && (cls.retries > 0 || allowance > 0)),
+    rootDaemon: chain.rootDaemon,
+    rootAddress: chain.rootAddress,
+    rootIncarnation: chain.rootIncarnation,
+  };
+}
+
+/** Result of a served call, with what its chain needs to know. */
+export interface ServedCall {
+  served: Served;
+  /** Allowance left of what the call had. */
+  unspent: number;
+  level: number;
+  /** Whether the call failed for good: a retry above it would be a second one, or would meet the same overload. */
+  final: boolean;
+}
--- /dev/null
+++ b/packages/core/src/procedures/effects.ts
@@ -0,0 +1,141 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Effects: all that a procedure asks of the world. A procedure is a generator that yields one effect at a time and is
+ * resumed with its reply, so it can be run against sockets, and stepped by hand with any fault at any step.
+ */
+
+import type { ClaimRecord, OfferTerms, PatchRecord } from '@gentiandrum/protocol';
+import type { ErrorKind } from '../errors/errorKind.js';
+import type { Candidate } from '../routing/targetPicker.js';
+import type { KeyBid, KeyVerdict } from '../claims/keySettler.js';
+import type { Answer, Served } from './served.js';
+
+/** A request as it came in, its body read whole. */
+export interface Payload {
+  method: string;
+  /** Path with query, as the target will see it. */
+  path: string;
+  headers: Record<string, string | string[]>;
+  body: Uint8Array;
+}
+
+/** How an offer to a gate ended. */
+export type OfferEnd =
+  | { kind: 'answered'; answer: Answer; unspent: number; level: number; retriedBelow: boolean; load?: GateLoad }
+  | { kind: 'refused'; reason: ErrorKind; unspent: number; level: number; load?: GateLoad }
+  | { kind: 'failed'; reason: ErrorKind; unspent: number; level: number; retriedBelow: boolean; load?: GateLoad }
+  | { kind: 'lost'; written: boolean };
+
+/** Load of a gate as it reports it. */
+export interface GateLoad {
+  load: number;
+  limit: number;
+}
+
+/** What a call that waits for its attempts hears. */
+export type CallEvent =
+  | { kind: 'ended'; attempt: string; end: OfferEnd }
+  | { kind: 'timeout' }
+  /** The caller hung up. */
+  | { kind: 'caller_gone' };
+
+/** How a target ended a call that was forwarded to it. */
+export type ForwardEnd =
+  | { kind: 'answered'; answer: Answer }
+  | { kind: 'truncated' }
+  | { kind: 'too_large' }
+  | { kind: 'lost'; written: boolean }
+  | { kind: 'timeout' }
+  | { kind: 'cancelled' };
+
+/** What the gate made of a call that waited. */
+export type AdmitEnd = { kind: 'started' } | { kind: 'shed'; reason: ErrorKind } | { kind: 'cancelled' };
+
+/** Where a record went that was appended. */
+export type AppendEnd =
+  | { kind: 'appended'; offset: number }
+  /** The log took nothing. */
+  | { kind: 'refused' }
+  /** No answer: the append may have taken effect. */
+  | { kind: 'lost' };
+
+/** Whether a stream could be read up to where it was asked. */
+export type ReadEnd = { kind: 'read' } | { kind: 'unavailable' };
+
+/** What came of a claim that another daemon appended. */
+export type RelayEnd = { kind: 'holder'; holder: ClaimRecord } | { kind: 'unavailable' } | { kind: 'unreachable' };
+
+/** What a claimant knows of a key. */
+export type FetchEnd =
+  | { kind: 'recorded'; served: Served }
+  | { kind: 'running' }
+  | { kind: 'not_run' }
+  | { kind: 'mismatch' }
+  | { kind: 'unknown' }
+  | { kind: 'unreachable' };
+
+/** Effect → its reply. */
+export interface Effects {
+  /** Sends an attempt to the gate of a target; its end comes as an event. */
+  offer: { ask: { attempt: string; to: Candidate; terms: OfferTerms; payload: Payload }; reply: undefined };
+  /** Waits for the next event of the call's attempts, until `until` on the monotonic clock. */
+  awaitEvent: { ask: { until: number }; reply: CallEvent };
+  /** Cancels an attempt. Replies whether it is certain that it never started. */
+  cancel: { ask: { attempt: string; to: Candidate }; reply: { kind: 'before_start' } | { kind: 'started' } | { kind: 'unknown' } };
+  /** Appends a claim to the stream of its shard. */
+  appendClaim: { ask: { shard: number; record: ClaimRecord }; reply: AppendEnd };
+  /** Reads a claims stream into its index: up to `upTo`, or to its present end. */
+  readClaims: { ask: { shard: number; upTo?: number }; reply: ReadEnd };
+  /** Asks the daemon that appends for a shard to append a claim, and to read back who holds the key. */
+  relayClaim: { ask: { to: string; shard: number; record: ClaimRecord }; reply: RelayEnd };
+  /** Asks another daemon who may run under a key that it settles. */
+  settleKey: {
+    ask: { to: string; incarnation: number; bid: KeyBid; root?: string };
+    reply: KeyVerdict | { kind: 'unreachable' };
+  };
+  /** Asks the claimant of a key for the answer, waiting for it up to `until`. */
+  fetchAnswer: { ask: { address: string; claimant: string; key: string; body: string; until: number }; reply: FetchEnd };
+  /** Waits for the running call of a key at this daemon, up to `until`; undefined when it gave up, or time did. */
+  joinRunning: { ask: { key: string; until: number }; reply: Served | undefined };
+  /** Waits for the gate's decision on a queued call. */
+  admitted: { ask: { attempt: string }; reply: AdmitEnd };
+  /** Sends a started call to the target on this host. */
+  forward: { ask: { attempt: string; payload: Payload; entry: string; deadline: number }; reply: ForwardEnd };
+  /** Appends a patch to the configuration stream. */
+  appendPatch: { ask: { record: PatchRecord }; reply: AppendEnd };
+  /** Folds the configuration stream up to `upTo`, or to its present end. */
+  readConfig: { ask: { upTo?: number }; reply: ReadEnd };
+  /** Reads the latest snapshots into the fold. */
+  readSnapshots: { ask: object; reply: ReadEnd };
+  /** Appends a snapshot of the fold. */
+  appendSnapshot: { ask: object; reply: AppendEnd };
+  /** Asks the other known daemons, and the seeds, for their configuration and members. */
+  askPeers: { ask: object; reply: { answered: number } };
+  /** Makes this daemon known in the members stream. */
+  appendMember: { ask: { goodbye: boolean }; reply: AppendEnd };
+  /** Tells some daemons at once of a change of the own record. */
+  spreadWord: { ask: object; reply: undefined };
+  /** Waits. */
+  sleep: { ask: { ms: number }; reply: undefined };
+  /** Waits until nothing is in flight, or `until` passes; replies how many calls still are. */
+  awaitIdle: { ask: { until: number }; reply: { inFlight: number } };
+}
+
+/** Name of an effect. */
+export type EffectName = keyof Effects;
+/** One effect with what it asks. */
+export type Effect = { [K in EffectName]: { type: K } & Effects[K]['ask'] }[EffectName];
+/** Any reply. */
+export type Reply = Effects[EffectName]['reply'];
+/** A procedure that ends with a `T`. */
+export type Procedure<T> = Generator<Effect, T, Reply>;
+
+/** Yields one effect, and gives its reply the type that belongs to it. */
+export function* perform<K extends EffectName>(type: K, ask: Effects[K]['ask']): Generator<Effect, Effects[K]['reply'], Reply> {
+  const reply: Reply = yield { type, ...ask } as Effect;
+  return reply;
+}
--- /dev/null
+++ b/packages/core/src/procedures/lifecycle.ts
@@ -0,0 +1,83 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Start and planned stop of a daemon. */
+
+import type { ConfigFold } from '../config/configFold.js';
+import { monotonicMs } from '../util/clock.js';
+import { perform, type Procedure } from './effects.js';
+
+const kFirstWaitMs = 100;
+const kMaxWaitMs = 2_000;
+
+/** Where a starting daemon got its configuration from. */
+export interface ColdStart {
+  source: 'log' | 'peers' | 'nowhere';
+  version: number;
+}
+
+/**
+ * Learns configuration and members: from the log, or from other daemons while the log is down. Gives up after
+ * `attempts` rounds; the daemon then serves nothing until it hears of a configuration, and goes on asking.
+ */
+export function* coldStart(fold: ConfigFold, attempts: number): Procedure<ColdStart> {
+  let waitMs = kFirstWaitMs;
+  for (let i = 0; i < attempts; i++) {
+    const snapshots = yield* perform('readSnapshots', {});
+    const read = snapshots.kind === 'read' ? yield* perform('readConfig', {}) : snapshots;
+    const announced = yield* perform('appendMember', { goodbye: false });
+    const peers = yield* perform('askPeers', {});
+    if (read.kind === 'read' && announced.kind === 'appended') {
+      return { source: 'log', version: fold.version };
+    }
+    if (read.kind === 'read' || peers.answered > 0) {
+      return { source: read.kind === 'read' ? 'log' : 'peers', version: fold.version };
+    }
+    yield* perform('sleep', { ms: waitMs });
+    waitMs = Math.min(kMaxWaitMs, waitMs * 2);
+  }
+  return { source: 'nowhere', version: fold.version };
+}
+
+/** What a planned stop acts on. */
+export interface StopContext {
+  /** Announces `leaving` in the own record, and refuses new root requests. */
+  announceLeaving: () => void;
+  /** Closes the gate, handing back what waits. */
+  closeGate: () => void;
+  /** Marks the own record as gone. */
+  announceLeft: () => void;
+  /** Time for what runs, in milliseconds; 0 waits without limit. */
+  limitMs: number;
+}
+
+/** Time in which the word of a leave reaches those who still send. */
+const kSpreadMs = 300;
+/** Time after the goodbye in which late offers are still refused in words, not by a closed connection. */
+const kLingerMs = 500;
+const kIdlePollMs = 1_000;
+
+/** Stops without cutting anything: the word first, then the queue back, then what runs, then goodbye. */
+export function* plannedStop(ctx: StopContext): Procedure<{ cut: number }> {
+  const startedAt = monotonicMs();
+  ctx.announceLeaving();
+  ctx.closeGate();
+  yield* perform('spreadWord', {});
+  yield* perform('sleep', { ms: kSpreadMs });
+  let idle = yield* perform('awaitIdle', { until: monotonicMs() + kIdlePollMs });
+  while (idle.inFlight > 0 && !passed(startedAt, ctx.limitMs)) {
+    yield* perform('spreadWord', {});
+    idle = yield* perform('awaitIdle', { until: monotonicMs() + kIdlePollMs });
+  }
+  ctx.announceLeft();
+  yield* perform('spreadWord', {});
+  yield* perform('appendMember', { goodbye: true });
+  yield* perform('sleep', { ms: kLingerMs });
+  return { cut: idle.inFlight };
+}
+
+function passed(startedAt: number, limitMs: number): boolean {
+  return limitMs > 0 && monotonicMs() - startedAt >= limitMs;
+}
--- /dev/null
+++ b/packages/core/src/procedures/releaseClaim.ts
@@ -0,0 +1,37 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Gives a claim back to the log whose call was not run, so that another daemon may run it. */
+
+import type { AnswerStore } from '../claims/answerStore.js';
+import { perform, type Procedure } from './effects.js';
+
+/** What is released, and by whom. */
+export interface Release {
+  key: string;
+  shard: number;
+  claimant: string;
+  address: string;
+}
+
+/** Releases an abandoned claim. It stays barred here until its release is seen in the log. */
+export function* releaseClaim(release: Release, answers: AnswerStore): Procedure<boolean> {
+  const { key, shard, claimant, address } = release;
+  const body = answers.get(key)?.body ?? '';
+  const nonce = answers.beginRelease(key);
+  if (nonce === undefined) {
+    return false;
+  }
+  const appended = yield* perform('appendClaim', { shard, record: { key, nonce, claimant, address, body, released: true } });
+  if (appended.kind !== 'appended') {
+    return false;
+  }
+  const read = yield* perform('readClaims', { shard, upTo: appended.offset });
+  if (read.kind === 'unavailable') {
+    return false;
+  }
+  answers.drop(key);
+  return true;
+}
--- /dev/null
+++ b/packages/core/src/procedures/runProcedure.ts
@@ -0,0 +1,25 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Drives procedures. */
+
+import type { Effect, EffectName, Effects, Procedure, Reply } from './effects.js';
+
+/** Performs effects: one function per kind. */
+export type Performers = { [K in EffectName]?: (effect: Extract<Effect, { type: K }>) => Promise<Effects[K]['reply']> };
+
+/** Runs a procedure to its end, performing each effect in turn. */
+export async function runProcedure<T>(procedure: Procedure<T>, performers: Performers): Promise<T> {
+  let step = procedure.next();
+  while (step.done !== true) {
+    const effect = step.value;
+    const performer = performers[effect.type] as ((effect: Effect) => Promise<Reply>) | undefined;
+    if (!performer) {
+      throw new Error(`expected a performer for the effect "${effect.type}", got none`);
+    }
+    step = procedure.next(await performer(effect));
+  }
+  return step.value;
+}
--- /dev/null
+++ b/packages/core/src/procedures/serveCall.ts
@@ -0,0 +1,93 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Serves a call at the daemon where it came in: from a caller, or from the target on this host. */
+
+import { kOpenLevel, rankOf } from '../admission/rank.js';
+import { answerOf, type ErrorKind } from '../errors/errorKind.js';
+import { monotonicMs } from '../util/clock.js';
+import type { Call, ServeContext, ServedCall } from './callContext.js';
+import type { Procedure } from './effects.js';
+import { runAttempts } from './runAttempts.js';
+import { failedWith, type Served } from './served.js';
+import { settleCall } from './settleCall.js';
+
+/** Deepest call of a chain that is served. */
+export const kMaxChainDepth = 64;
+
+/** Serves a call. */
+export function* serveCall(call: Call, ctx: ServeContext): Procedure<Served> {
+  const { parent, root } = call.chain;
+  if (parent === undefined) {
+    ctx.settler.openRoot(root);
+    const { served, level } = yield* serveSettled(call, ctx, call.cls.retries);
+    ctx.settler.closeRoot(root);
+    ctx.rootFilter.learn(call.cls.name, level, monotonicMs());
+    return served;
+  }
+  const share = ctx.ledger.reserve(parent);
+  ctx.ledger.beginOnward(parent, monotonicMs());
+  const { served, unspent, level, final } = yield* serveSettled(call, ctx, share);
+  ctx.ledger.endOnward(parent, monotonicMs(), { unspent, level, final });
+  return served;
+}
+
+function* serveSettled(call: Call, ctx: ServeContext, allowance: number): Procedure<ServedCall> {
+  const refusal = refuseEarly(call, ctx);
+  if (refusal) {
+    return endWithoutRun(refused(call, ctx, refusal), allowance, refusal);
+  }
+  const settled = yield* settleCall(call, ctx);
+  if (settled.kind === 'done') {
+    return endWithoutRun(settled.served, allowance);
+  }
+  const result = yield* runAttempts(call, ctx, allowance);
+  if (call.key.kind !== 'none') {
+    recordEnd(call, ctx, call.key.key, settled.nonce ?? '', result.served);
+  }
+  return result;
+}
+
+/** Reason to refuse a call before anything is done for it. */
+function refuseEarly(call: Call, ctx: ServeContext): ErrorKind | undefined {
+  const now = monotonicMs();
+  const { chain, cls } = call;
+  if (chain.depth > kMaxChainDepth) {
+    return 'chain_too_deep';
+  }
+  if (now >= call.deadline) {
+    return 'deadline_before_start';
+  }
+  if (chain.parent !== undefined || chain.depth > 0) {
+    return undefined;
+  }
+  if (ctx.stopping()) {
+    return 'stopping';
+  }
+  return ctx.rootFilter.admits(cls.name, rankOf(chain), now) ? undefined : 'overloaded';
+}
+
+function refused(call: Call, ctx: ServeContext, error: ErrorKind): Served {
+  ctx.decide({ request: call.id, step: 'refuse', cls: call.cls.name, reason: error });
+  return failedWith(error, answerOf(error).outcome, 'Refused before the first hop.');
+}
+
+function endWithoutRun(served: Served, unspent: number, refusal?: ErrorKind): ServedCall {
+  return { served, unspent, level: kOpenLevel, final: refusal === 'overloaded' };
+}
+
+/** Keeps the end of a keyed call for its repeats. A call that provably did not run may be repeated under its claim. */
+function recordEnd(call: Call, ctx: ServeContext, key: string, nonce: string, served: Served): void {
+  const notRun = served.kind === 'error' && served.outcome === 'not_run';
+  if (notRun) {
+    ctx.answers.abandon(key, { body: call.bodyDigest, nonce }, served);
+    return;
+  }
+  if (call.cls.idempotent && served.kind === 'error') {
+    ctx.answers.drop(key, served);
+    return;
+  }
+  ctx.answers.record(key, served);
+}
--- /dev/null
+++ b/packages/core/src/procedures/served.ts
@@ -0,0 +1,24 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** How the service of a call ends. */
+
+import type { ErrorKind, Outcome } from '../errors/errorKind.js';
+
+/** A whole answer of a target. */
+export interface Answer {
+  status: number;
+  headers: Record<string, string | string[]>;
+  body: Uint8Array;
+}
+
+/** What a daemon tells the caller in the end: a target's whole answer, or an error of the closed list. */
+export type Served =
+  { kind: 'answer'; answer: Answer } | { kind: 'error'; error: ErrorKind; outcome: Outcome; detail: string; retryAfterMs?: number };
+
+/** Makes an error end. The outcome is what was proved of the attempts, not what the kind alone would allow. */
+export function failedWith(error: ErrorKind, outcome: Outcome, detail: string): Served {
+  return { kind: 'error', error, outcome, detail };
+}
--- /dev/null
+++ b/packages/core/src/procedures/settleCall.ts
@@ -0,0 +1,224 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Settles who may run a keyed call, before its first run.
+ *
+ * Own keys: the first claim in the log's order counts. Minted and derived keys: one daemon's memory counts. In each case
+ * whoever can't prove its right doesn't run.
+ */
+
+import type { ClaimRecord } from '@gentiandrum/protocol';
+import type { KeyBid, KeyVerdict } from '../claims/keySettler.js';
+import { answerOf, type ErrorKind } from '../errors/errorKind.js';
+import { monotonicMs } from '../util/clock.js';
+import type { Call, ServeContext } from './callContext.js';
+import { claimInLog, type ClaimedInLog } from './claimInLog.js';
+import { type FetchEnd, perform, type Procedure } from './effects.js';
+import { failedWith, type Served } from './served.js';
+
+/** Right to run a call under a nonce, or the end of it. */
+export type Settled = { kind: 'run'; nonce?: string } | { kind: 'done'; served: Served };
+
+/** Settles a call with a key. */
+export function* settleCall(call: Call, ctx: ServeContext): Procedure<Settled> {
+  const { key } = call;
+  if (key.kind === 'none') {
+    return { kind: 'run' };
+  }
+  const local = yield* settleHere(call, ctx, key.key);
+  if (local) {
+    return local;
+  }
+  const state = ctx.answers.get(key.key);
+  const nonce = state?.kind === 'abandoned' ? state.nonce : ctx.newId();
+  ctx.answers.begin(key.key, call.bodyDigest);
+  if (call.cls.idempotent) {
+    return { kind: 'run', nonce };
+  }
+  switch (key.kind) {
+    case 'own':
+      return yield* settleByLog(call, ctx, key.key, nonce);
+    case 'minted':
+      return yield* settleMinted(call, ctx, key, nonce);
+    case 'derived':
+      return yield* settleDerived(call, ctx, key.key, nonce);
+  }
+}
+
+/** Looks at what this daemon knows of the key itself: a repeat joins, or gets the recorded answer. */
+function* settleHere(call: Call, ctx: ServeContext, key: string): Procedure<Settled | undefined> {
+  const state = ctx.answers.get(key);
+  if (!state) {
+    return undefined;
+  }
+  if (state.body !== call.bodyDigest) {
+    return refuse(call, ctx, 'key_mismatch', 'The key was used with another request.');
+  }
+  switch (state.kind) {
+    case 'answered':
+      note(call, ctx, 'join', 'recorded answer');
+      return { kind: 'done', served: state.served };
+    case 'forgotten':
+      return refuse(call, ctx, 'outcome_unknown', 'The call ran; its answer is no longer kept.');
+    case 'running': {
+      note(call, ctx, 'join', 'running here');
+      const served = yield* perform('joinRunning', { key, until: call.deadline });
+      return {
+        kind: 'done',
+        served: served ?? failedWith('outcome_unknown', 'unknown', 'The first run of this key gave no answer in time.'),
+      };
+    }
+    case 'releasing':
+      return refuse(call, ctx, 'log_unavailable', 'The earlier claim of this key is being released.');
+    case 'abandoned':
+      return undefined;
+  }
+}
+
+function* settleByLog(call: Call, ctx: ServeContext, key: string, nonce: string): Procedure<Settled> {
+  const claimed = yield* claim(makeClaim(call, ctx, key, nonce), ctx);
+  if (claimed.kind === 'unavailable') {
+    return giveUp(call, ctx, nonce, 'log_unavailable', claimed.detail);
+  }
+  const { holder } = claimed;
+  if (holder.nonce === nonce) {
+    return startUnder(call, ctx, nonce, 'claimed by log order');
+  }
+  if (holder.body !== call.bodyDigest) {
+    return lose(call, ctx, 'key_mismatch', 'The key was used with another request.');
+  }
+  return yield* askHolder(call, ctx, holder);
+}
+
+/** Claims by way of the daemon that batches for the shard; by itself when that one can't be reached. */
+function* claim(record: ClaimRecord, ctx: ServeContext): Procedure<ClaimedInLog> {
+  const { shard, index, relay } = ctx.claimShard(record.key);
+  if (relay !== undefined) {
+    const relayed = yield* perform('relayClaim', { to: relay, shard, record });
+    switch (relayed.kind) {
+      case 'holder':
+        return relayed;
+      case 'unavailable':
+        return { kind: 'unavailable', detail: 'The log could not settle the claim.' };
+      case 'unreachable':
+        break;
+    }
+  }
+  return yield* claimInLog(record, shard, index);
+}
+
+function* settleMinted(call: Call, ctx: ServeContext, key: Extract<Call['key'], { kind: 'minted' }>, nonce: string): Procedure<Settled> {
+  if (key.owner === ctx.daemon.id && key.incarnation === ctx.daemon.incarnation) {
+    const verdict = ctx.settler.settleMinted(makeBid(call, ctx, key.key, nonce));
+    return yield* byVerdict(call, ctx, nonce, verdict);
+  }
+  const { address, incarnation } = key;
+  const bid = makeBid(call, ctx, key.key, nonce);
+  const verdict = yield* perform('settleKey', { to: address, incarnation, bid });
+  if (verdict.kind === 'unreachable') {
+    return giveUp(call, ctx, nonce, 'outcome_unknown', 'The daemon that minted the key is unreachable.');
+  }
+  return yield* byVerdict(call, ctx, nonce, verdict);
+}
+
+function* settleDerived(call: Call, ctx: ServeContext, key: string, nonce: string): Procedure<Settled> {
+  const { chain } = call;
+  const bid = makeBid(call, ctx, key, nonce);
+  if (chain.rootDaemon === ctx.daemon.id && chain.rootIncarnation === ctx.daemon.incarnation) {
+    return yield* byVerdict(call, ctx, nonce, ctx.settler.settleDerived(chain.root, bid));
+  }
+  const verdict = yield* perform('settleKey', { to: chain.rootAddress, incarnation: chain.rootIncarnation, bid, root: chain.root });
+  if (verdict.kind === 'unreachable') {
+    return giveUp(call, ctx, nonce, 'settler_unreachable', 'The daemon where the request entered is unreachable.');
+  }
+  return yield* byVerdict(call, ctx, nonce, verdict);
+}
+
+function* byVerdict(call: Call, ctx: ServeContext, nonce: string, verdict: KeyVerdict): Procedure<Settled> {
+  switch (verdict.kind) {
+    case 'granted':
+      return startUnder(call, ctx, nonce, 'granted by settler');
+    case 'held':
+      return yield* askHolder(call, ctx, { claimant: verdict.holder, address: verdict.address });
+    case 'mismatch':
+      return lose(call, ctx, 'key_mismatch', 'The key was used with another request.');
+    case 'unknown':
+      return lose(call, ctx, 'outcome_unknown', 'The key is not known where it is settled.');
+  }
+}
+
+/** Checks the deadline once more: the process may have been paused since it asked. */
+function startUnder(call: Call, ctx: ServeContext, nonce: string, reason: string): Settled {
+  if (monotonicMs() >= call.deadline) {
+    return giveUp(call, ctx, nonce, 'deadline_before_start', 'The deadline passed before the key was settled.');
+  }
+  note(call, ctx, 'settle', reason);
+  return { kind: 'run', nonce };
+}
+
+function* askHolder(call: Call, ctx: ServeContext, holder: { claimant: string; address: string }): Procedure<Settled> {
+  note(call, ctx, 'join', `held by ${holder.claimant}`);
+  const { claimant, address } = holder;
+  const key = keyText(call);
+  const fetched = yield* perform('fetchAnswer', { address, claimant, key, body: call.bodyDigest, until: call.deadline });
+  const served = servedElsewhere(fetched);
+  ctx.answers.drop(key, served);
+  return { kind: 'done', served };
+}
+
+function servedElsewhere(fetched: FetchEnd): Served {
+  switch (fetched.kind) {
+    case 'recorded':
+      return fetched.served;
+    case 'not_run':
+      return failedWith('log_unavailable', 'not_run', 'The earlier claim of this key was given up; its release is on the way.');
+    case 'mismatch':
+      return failedWith('key_mismatch', 'not_run', 'The key was used with another request.');
+    case 'running':
+      return failedWith('outcome_unknown', 'unknown', 'The first run of this key has not ended.');
+    case 'unknown':
+    case 'unreachable':
+      return failedWith('outcome_unknown', 'unknown', 'The daemon that ran this key cannot tell its answer.');
+  }
+}
+
+/**
+ * Gives a call up whose claim may still land, or was granted: the nonce is kept, so that nothing runs under it by
+ * surprise, and a repeat here can take the claim up again.
+ */
+function giveUp(call: Call, ctx: ServeContext, nonce: string, error: ErrorKind, detail: string): Settled {
+  const settled = refuse(call, ctx, error, detail);
+  ctx.answers.abandon(keyText(call), { body: call.bodyDigest, nonce }, settled.served);
+  return settled;
+}
+
+/** Ends a call that may not run under its key, now or later. */
+function lose(call: Call, ctx: ServeContext, error: ErrorKind, detail: string): Settled {
+  const settled = refuse(call, ctx, error, detail);
+  ctx.answers.drop(keyText(call), settled.served);
+  return settled;
+}
+
+function refuse(call: Call, ctx: ServeContext, error: ErrorKind, detail: string): Extract<Settled, { kind: 'done' }> {
+  note(call, ctx, 'refuse', error);
+  return { kind: 'done', served: failedWith(error, answerOf(error).outcome, detail) };
+}
+
+function note(call: Call, ctx: ServeContext, step: 'refuse' | 'settle' | 'join', reason: string): void {
+  ctx.decide({ request: call.id, step, cls: call.cls.name, reason });
+}
+
+function keyText(call: Call): string {
+  return call.key.kind === 'none' ? '' : call.key.key;
+}
+
+function makeClaim(call: Call, ctx: ServeContext, key: string, nonce: string): ClaimRecord {
+  return { key, nonce, claimant: `${ctx.daemon.id}/${ctx.daemon.incarnation}`, address: ctx.daemon.address, body: call.bodyDigest };
+}
+
+function makeBid(call: Call, ctx: ServeContext, key: string, nonce: string): KeyBid {
+  return { key, body: call.bodyDigest, claimant: `${ctx.daemon.id}/${ctx.daemon.incarnation}/${nonce}`, address: ctx.daemon.address };
+}
--- /dev/null
+++ b/packages/core/src/routing/classifier.ts
@@ -0,0 +1,69 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Finds the request class of a call. */
+
+import type { Config, RequestClass } from '@gentiandrum/protocol';
+
+/** A request class with its name. */
+export interface NamedClass extends RequestClass {
+  name: string;
+}
+
+interface Rule {
+  cls: NamedClass;
+  methods: ReadonlySet<string>;
+  segments: readonly string[];
+}
+
+/** Classifier for one configuration. Longer patterns go first, so that the order in the file doesn't matter. */
+export class Classifier {
+  private readonly _rules = new Map<string, Rule[]>();
+
+  constructor(cfg: Config) {
+    for (const service of Object.keys(cfg.services)) {
+      this._rules.set(service, []);
+    }
+    for (const [name, cls] of Object.entries(cfg.classes)) {
+      this._rules.get(cls.service)?.push({ cls: { ...cls, name }, methods: new Set(cls.methods), segments: split(cls.path) });
+    }
+    for (const rules of this._rules.values()) {
+      rules.sort((a, b) => specificity(b) - specificity(a) || (a.cls.name < b.cls.name ? -1 : 1));
+    }
+  }
+
+  /** Whether the configuration declares the service. */
+  knows(service: string): boolean {
+    return this._rules.has(service);
+  }
+
+  /** The class of a call; `path` without query. */
+  classify(service: string, method: string, path: string): NamedClass | undefined {
+    const segments = split(path);
+    return this._rules.get(service)?.find((rule) => matches(rule, method, segments))?.cls;
+  }
+}
+
+function split(path: string): string[] {
+  return path.split('/').filter((segment) => segment !== '');
+}
+
+function specificity(rule: Rule): number {
+  const literal = rule.segments.filter((segment) => !segment.startsWith('*')).length;
+  const open = rule.segments.at(-1) === '**' ? 0 : 1;
+  return literal * 4 + open * 2 + (rule.methods.size > 0 ? 1 : 0);
+}
+
+function matches(rule: Rule, method: string, segments: readonly string[]): boolean {
+  if (rule.methods.size > 0 && !rule.methods.has(method)) {
+    return false;
+  }
+  const open = rule.segments.at(-1) === '**';
+  const fixed = open ? rule.segments.slice(0, -1) : rule.segments;
+  if (open ? segments.length < fixed.length : segments.length !== fixed.length) {
+    return false;
+  }
+  return fixed.every((segment, i) => segment === '*' || segment === segments[i]);
+}
--- /dev/null
+++ b/packages/daemon/src/app/callService.ts
@@ -0,0 +1,322 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Serves calls that come in at this daemon, from callers and from the target on this host. */
+
+import {
+  AnswerStore,
+  type Call,
+  type CallKey,
+  type Candidate,
+  type ChainPlace,
+  Classifier,
+  cohortOf,
+  type ErrorKind,
+  importanceIndex,
+  KeySettler,
+  kMaxChainDepth,
+  monotonicMs,
+  type NamedClass,
+  type Payload,
+  type Performers,
+  releaseClaim,
+  type RetryLedger,
+  RetryRatio,
+  RootFilter,
+  runProcedure,
+  type ServeContext,
+  serveCall,
+  type Served,
+  type TargetPicker,
+  failedWith,
+  answerOf,
+  wallMs,
+} from '@gentiandrum/core';
+import type { Config } from '@gentiandrum/protocol';
+import type { ChainToken } from '@gentiandrum/protocol/peers';
+import type { PeerClient } from '../client/peerClient.js';
+import { CallSession, type SessionDeps } from './callSession.js';
+import type { ClaimService } from './claimService.js';
+import type { DecisionLog } from './decisionLog.js';
+import { digestOf, spreadHash } from './digests.js';
+import { Ids } from './ids.js';
+import type { Metrics } from './metrics.js';
+import { type KeyText, parseKey } from './keyText.js';
+
+/** A request as the HTTP side hands it over. */
+export interface IncomingRequest {
+  service: string;
+  payload: Payload;
+  /** Text of the `Idempotency-Key` header. */
+  key: string | undefined;
+  /** Time that the caller allows, in milliseconds. */
+  timeoutMs: number | undefined;
+  chain: ChainToken | undefined;
+}
+
+/** A request that was taken in: how it ends, and how to tell that its caller hung up. */
+export interface TakenRequest {
+  id: string;
+  served: Promise<Served>;
+  callerGone: () => void;
+}
+
+/** What the service uses of its daemon. */
+export interface CallDeps extends SessionDeps {
+  daemon: ServeContext['daemon'];
+  stopping: () => boolean;
+  candidates: (service: string) => readonly Candidate[];
+  addressOf: (daemon: string) => string | undefined;
+  picker: TargetPicker;
+  ledger: RetryLedger;
+  claims: ClaimService;
+  peers: PeerClient;
+  decisions: DecisionLog;
+  metrics: Metrics;
+  answerBytes: number;
+  inFlightBytes: number;
+}
+
+/** Call side of one daemon. */
+export class CallService {
+  readonly settler = new KeySettler();
+  readonly answers: AnswerStore;
+  private readonly _ids: Ids;
+  private readonly _ratios = new Map<string, RetryRatio>();
+  private readonly _ordinals = new Map<string, Map<string, number>>();
+  private readonly _ctx: ServeContext;
+  private _classifier: Classifier;
+  private _inFlight = 0;
+  private _bytes = 0;
+
+  constructor(
+    private readonly _deps: CallDeps,
+    private _cfg: Config,
+  ) {
+    this._ids = new Ids(_deps.daemon.id, _deps.daemon.incarnation);
+    this.answers = new AnswerStore(_deps.answerBytes);
+    this._classifier = new Classifier(_cfg);
+    this._ctx = this._makeContext();
+  }
+
+  /** Calls that are being served. */
+  get inFlight(): number {
+    return this._inFlight;
+  }
+
+  /** Puts a configuration in force. */
+  configure(cfg: Config): void {
+    this._cfg = cfg;
+    this._classifier = new Classifier(cfg);
+  }
+
+  /** A new namespace for a caller's numbered keys. */
+  openNamespace(): string {
+    const name = this._ids.next().replaceAll('~', '.');
+    this.settler.openNamespace(name);
+    return name;
+  }
+
+  /** Takes a request in. */
+  take(req: IncomingRequest): TakenRequest {
+    const id = this._ids.next();
+    const call = this._makeCall(id, req);
+    if (typeof call === 'string') {
+      this._deps.decisions.add({ request: id, step: 'refuse', cls: 'none', reason: call });
+      return { id, served: Promise.resolve(this.refusal(call)), callerGone: () => undefined };
+    }
+    const session = new CallSession(this._deps);
+    return {
+      id,
+      served: this._serve(call, session),
+      callerGone: () => {
+        session.callerGone();
+      },
+    };
+  }
+
+  /** Error answer for a request that is refused before anything is done for it. */
+  refusal(error: ErrorKind): Served {
+    return failedWith(error, answerOf(error).outcome, answerOf(error).title);
+  }
+
+  /** Gives the claim of a key back whose call was not run here. */
+  release(key: string): Promise<boolean> {
+    const { daemon, claims } = this._deps;
+    const { shard } = claims.shardOf(key);
+    const release = { key, shard, claimant: `${daemon.id}/${daemon.incarnation}`, address: daemon.address };
+    return runProcedure(releaseClaim(release, this.answers), {
+      appendClaim: (effect) => claims.append(effect.shard, effect.record),
+      readClaims: (effect) => claims.read(effect.shard, effect.upTo),
+    });
+  }
+
+  private async _serve(call: Call, session: CallSession): Promise<Served> {
+    const startedAt = monotonicMs();
+    const size = call.payload.body.byteLength;
+    this._inFlight++;
+    this._bytes += size;
+    try {
+      const served = await runProcedure(serveCall(call, this._ctx), this._performers(session));
+      this._measure(call, served, monotonicMs() - startedAt);
+      return served;
+    } finally {
+      this._inFlight--;
+      this._bytes -= size;
+    }
+  }
+
+  private _measure(call: Call, served: Served, ms: number): void {
+    const end = served.kind === 'answer' ? String(served.answer.status) : served.error;
+    const tags = { class: call.cls.name, service: call.cls.service, end };
+    this._deps.metrics.count('request', tags);
+    this._deps.metrics.timing('request.ms', ms, tags);
+  }
+
+  private _makeCall(id: string, req: IncomingRequest): Call | ErrorKind {
+    const { service, payload } = req;
+    if (!this._classifier.knows(service)) {
+      return 'unknown_service';
+    }
+    const cls = this._classifier.classify(service, payload.method, payload.path.split('?')[0] ?? '/');
+    if (!cls) {
+      return 'unknown_class';
+    }
+    if (this._bytes + payload.body.byteLength > this._deps.inFlightBytes) {
+      return 'overloaded';
+    }
+    const chain = this._placeInChain(id, cls, req.chain);
+    if (chain.depth > kMaxChainDepth) {
+      return 'chain_too_deep';
+    }
+    const parsed = parseKey(req.key);
+    if (parsed.kind === 'bad') {
+      return 'bad_key';
+    }
+    const bodyDigest = parsed.kind !== 'none' || !cls.idempotent ? digestOf(payload.method, service, payload.path, payload.body) : '';
+    const key = this._keyOf(parsed, cls, chain, bodyDigest);
+    return { id, cls, chain, key, bodyDigest, payload, deadline: this._deadline(cls, req) };
+  }
+
+  private _deadline(cls: NamedClass, req: IncomingRequest): number {
+    const byChain = req.chain ? req.chain.deadline - wallMs() : Infinity;
+    return monotonicMs() + Math.min(cls.deadlineMs, req.timeoutMs ?? Infinity, byChain);
+  }
+
+  private _placeInChain(id: string, cls: NamedClass, token: ChainToken | undefined): ChainPlace {
+    const { daemon } = this._deps;
+    if (!token) {
+      return {
+        root: id,
+        importance: importanceIndex(cls.importance),
+        cohort: cohortOf(spreadHash(id)),
+        depth: 0,
+        rootDaemon: daemon.id,
+        rootAddress: daemon.address,
+        rootIncarnation: daemon.incarnation,
+        repeatable: false,
+      };
+    }
+    const { root, importance, cohort, depth, rootDaemon, rootAddress, repeatable, entry } = token;
+    const rootIncarnation = Number(token.rootIncarnation);
+    return { root, parent: entry, importance, cohort, depth: depth + 1, rootDaemon, rootAddress, rootIncarnation, repeatable };
+  }
+
+  private _keyOf(parsed: KeyText, cls: NamedClass, chain: ChainPlace, bodyDigest: string): CallKey {
+    switch (parsed.kind) {
+      case 'own':
+        return { kind: 'own', key: digestOf('own', cls.service, parsed.text) };
+      case 'minted': {
+        const { owner, incarnation, namespace, sequence } = parsed;
+        return { kind: 'minted', owner, incarnation, key: `${namespace}/${sequence}`, address: this._deps.addressOf(owner) ?? '' };
+      }
+      case 'none':
+      case 'bad':
+        break;
+    }
+    if (cls.idempotent || !chain.repeatable || chain.parent === undefined) {
+      return { kind: 'none' };
+    }
+    const ordinal = this._nextOrdinal(chain.parent, `${cls.name}/${bodyDigest}`);
+    return { kind: 'derived', key: digestOf('derived', chain.root, String(chain.depth), cls.name, bodyDigest, String(ordinal)) };
+  }
+
+  /** Numbers equal calls of one parent: the second of two equal holds is meant, a retried parent's first is not. */
+  private _nextOrdinal(parent: string, call: string): number {
+    const counts = this._ordinals.get(parent) ?? new Map<string, number>();
+    const ordinal = counts.get(call) ?? 0;
+    counts.set(call, ordinal + 1);
+    this._ordinals.set(parent, counts);
+    for (const known of this._ordinals.keys()) {
+      if (this._deps.ledger.has(known)) {
+        break;
+      }
+      this._ordinals.delete(known);
+    }
+    return ordinal;
+  }
+
+  private _performers(session: CallSession): Performers {
+    const { claims, peers } = this._deps;
+    return {
+      offer: (effect) => session.offer(effect),
+      awaitEvent: ({ until }) => session.awaitEvent(until),
+      cancel: ({ attempt, to }) => session.cancel(attempt, to),
+      relayClaim: ({ to, shard, record }) => peers.relayClaim(to, shard, record),
+      appendClaim: ({ shard, record }) => claims.append(shard, record),
+      readClaims: ({ shard, upTo }) => claims.read(shard, upTo),
+      settleKey: ({ to, bid, incarnation, root }) => peers.settleKey(to, bid, incarnation, root ?? ''),
+      fetchAnswer: ({ address, claimant, key, body, until }) =>
+        peers.fetchAnswer(address, { key, body, claimant, waitMs: until - monotonicMs() }),
+      joinRunning: ({ key, until }) => this.joinRunning(key, until),
+    };
+  }
+
+  /** Waits for the running call of a key, up to a time on the monotonic clock. */
+  joinRunning(key: string, until: number): Promise<Served | undefined> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => {
+          stop();
+          resolve(undefined);
+        },
+        Math.max(0, until - monotonicMs()),
+      );
+      const stop = this.answers.wait(key, (served) => {
+        clearTimeout(timer);
+        resolve(served);
+      });
+    });
+  }
+
+  private _makeContext(): ServeContext {
+    const { daemon, stopping, candidates, picker, ledger, claims, decisions } = this._deps;
+    return {
+      daemon,
+      stopping,
+      candidates,
+      picker,
+      ledger,
+      rootFilter: new RootFilter(() => this._cfg.overload.favour),
+      retryRatio: (service) => this._ratio(service),
+      answers: this.answers,
+      settler: this.settler,
+      claimShard: (key) => claims.shardOf(key),
+      newId: () => this._ids.next(),
+      decide: (decision) => {
+        decisions.add(decision);
+      },
+    };
+  }
+
+  private _ratio(service: string): RetryRatio {
+    let ratio = this._ratios.get(service);
+    if (!ratio) {
+      ratio = new RetryRatio(() => this._cfg.retryRatio);
+      this._ratios.set(service, ratio);
+    }
+    return ratio;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/callSession.ts
@@ -0,0 +1,157 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** One call's attempts in the world: sends offers, collects their ends, and wakes the procedure that waits for them. */
+
+import { type CallEvent, type Candidate, type Effects, monotonicMs, type OfferEnd, type Payload } from '@gentiandrum/core';
+import { kOfferHeader, kVerdictHeader, type OfferTerms, offerVerdictSchema } from '@gentiandrum/protocol';
+import { exchange, type ExchangeEnd, HttpExchange } from '../client/httpExchange.js';
+import type { Pools } from '../client/pools.js';
+import type { OfferService } from './offerService.js';
+import { isErrorKind, kOpenLevel } from '@gentiandrum/core';
+
+/** Time for the word whether a cancelled attempt had started, in milliseconds. */
+const kCancelMs = 50;
+const kMaxReplyBytes = 260 * 1024 * 1024;
+
+/** What a session uses of its daemon. */
+export interface SessionDeps {
+  selfId: string;
+  pools: Pools;
+  offers: OfferService;
+}
+
+/** Attempts of one call. */
+export class CallSession {
+  private readonly _events: CallEvent[] = [];
+  private readonly _running = new Map<string, HttpExchange>();
+  private _wake: ((event: CallEvent) => void) | undefined;
+  private _gone = false;
+
+  constructor(private readonly _deps: SessionDeps) {}
+
+  /** The caller hung up. */
+  callerGone(): void {
+    if (!this._gone) {
+      this._gone = true;
+      this._push({ kind: 'caller_gone' });
+    }
+  }
+
+  /** Sends an offer; its end comes as an event. */
+  offer(effect: Effects['offer']['ask']): Promise<undefined> {
+    const { attempt, to, terms, payload } = effect;
+    if (to.daemon === this._deps.selfId) {
+      void this._deps.offers.offer(terms, payload).then((end) => {
+        this._push({ kind: 'ended', attempt, end });
+      });
+    } else {
+      this._send(attempt, to, terms, payload);
+    }
+    return Promise.resolve(undefined);
+  }
+
+  /** Waits for the next event. */
+  awaitEvent(until: number): Promise<CallEvent> {
+    const event = this._events.shift();
+    if (event) {
+      return Promise.resolve(event);
+    }
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => {
+          this._wake = undefined;
+          resolve({ kind: 'timeout' });
+        },
+        Math.max(0, Math.ceil(until - monotonicMs())),
+      );
+      this._wake = (next) => {
+        clearTimeout(timer);
+        this._wake = undefined;
+        resolve(next);
+      };
+    });
+  }
+
+  /** Cancels an attempt, and learns whether it had started. */
+  async cancel(attempt: string, to: Candidate): Promise<Effects['cancel']['reply']> {
+    if (to.daemon === this._deps.selfId) {
+      return { kind: this._deps.offers.cancel(attempt) };
+    }
+    const req = { method: 'POST', path: `/-/cancel/${encodeURIComponent(attempt)}`, headers: {}, body: new Uint8Array() };
+    const end = await exchange(this._deps.pools.to(`http://${to.address}`), req, 1_024, kCancelMs);
+    this._running.get(attempt)?.abort();
+    if (end.kind !== 'answered' || end.status !== 200) {
+      return { kind: 'unknown' };
+    }
+    return { kind: end.body.toString() === 'before_start' ? 'before_start' : 'started' };
+  }
+
+  private _send(attempt: string, to: Candidate, terms: OfferTerms, payload: Payload): void {
+    const { method, path, headers, body } = payload;
+    const offer = JSON.stringify({ terms, method, path, headers });
+    const req = { method: 'POST', path: '/-/offer', headers: { [kOfferHeader]: offer, 'content-type': 'application/octet-stream' }, body };
+    const exchanged = new HttpExchange(this._deps.pools.to(`http://${to.address}`), req, kMaxReplyBytes, (end) => {
+      this._running.delete(attempt);
+      this._push({ kind: 'ended', attempt, end: offerEnd(end) });
+    });
+    this._running.set(attempt, exchanged);
+  }
+
+  private _push(event: CallEvent): void {
+    if (this._wake) {
+      this._wake(event);
+    } else {
+      this._events.push(event);
+    }
+  }
+}
+
+/** Reads the gate's answer. One that can't be read is as good as lost. */
+function offerEnd(end: ExchangeEnd): OfferEnd {
+  if (end.kind === 'lost') {
+    return end;
+  }
+  const header = end.kind === 'answered' && end.status === 200 ? end.headers[kVerdictHeader] : undefined;
+  if (end.kind !== 'answered' || typeof header !== 'string') {
+    return { kind: 'lost', written: true };
+  }
+  const { unspent, level, retriedBelow, load, limit, kind, reason, status, headers } = offerVerdictSchema.parse(JSON.parse(header));
+  const common = { unspent, level, load: { load, limit } };
+  const known = reason !== undefined && isErrorKind(reason) ? reason : 'target_failed';
+  switch (kind) {
+    case 'answered':
+      return { kind, answer: { status: status ?? 502, headers: headers ?? {}, body: end.body }, retriedBelow, ...common };
+    case 'refused':
+      return { kind, reason: known, ...common };
+    case 'failed':
+      return { kind, reason: known, retriedBelow, ...common };
+    case 'lost':
+      return { kind, written: true };
+  }
+}
+
+/** The gate's answer as it travels. */
+export function verdictHeader(end: OfferEnd): string {
+  if (end.kind === 'lost') {
+    return JSON.stringify({ kind: 'lost', unspent: 0, level: kOpenLevel, retriedBelow: false, load: 0, limit: 1 });
+  }
+  const { load } = end;
+  const common = { unspent: end.unspent, level: end.level, load: load?.load ?? 0, limit: load?.limit ?? 1 };
+  switch (end.kind) {
+    case 'answered':
+      return JSON.stringify({
+        kind: 'answered',
+        retriedBelow: end.retriedBelow,
+        status: end.answer.status,
+        headers: end.answer.headers,
+        ...common,
+      });
+    case 'refused':
+      return JSON.stringify({ kind: 'refused', retriedBelow: false, reason: end.reason, ...common });
+    case 'failed':
+      return JSON.stringify({ kind: 'failed', retriedBelow: end.retriedBelow, reason: end.reason, ...common });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/claimService.ts
@@ -0,0 +1,104 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Claims streams: indexes of the shards that this daemon has to do with, and the daemon that batches for each shard. */
+
+import { type AppendEnd, claimInLog, type ClaimedInLog, ClaimIndex, type MemberView, type ReadEnd, runProcedure } from '@gentiandrum/core';
+import { type ClaimRecord, claimStream } from '@gentiandrum/protocol';
+import { GroupAppender } from '../client/groupAppender.js';
+import type { LogClient } from '../client/logClient.js';
+import { StreamTail } from '../client/streamTail.js';
+import { spreadHash } from './digests.js';
+
+interface Shard {
+  index: ClaimIndex;
+  tail: StreamTail;
+  appender: GroupAppender<ClaimRecord>;
+}
+
+/** Claims as seen by one daemon. */
+export class ClaimService {
+  private readonly _shards = new Map<number, Shard>();
+  private readonly _homes = new Map<number, string | undefined>();
+  private _homesOf = -1;
+
+  constructor(
+    private readonly _log: LogClient,
+    private readonly _view: MemberView,
+    private readonly _limits: { claimShards: number; claimsPerShard: number },
+  ) {}
+
+  /** Claims that are remembered here. */
+  get size(): number {
+    return [...this._shards.values()].reduce((sum, { index }) => sum + index.size, 0);
+  }
+
+  /** Shard of a key, its index, and the daemon that batches for it when that is another. */
+  shardOf(key: string): { shard: number; index: ClaimIndex; relay?: string } {
+    const shard = spreadHash(key) % this._limits.claimShards;
+    return { shard, index: this._shard(shard).index, relay: this._home(shard) };
+  }
+
+  /** Appends a claim with the next group of its shard. */
+  append(shard: number, record: ClaimRecord): Promise<AppendEnd> {
+    return this._shard(shard).appender.append(record);
+  }
+
+  /** Reads a shard's stream up to an offset, or to its end. */
+  read(shard: number, upTo?: number): Promise<ReadEnd> {
+    return this._shard(shard).tail.readUpTo(upTo);
+  }
+
+  /** Claims for another daemon. */
+  claimFor(record: ClaimRecord): Promise<ClaimedInLog> {
+    const { shard, index } = this.shardOf(record.key);
+    return runProcedure(claimInLog(record, shard, index), {
+      appendClaim: (effect) => this.append(effect.shard, effect.record),
+      readClaims: (effect) => this.read(effect.shard, effect.upTo),
+    });
+  }
+
+  private _shard(number: number): Shard {
+    let shard = this._shards.get(number);
+    if (!shard) {
+      const index = new ClaimIndex(this._limits.claimsPerShard);
+      const stream = claimStream(number);
+      shard = {
+        index,
+        tail: new StreamTail(this._log, stream, index),
+        appender: new GroupAppender((group) => this._log.append(stream, group)),
+      };
+      this._shards.set(number, shard);
+    }
+    return shard;
+  }
+
+  /** Address of the daemon of the own region that batches for a shard; undefined when it is this one. */
+  private _home(shard: number): string | undefined {
+    if (this._homesOf !== this._view.changed) {
+      this._homes.clear();
+      this._homesOf = this._view.changed;
+    }
+    if (!this._homes.has(shard)) {
+      this._homes.set(shard, this._findHome(shard));
+    }
+    return this._homes.get(shard);
+  }
+
+  /** The highest hash of daemon and shard wins; only efficiency depends on all daemons agreeing on it. */
+  private _findHome(shard: number): string | undefined {
+    const { self } = this._view;
+    let home = self;
+    let highest = spreadHash(`${shard}/${self.id}`);
+    for (const member of this._view.all()) {
+      const weight = spreadHash(`${shard}/${member.id}`);
+      if (member.state === 'alive' && member.region === self.region && weight > highest) {
+        home = member;
+        highest = weight;
+      }
+    }
+    return home.id === self.id ? undefined : home.address;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/configService.ts
@@ -0,0 +1,232 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Keeps the configuration current: a few daemons of each zone follow the log, the others hear of new versions from their
+ * peers; every daemon also looks at the log itself now and then.
+ */
+
+import { type Config, kConfigStream, kSnapshotStream, type PatchRecord } from '@gentiandrum/protocol';
+import { type AppendEnd, ConfigFold, type MemberView, type ReadEnd, runProcedure, type Submitted, submitPatch } from '@gentiandrum/core';
+import type { LogClient } from '../client/logClient.js';
+import type { PeerClient } from '../client/peerClient.js';
+import { StreamTail } from '../client/streamTail.js';
+import { spreadHash, textDigest } from './digests.js';
+import type { Logger } from './logger.js';
+
+/** Daemons of each zone that follow the log. */
+const kReadersPerZone = 2;
+const kFollowMs = 10_000;
+const kRetryMs = 500;
+/** Every daemon looks at the log at least this often, unless there are so many that the log would be crowded. */
+const kLookMs = 3_000;
+const kLooksPerSecond = 100;
+const kKeptRecords = 300;
+/** Records after which a snapshot is due, and the time after which one is renewed for the sake of retention. */
+const kSnapshotRecords = 100;
+const kSnapshotMs = 600_000;
+
+interface KeptRecord {
+  offset: number;
+  value: unknown;
+}
+
+/** Configuration of one daemon. */
+export class ConfigService {
+  readonly fold = new ConfigFold();
+  private readonly _tail: StreamTail;
+  private readonly _snapshots: StreamTail;
+  private _kept: KeptRecord[] = [];
+  private _snapshotOffset = 0;
+  private _snapshotAt = 0;
+  private _snapshotNext = 0;
+  private _stopped = false;
+  private _timer: NodeJS.Timeout | undefined;
+  private _fetching = false;
+
+  /** @param _onVersion called when a new version is in force here */
+  constructor(
+    private readonly _log: LogClient,
+    private readonly _peers: PeerClient,
+    private readonly _view: MemberView,
+    private readonly _logger: Logger,
+    private readonly _onVersion: (cfg: Config) => void,
+  ) {
+    const fold = {
+      apply: (offset: number, value: unknown) => {
+        this._apply(offset, value);
+      },
+    };
+    this._tail = new StreamTail(
+      _log,
+      kConfigStream,
+      Object.defineProperty(fold, 'next', { get: () => this.fold.next }) as typeof fold & { next: number },
+    );
+    const snapshots = {
+      apply: (offset: number, value: unknown) => {
+        this._snapshotNext = offset + 1;
+        this._adopt(value);
+      },
+      skipTo: (offset: number) => {
+        this._snapshotNext = offset;
+      },
+    };
+    this._snapshots = new StreamTail(
+      _log,
+      kSnapshotStream,
+      Object.defineProperty(snapshots, 'next', { get: () => this._snapshotNext }) as typeof snapshots & { next: number },
+    );
+  }
+
+  /** Whether this daemon follows the log for its zone. */
+  get isReader(): boolean {
+    return this._rank((member) => member.zone === this._view.self.zone) < kReadersPerZone;
+  }
+
+  /** Starts to keep the configuration current. */
+  start(): void {
+    void this._followLoop();
+    this._scheduleLook();
+  }
+
+  /** Stops. */
+  stop(): void {
+    this._stopped = true;
+    clearTimeout(this._timer);
+  }
+
+  /** Folds the log up to an offset, or to its end. */
+  read(upTo?: number): Promise<ReadEnd> {
+    return this._tail.readUpTo(upTo);
+  }
+
+  /** Adopts the latest snapshot in the log. */
+  readSnapshots(): Promise<ReadEnd> {
+    return this._snapshots.readUpTo();
+  }
+
+  /** Submits an operator's patch. */
+  submit(record: PatchRecord): Promise<Submitted> {
+    return runProcedure(submitPatch(record, this.fold), {
+      readConfig: ({ upTo }) => this.read(upTo),
+      appendPatch: (effect) => this._log.append(kConfigStream, effect.record),
+    });
+  }
+
+  /** Fetches from a peer what is lacking here. */
+  async fetchFrom(address: string): Promise<boolean> {
+    const res = await this._peers.fetchConfig(address, this.fold.next);
+    if (!res) {
+      return false;
+    }
+    for (const { offset, value } of res.records) {
+      if (Number(offset) === this.fold.next) {
+        this._apply(Number(offset), JSON.parse(value));
+      }
+    }
+    if (res.snapshot !== '') {
+      this._adopt(JSON.parse(res.snapshot));
+    }
+    return true;
+  }
+
+  /** Fetches from a peer unless a fetch is under way. */
+  async fetchOnce(address: string): Promise<void> {
+    if (this._fetching) {
+      return;
+    }
+    this._fetching = true;
+    await this.fetchFrom(address);
+    this._fetching = false;
+  }
+
+  /** What a peer lacks from an offset on: records while they are kept, else a snapshot. */
+  since(next: number): { next: number; records: KeptRecord[]; snapshot: string } {
+    const records = this._kept.filter((record) => record.offset >= next);
+    const complete = next >= this.fold.next || records[0]?.offset === next;
+    const snapshot = complete ? '' : JSON.stringify(this.fold.snapshot(textDigest));
+    return { next: this.fold.next, records: complete ? records : [], snapshot };
+  }
+
+  /** Appends a snapshot. */
+  async appendSnapshot(): Promise<AppendEnd> {
+    const end = await this._log.append(kSnapshotStream, this.fold.snapshot(textDigest));
+    if (end.kind === 'appended') {
+      this._snapshotOffset = this.fold.next;
+      this._snapshotAt = Date.now();
+      this._logger.info('config', 'Appended a snapshot.', { version: this.fold.version, offset: this.fold.next });
+    }
+    return end;
+  }
+
+  private async _followLoop(): Promise<void> {
+    while (!this._stopped) {
+      const end = this.isReader ? await this._tail.follow(kFollowMs) : undefined;
+      if (end?.kind !== 'read') {
+        await this._wait(kRetryMs);
+      } else if (this._snapshotDue()) {
+        await this.appendSnapshot();
+      }
+    }
+  }
+
+  private _snapshotDue(): boolean {
+    const first = this._rank(() => true) === 0;
+    const records = this.fold.next - this._snapshotOffset;
+    const old = Date.now() - this._snapshotAt >= kSnapshotMs;
+    return first && this.fold.version > 0 && (records >= kSnapshotRecords || old);
+  }
+
+  private _scheduleLook(): void {
+    const crowd = (this._view.all().length / kLooksPerSecond) * 1_000;
+    const jitter = 0.8 + Math.random() * 0.4;
+    this._timer = setTimeout(
+      () => {
+        void this.read().finally(() => {
+          if (!this._stopped) {
+            this._scheduleLook();
+          }
+        });
+      },
+      Math.max(kLookMs, crowd) * jitter,
+    );
+  }
+
+  private _apply(offset: number, value: unknown): void {
+    if (offset < this.fold.next) {
+      return;
+    }
+    const changed = this.fold.apply(offset, value);
+    this._kept.push({ offset, value });
+    this._kept = this._kept.slice(-kKeptRecords);
+    if (changed) {
+      this._announce();
+    }
+  }
+
+  private _adopt(value: unknown): void {
+    if (this.fold.adopt(value, textDigest)) {
+      this._announce();
+    }
+    this._kept = this._kept.filter((record) => record.offset >= this.fold.next);
+  }
+
+  private _announce(): void {
+    this._logger.info('config', `Version ${this.fold.version} is in force.`, { version: this.fold.version });
+    this._onVersion(this.fold.config);
+  }
+
+  /** Place of this daemon among the living ones of a group, in an order that all compute alike. */
+  private _rank(member: (of: { zone: string }) => boolean): number {
+    const { self } = this._view;
+    const own = spreadHash(self.id);
+    const ahead = this._view.all().filter((other) => other.id !== self.id && other.state === 'alive' && member(other));
+    return ahead.filter((other) => spreadHash(other.id) < own).length;
+  }
+
+  private _wait(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/daemon.ts
@@ -0,0 +1,381 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** One daemon: puts its parts together, starts them, and stops them in order. */
+
+import {
+  type Candidate,
+  coldStart,
+  kOpenLevel,
+  type Member,
+  MemberView,
+  monotonicMs,
+  plannedStop,
+  RetryLedger,
+  runProcedure,
+  TargetPicker,
+  type TargetState,
+} from '@gentiandrum/core';
+import { type Config, kMembersStream, memberRecordSchema, type Settings } from '@gentiandrum/protocol';
+import { LogClient } from '../client/logClient.js';
+import { PeerClient } from '../client/peerClient.js';
+import { Pools } from '../client/pools.js';
+import { CallService } from './callService.js';
+import { ChainTokens } from './chainToken.js';
+import { ClaimService } from './claimService.js';
+import { ConfigService } from './configService.js';
+import { DecisionLog } from './decisionLog.js';
+import { LocalTarget } from './localTarget.js';
+import { Logger } from './logger.js';
+import { type MemberEvents, MemberService } from './memberService.js';
+import { Metrics } from './metrics.js';
+import { OfferService } from './offerService.js';
+import { ControlMeter } from './controlMeter.js';
+
+const kPeerConnections = 128;
+const kTickMs = 500;
+const kColdStartRounds = 3;
+const kAskedPeers = 3;
+const kMemberRefreshMs = 600_000;
+/** Change of the admission level that is worth telling others. */
+const kLevelStep = kOpenLevel / 8;
+
+/** One daemon. */
+export class Daemon {
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly tokens: ChainTokens;
+  readonly target: LocalTarget;
+  readonly offers: OfferService;
+  readonly calls: CallService;
+  readonly members: MemberService;
+  readonly config: ConfigService;
+  readonly claims: ClaimService;
+  readonly meter: ControlMeter;
+  readonly incarnation: number;
+  private readonly _pools = new Pools(kPeerConnections);
+  private readonly _logPools = new Pools(4);
+  private readonly _log: LogClient;
+  private readonly _peers = new PeerClient();
+  private readonly _ledger = new RetryLedger();
+  private readonly _picker: TargetPicker;
+  private _candidates = new Map<string, Candidate[]>();
+  private _stopping = false;
+  private _timers: NodeJS.Timeout[] = [];
+
+  constructor(readonly settings: Settings) {
+    const address = settings.advertise ?? settings.listen;
+    this.incarnation = Date.now();
+    this.logger = new Logger(settings.logLevel, settings.id);
+    this.metrics = new Metrics(settings.statsd, { daemon: settings.id, zone: settings.zone });
+    this.decisions = new DecisionLog(this.logger, this.metrics);
+    this.tokens = new ChainTokens(settings.chainSecret);
+    this._log = new LogClient(settings.log, this._logPools);
+    this.meter = new ControlMeter(this._log.traffic);
+    this._picker = new TargetPicker(settings.zone, settings.region, Math.random);
+    const view = new MemberView(this._ownRecord(address), Math.random, monotonicMs());
+    this.members = new MemberService(view, this._peers, this._memberEvents(), this.logger);
+    this.config = new ConfigService(this._log, this._peers, view, this.logger, (cfg) => {
+      this._configure(cfg);
+    });
+    this.claims = new ClaimService(this._log, view, settings.limits);
+    this.offers = new OfferService({
+      incarnation: this.incarnation,
+      maxBodyBytes: settings.limits.bodyBytes,
+      ledger: this._ledger,
+      pools: this._pools,
+      tokens: this.tokens,
+      decisions: this.decisions,
+      target: () => this.target,
+    });
+    this.target = new LocalTarget(
+      () => this.config.fold.config.overload.favour,
+      this.offers,
+      () => {
+        this._announceTarget();
+      },
+      this.logger,
+      settings.limits.announceTimeoutMs,
+    );
+    this.calls = new CallService(
+      {
+        selfId: settings.id,
+        pools: this._pools,
+        offers: this.offers,
+        daemon: { id: settings.id, incarnation: this.incarnation, address },
+        stopping: () => this._stopping,
+        candidates: (service) => this._candidates.get(service) ?? [],
+        addressOf: (id) => view.get(id)?.address,
+        picker: this._picker,
+        ledger: this._ledger,
+        claims: this.claims,
+        peers: this._peers,
+        decisions: this.decisions,
+        metrics: this.metrics,
+        answerBytes: settings.limits.answerBytes,
+        inFlightBytes: settings.limits.inFlightBytes,
+      },
+      this.config.fold.config,
+    );
+  }
+
+  private _memberEvents(): MemberEvents {
+    return {
+      onNewerConfig: (from) => {
+        this._fetchConfig(from);
+      },
+      onChange: () => {
+        this._refreshCandidates();
+      },
+      onPause: (ms) => {
+        this._resumed(ms);
+      },
+    };
+  }
+
+  /** Whether a planned stop is under way. */
+  get stopping(): boolean {
+    return this._stopping;
+  }
+
+  /** Requests and offers in flight. */
+  get inFlight(): number {
+    return this.calls.inFlight + this.offers.inFlight;
+  }
+
+  /** Learns configuration and members, and starts to take part. The server listens already. */
+  async start(): Promise<void> {
+    this.members.start();
+    const { source, version } = await runProcedure(coldStart(this.config.fold, kColdStartRounds), {
+      readSnapshots: () => this.config.readSnapshots(),
+      readConfig: ({ upTo }) => this.config.read(upTo),
+      appendMember: () => this._appendMember(false),
+      askPeers: () => this._askPeers(),
+      sleep: ({ ms }) => pause(ms),
+    });
+    this.logger.info('start', `Started with configuration version ${version} from ${source}.`, { version, source });
+    this.config.start();
+    this._timers = [
+      setInterval(() => {
+        this._tick();
+      }, kTickMs),
+      setInterval(
+        () => {
+          void this._appendMember(false);
+        },
+        kMemberRefreshMs * (0.8 + Math.random() * 0.4),
+      ),
+    ];
+  }
+
+  /** Planned stop: resolves once nothing is in flight, or the limit of the settings passed. */
+  async stop(): Promise<{ cut: number }> {
+    if (this._stopping) {
+      return { cut: 0 };
+    }
+    const { cut } = await runProcedure(
+      plannedStop({
+        announceLeaving: () => {
+          this._stopping = true;
+          this.target.stop();
+        },
+        closeGate: () => this.target.gate?.close('stopping'),
+        announceLeft: () => {
+          this.members.view.update({ state: 'left' }, monotonicMs());
+        },
+        limitMs: this.settings.limits.stopMs,
+      }),
+      {
+        spreadWord: async () => {
+          await this.members.spread();
+          return undefined;
+        },
+        sleep: ({ ms }) => pause(ms),
+        awaitIdle: ({ until }) => this._awaitIdle(until),
+        appendMember: () => this._appendMember(true),
+      },
+    );
+    this.logger.info('stop', cut === 0 ? 'Nothing was cut.' : `Cut ${cut} calls at the limit of the settings.`, { cut });
+    return { cut };
+  }
+
+  /** Ends timers and connections. */
+  async close(): Promise<void> {
+    this._timers.forEach((timer) => {
+      clearInterval(timer);
+    });
+    this.members.stop();
+    this.config.stop();
+    this.metrics.close();
+    this._peers.close();
+    await Promise.all([this._pools.destroy(), this._logPools.destroy()]);
+  }
+
+  private _ownRecord(address: string): Member {
+    const { id, zone, region } = this.settings;
+    return {
+      id,
+      incarnation: this.incarnation,
+      revision: 1,
+      address,
+      zone,
+      region,
+      state: 'alive',
+      target: '',
+      service: '',
+      targetState: 'absent',
+      slots: 0,
+      level: kOpenLevel,
+      configVersion: 0,
+    };
+  }
+
+  private _configure(cfg: Config): void {
+    this.calls.configure(cfg);
+    const name = this.target.announcement?.target;
+    this.target.setIntake((name !== undefined ? cfg.targets[name] : undefined) ?? 'serving');
+    this._refreshCandidates();
+    this._updateSelf({ configVersion: this.config.fold.version });
+  }
+
+  private _announceTarget(): void {
+    const { announcement } = this.target;
+    if (!announcement) {
+      return;
+    }
+    const intake = this.config.fold.config.targets[announcement.target];
+    if (intake !== undefined) {
+      this.target.setIntake(intake);
+    }
+    const { target, service, slots } = announcement;
+    this._updateSelf({ target, service, slots, targetState: this.target.state });
+  }
+
+  /** Changes the own record, and tells some others at once. */
+  private _updateSelf(change: Partial<Member>): void {
+    const before = this.members.view.self.revision;
+    this.members.view.update(change, monotonicMs());
+    if (this.members.view.self.revision !== before) {
+      this._refreshCandidates();
+      void this.members.spread();
+    }
+  }
+
+  private _refreshCandidates(): void {
+    const { targets } = this.config.fold.config;
+    const candidates = new Map<string, Candidate[]>();
+    for (const member of this.members.view.all()) {
+      const usable = member.state === 'alive' && takesWork(member.targetState) && targets[member.target] !== 'leaving';
+      if (usable) {
+        const { target, id: daemon, incarnation, address, service, zone, region, slots } = member;
+        const list = candidates.get(service) ?? [];
+        list.push({ target, daemon, incarnation, address, service, zone, region, slots });
+        candidates.set(service, list);
+      }
+    }
+    this._candidates = candidates;
+  }
+
+  private _tick(): void {
+    this.target.tick();
+    const { gate } = this.target;
+    const level = gate?.level ?? kOpenLevel;
+    if (Math.abs(level - this.members.view.self.level) >= kLevelStep) {
+      this.members.view.update({ level }, monotonicMs());
+    }
+    this._picker.retain([...this._candidates.values()].flat());
+    this._gauges();
+  }
+
+  private _gauges(): void {
+    const { gate } = this.target;
+    const { metrics } = this;
+    metrics.gauge('config.version', this.config.fold.version);
+    metrics.gauge('requests.in_flight', this.calls.inFlight);
+    metrics.gauge('claims.remembered', this.claims.size);
+    metrics.gauge('answers.bytes', this.calls.answers.bytes);
+    metrics.gauge('control.bytes', this.meter.bytes);
+    if (gate) {
+      metrics.gauge('gate.limit', gate.limit);
+      metrics.gauge('gate.in_flight', gate.inFlight);
+      metrics.gauge('gate.queued', gate.queued);
+      metrics.gauge('gate.level', gate.level);
+    }
+  }
+
+  private _fetchConfig(from: string): void {
+    const address = this.members.view.get(from)?.address;
+    if (address !== undefined) {
+      void this.config.fetchOnce(address);
+    }
+  }
+
+  /** After a pause: the log may have gone on, and what others think of this daemon may be wrong. */
+  private _resumed(ms: number): void {
+    this.logger.warn('members', `The process was paused for about ${Math.round(ms)} ms.`, { ms });
+    void this.config.read();
+    void this.members.spread();
+  }
+
+  private async _askPeers(): Promise<{ answered: number }> {
+    await this._readMembers();
+    const known = this.members.view.someAlive(kAskedPeers).map((member) => member.address);
+    const asked = [...new Set([...known, ...this.settings.seeds])].filter((address) => address !== this.members.view.self.address);
+    const answers = await Promise.all(
+      asked.map(async (address) => {
+        const members = await this._peers.fetchMembers(address);
+        this.members.learn(members ?? []);
+        return members !== undefined && (await this.config.fetchFrom(address));
+      }),
+    );
+    await this.members.spread();
+    return { answered: answers.filter(Boolean).length };
+  }
+
+  private async _readMembers(): Promise<void> {
+    let from = 0;
+    for (;;) {
+      const page = await this._log.read(kMembersStream, from);
+      if (!page) {
+        return;
+      }
+      this.members.learn(page.records.flatMap(({ value }) => this._memberFrom(value)));
+      if (page.records.length === 0) {
+        return;
+      }
+      from = page.next;
+    }
+  }
+
+  private _memberFrom(value: unknown): Member[] {
+    const parsed = memberRecordSchema.safeParse(value);
+    if (!parsed.success || parsed.data.id === this.settings.id) {
+      return [];
+    }
+    const { goodbye, ...record } = parsed.data;
+    return [{ ...this._ownRecord(record.address), ...record, revision: 0, state: goodbye === true ? 'left' : 'alive' }];
+  }
+
+  private _appendMember(goodbye: boolean): ReturnType<LogClient['append']> {
+    const { id, incarnation, address, zone, region } = this.members.view.self;
+    return this._log.append(kMembersStream, { id, incarnation, address, zone, region, goodbye });
+  }
+
+  private async _awaitIdle(until: number): Promise<{ inFlight: number }> {
+    while (this.inFlight > 0 && monotonicMs() < until) {
+      await pause(20);
+    }
+    return { inFlight: this.inFlight };
+  }
+}
+
+function takesWork(state: TargetState): boolean {
+  return state === 'serving';
+}
+
+function pause(ms: number): Promise<undefined> {
+  return new Promise((resolve) => setTimeout(resolve, ms, undefined));
+}
--- /dev/null
+++ b/packages/daemon/src/app/decisionLog.ts
@@ -0,0 +1,75 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The decisions of the latest requests: logged as they are made, and kept for `gentiandrum explain`. */
+
+import { wallMs } from '@gentiandrum/core';
+import type { Logger } from './logger.js';
+import type { Metrics } from './metrics.js';
+
+const kMaxRequests = 2_000;
+const kMaxPerRequest = 64;
+
+/** One decision as it is kept and told. */
+export interface LoggedDecision {
+  request: string;
+  step: string;
+  cls: string;
+  reason: string;
+  target?: string;
+  attempt?: string;
+  weighed?: { target: string; score: number }[];
+  at?: number;
+}
+
+/** Log of decisions. */
+export class DecisionLog {
+  private readonly _requests = new Map<string, LoggedDecision[]>();
+
+  constructor(
+    private readonly _logger: Logger,
+    private readonly _metrics: Metrics,
+  ) {}
+
+  /** Logs a decision and keeps it. */
+  add(decision: LoggedDecision): void {
+    const { step, reason, target, cls } = decision;
+    const part = step === 'gate' ? 'gate' : 'route';
+    this._logger.info(part, textOf(decision), { ...decision });
+    this._metrics.count('decision', { step, reason, class: cls, target: target ?? 'none' });
+    this._keep({ ...decision, at: wallMs() });
+  }
+
+  /** The kept decisions of a request. */
+  of(request: string): LoggedDecision[] {
+    return this._requests.get(request) ?? [];
+  }
+
+  private _keep(decision: LoggedDecision): void {
+    const known = this._requests.get(decision.request);
+    if (known) {
+      if (known.length < kMaxPerRequest) {
+        known.push(decision);
+      }
+      return;
+    }
+    this._requests.set(decision.request, [decision]);
+    const oldest = this._requests.keys().next();
+    if (this._requests.size > kMaxRequests && !oldest.done) {
+      this._requests.delete(oldest.value);
+    }
+  }
+}
+
+function textOf({ step, target, reason }: LoggedDecision): string {
+  switch (step) {
+    case 'route':
+    case 'retry':
+    case 'compete':
+      return `${step} to ${target ?? 'nowhere'} (${reason})`;
+    default:
+      return `${step}: ${reason}`;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/digests.ts
@@ -0,0 +1,32 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Hashes: SHA-256 where equality must mean sameness, xxHash where only spread matters. */
+
+import { createHash } from 'node:crypto';
+import xxhash from 'xxhash-wasm';
+
+const kDigestBytes = 16;
+const kXxhash = await xxhash();
+
+/** Digest of some parts, as base64url text of 128 bits. */
+export function digestOf(...parts: (string | Uint8Array)[]): string {
+  const hash = createHash('sha256');
+  for (const part of parts) {
+    hash.update(`${part.length}:`);
+    hash.update(part);
+  }
+  return hash.digest().subarray(0, kDigestBytes).toString('base64url');
+}
+
+/** Digest of one text, whole, as hex. */
+export function textDigest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** 32-bit hash for spreading. */
+export function spreadHash(text: string): number {
+  return kXxhash.h32(text);
+}
--- /dev/null
+++ b/packages/daemon/src/app/keyText.ts
@@ -0,0 +1,34 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Text of the `Idempotency-Key` header. */
+
+const kMaxLength = 255;
+/** Numbered keys of a minted namespace look like `daemon.incarnation.number/sequence`. */
+const kMinted = /^"?((?<owner>[a-z0-9][a-z0-9._-]*)\.(?<incarnation>[0-9a-z]+)\.[0-9a-z]+)\/(?<sequence>\d{1,9})"?$/;
+const kPrintable = /^[\x20-\x7e]+$/;
+
+/** What a key's text says. */
+export type KeyText =
+  | { kind: 'none' }
+  | { kind: 'bad' }
+  | { kind: 'own'; text: string }
+  | { kind: 'minted'; namespace: string; owner: string; incarnation: number; sequence: number };
+
+/** Reads the text of a key. */
+export function parseKey(text: string | undefined): KeyText {
+  if (text === undefined) {
+    return { kind: 'none' };
+  }
+  if (text === '' || text.length > kMaxLength || !kPrintable.test(text)) {
+    return { kind: 'bad' };
+  }
+  const minted = kMinted.exec(text);
+  const { owner, incarnation, sequence } = minted?.groups ?? {};
+  if (minted?.[1] === undefined || owner === undefined || incarnation === undefined || sequence === undefined) {
+    return { kind: 'own', text };
+  }
+  return { kind: 'minted', namespace: minted[1], owner, incarnation: parseInt(incarnation, 36), sequence: Number(sequence) };
+}
--- /dev/null
+++ b/packages/daemon/src/app/loadSettings.ts
@@ -0,0 +1,59 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Reads and checks the daemon's settings. */
+
+import { readFileSync } from 'node:fs';
+import { Err, Ok, type Result } from '@gentiandrum/core';
+import { type Settings, settingsSchema } from '@gentiandrum/protocol';
+import { parse } from 'yaml';
+
+/** One fault of a settings file. */
+export interface SettingsFault {
+  /** Dotted path of the setting; empty for the file as a whole. */
+  path: string;
+  /** What was expected. */
+  expected: string;
+  /** What came, as JSON. */
+  got: string;
+}
+
+/** Reads a settings file; gives all its faults at once if there are any. */
+export function loadSettings(file: string): Result<Settings, SettingsFault[]> {
+  let value: unknown;
+  try {
+    value = parse(readFileSync(file, 'utf8'));
+  } catch (err) {
+    return Err([{ path: '', expected: 'a readable YAML file', got: err instanceof Error ? err.message : String(err) }]);
+  }
+  const checked = settingsSchema.safeParse(value);
+  if (checked.success) {
+    return Ok(checked.data);
+  }
+  return Err(
+    checked.error.issues.map((issue) => ({
+      path: issue.path.join('.'),
+      expected: issue.message,
+      got: textOf(valueAt(value, issue.path)),
+    })),
+  );
+}
+
+/** Text of a fault for people. */
+export function faultText(fault: SettingsFault): string {
+  const place = fault.path === '' ? 'file' : fault.path;
+  return `${place}: ${fault.expected}; got ${fault.got}`;
+}
+
+function textOf(value: unknown): string {
+  return value === undefined ? 'nothing' : JSON.stringify(value);
+}
+
+function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (inner, key) => (typeof inner === 'object' && inner !== null ? (inner as Record<PropertyKey, unknown>)[key] : undefined),
+    value,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/app/localTarget.ts
@@ -0,0 +1,122 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The target on this host: its announcements, its gate, and whether it takes new work. */
+
+import { Gate, type GateCall, type GateEvents, monotonicMs, type TargetState } from '@gentiandrum/core';
+import type { Announcement, TargetIntake } from '@gentiandrum/protocol';
+import type { Logger } from './logger.js';
+
+/** What the target's state follows from. */
+interface Words {
+  /** The target's own word. */
+  accepting: boolean;
+  /** The operator's word. */
+  intake: TargetIntake;
+  stopping: boolean;
+}
+
+/** The target on this daemon's host. */
+export class LocalTarget {
+  private _announcement: Announcement | undefined;
+  private _announcedAt = -Infinity;
+  private _gate: Gate<GateCall> | undefined;
+  private readonly _words: Words = { accepting: true, intake: 'serving', stopping: false };
+  private _state: TargetState = 'absent';
+
+  constructor(
+    private readonly _favour: () => 'goodput' | 'recovery',
+    private readonly _gateEvents: GateEvents<GateCall>,
+    private readonly _onState: () => void,
+    private readonly _logger: Logger,
+    private readonly _timeoutMs: number,
+  ) {}
+
+  /** The latest announcement. */
+  get announcement(): Announcement | undefined {
+    return this._announcement;
+  }
+
+  /** Gate of the target; undefined before the first announcement. */
+  get gate(): Gate<GateCall> | undefined {
+    return this._gate;
+  }
+
+  /** State as others are told. */
+  get state(): TargetState {
+    return this._state;
+  }
+
+  /** Takes an announcement. A target that comes back after silence, or under another name, is cold. */
+  announce(announcement: Announcement): void {
+    const now = monotonicMs();
+    const known = this._announcement;
+    const same = known?.target === announcement.target && known.service === announcement.service && known.url === announcement.url;
+    if (!same || !this._gate) {
+      this._gate?.close('no_target');
+      this._gate = new Gate(announcement.slots, this._favour, this._gateEvents, now);
+      this._logger.info('target', `${announcement.target} announced itself.`, { ...announcement });
+    }
+    this._announcement = announcement;
+    this._announcedAt = now;
+    this._gate.announce(announcement.slots);
+    this._words.accepting = announcement.accepting;
+    this._settle();
+    if (known?.slots !== announcement.slots) {
+      this._onState();
+    }
+  }
+
+  /** Takes the operator's word. */
+  setIntake(intake: TargetIntake): void {
+    this._words.intake = intake;
+    this._settle();
+  }
+
+  /** The daemon stops: nothing new is taken from now on. */
+  stop(): void {
+    this._words.stopping = true;
+    this._settle();
+  }
+
+  /** Notices when announcements stop. */
+  tick(): void {
+    this._settle();
+  }
+
+  private _settle(): void {
+    const state = this._stateNow();
+    if (state === this._state) {
+      return;
+    }
+    const before = this._state;
+    this._state = state;
+    this._applyToGate(state);
+    this._logger.info('target', `${this._announcement?.target ?? 'target'} goes from ${before} to ${state}.`, { ...this._words, state });
+    this._onState();
+  }
+
+  private _stateNow(): TargetState {
+    if (!this._announcement || monotonicMs() - this._announcedAt > this._timeoutMs) {
+      return 'absent';
+    }
+    const { accepting, intake, stopping } = this._words;
+    return stopping || !accepting || intake === 'leaving' ? 'leaving' : 'serving';
+  }
+
+  private _applyToGate(state: TargetState): void {
+    switch (state) {
+      case 'serving':
+        this._gate?.reopen();
+        return;
+      case 'leaving':
+        this._gate?.close(this._words.stopping ? 'stopping' : 'target_leaving');
+        return;
+      case 'absent':
+        this._gate?.close('no_target');
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/memberService.ts
@@ -0,0 +1,134 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Keeps the membership view: pings others, answers their pings, and notices when the process was paused. */
+
+import { type Member, type MemberView, monotonicMs } from '@gentiandrum/core';
+import type { PeerClient, Pong } from '../client/peerClient.js';
+import type { Logger } from './logger.js';
+
+const kPeriodMs = 1_000;
+/** A period that took this long means that the process was paused. */
+const kPauseMs = 2_500;
+const kSpread = 3;
+
+/** What others do with membership news. */
+export interface MemberEvents {
+  /** A ping or an answer told a configuration version ahead of the own one. */
+  onNewerConfig(from: string): void;
+  /** The view changed. */
+  onChange(): void;
+  /** The process was paused for about that long. */
+  onPause(ms: number): void;
+}
+
+/** Membership of one daemon. */
+export class MemberService {
+  private _timer: NodeJS.Timeout | undefined;
+  private _lastTick = monotonicMs();
+  private _announced = -1;
+
+  constructor(
+    readonly view: MemberView,
+    private readonly _peers: PeerClient,
+    private readonly _events: MemberEvents,
+    private readonly _logger: Logger,
+  ) {}
+
+  /** Starts to ping. */
+  start(): void {
+    this._lastTick = monotonicMs();
+    this._timer = setInterval(() => {
+      this._tick();
+    }, kPeriodMs);
+  }
+
+  /** Stops to ping. */
+  stop(): void {
+    clearInterval(this._timer);
+  }
+
+  /** Answers a ping. */
+  pinged(from: string, configVersion: number, changes: Member[]): Pong {
+    this._merge(changes);
+    const now = monotonicMs();
+    this.view.answered(from, now);
+    this._compareConfig(from, configVersion);
+    this._notify();
+    return { configVersion: this.view.self.configVersion, changes: [this.view.self, ...this.view.takeChanges()] };
+  }
+
+  /** Takes records that came otherwise, such as from a seed. */
+  learn(members: Member[]): void {
+    this._merge(members);
+    this._notify();
+  }
+
+  /** Tells some others at once of what changed. */
+  async spread(): Promise<void> {
+    const { self } = this.view;
+    const near = this.view.someAlive(kSpread, self.zone);
+    const far = this.view.someAlive(1);
+    await Promise.all([...near, ...far].map((member) => this.ping(member)));
+  }
+
+  /** Pings one daemon. */
+  async ping(member: Member): Promise<boolean> {
+    const { self } = this.view;
+    const rumour = member.state === 'alive' ? [] : [member];
+    const changes = [self, ...rumour, ...this.view.takeChanges()];
+    const pong = await this._peers.ping(member.address, { from: self.id, to: member.id, configVersion: self.configVersion, changes });
+    const now = monotonicMs();
+    if (!pong) {
+      this.view.suspect(member.id, now);
+      this._notify();
+      return false;
+    }
+    this._merge(pong.changes);
+    this.view.answered(member.id, now);
+    this._compareConfig(member.id, pong.configVersion);
+    this._notify();
+    return true;
+  }
+
+  private _tick(): void {
+    const now = monotonicMs();
+    const elapsed = now - this._lastTick;
+    this._lastTick = now;
+    if (elapsed > kPauseMs) {
+      this.view.resumed(now);
+      this._events.onPause(elapsed);
+    }
+    this.view.tick(now);
+    this._notify();
+    const next = this.view.nextProbe();
+    if (next) {
+      void this.ping(next);
+    }
+  }
+
+  private _merge(members: Member[]): void {
+    const now = monotonicMs();
+    for (const member of members) {
+      const before = this.view.get(member.id);
+      if (this.view.merge(member, now) && before?.state !== member.state) {
+        this._logger.info('members', `${member.id} is ${member.state}`, { member: member.id, zone: member.zone, state: member.state });
+      }
+    }
+  }
+
+  private _compareConfig(from: string, version: number): void {
+    if (version > this.view.self.configVersion) {
+      this._events.onNewerConfig(from);
+    }
+  }
+
+  private _notify(): void {
+    if (this._announced !== this.view.changed) {
+      this._announced = this.view.changed;
+      this._events.onChange();
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/metrics.ts
@@ -0,0 +1,48 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Metrics over statsd. Names and tags are listed in docs/OPERATORS.md. */
+
+import { StatsD } from 'hot-shots';
+
+const kSampleRate = 1;
+
+/** Metrics of one daemon. Without an address nothing is sent. */
+export class Metrics {
+  private readonly _statsd: StatsD;
+
+  constructor(address: string | undefined, tags: Record<string, string>) {
+    const [host, port] = (address ?? '127.0.0.1:8125').split(':');
+    this._statsd = new StatsD({
+      host,
+      port: Number(port),
+      prefix: 'gentiandrum.',
+      globalTags: tags,
+      mock: address === undefined,
+      maxBufferSize: 1_400,
+      errorHandler: () => undefined,
+    });
+  }
+
+  /** Counts an event. */
+  count(name: string, tags: Record<string, string> = {}, by = 1): void {
+    this._statsd.increment(name, by, kSampleRate, tags);
+  }
+
+  /** Sets a level. */
+  gauge(name: string, value: number, tags: Record<string, string> = {}): void {
+    this._statsd.gauge(name, value, kSampleRate, tags);
+  }
+
+  /** Records a duration in milliseconds. */
+  timing(name: string, ms: number, tags: Record<string, string> = {}): void {
+    this._statsd.timing(name, ms, kSampleRate, tags);
+  }
+
+  /** Sends what is buffered, and closes the socket. */
+  close(): void {
+    this._statsd.close(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/offerService.ts
@@ -0,0 +1,195 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The gate's side of a call: takes offers, forwards what starts to the target, and cancels. */
+
+import {
+  type AdmitEnd,
+  type ErrorKind,
+  type ForwardEnd,
+  type GateCall,
+  gateCall,
+  type GateEvents,
+  monotonicMs,
+  type OfferEnd,
+  type Payload,
+  type RetryLedger,
+  runProcedure,
+  wallMs,
+} from '@gentiandrum/core';
+import { kChainHeader, kTimeoutHeader, type OfferTerms } from '@gentiandrum/protocol';
+import { type ExchangeEnd, HttpExchange } from '../client/httpExchange.js';
+import type { Pools } from '../client/pools.js';
+import { type ChainTokens, withBaggage } from './chainToken.js';
+import type { DecisionLog } from './decisionLog.js';
+import type { LocalTarget } from './localTarget.js';
+
+/** Attempts remembered, so that a second delivery of one is noticed. */
+const kSeenAttempts = 20_000;
+
+interface Forwarding {
+  cancel: () => void;
+}
+
+/** What the service uses of its daemon. */
+export interface OfferDeps {
+  incarnation: number;
+  maxBodyBytes: number;
+  ledger: RetryLedger;
+  pools: Pools;
+  tokens: ChainTokens;
+  decisions: DecisionLog;
+  target: () => LocalTarget;
+}
+
+/** Gate side of one daemon. */
+export class OfferService implements GateEvents<GateCall> {
+  private readonly _waiting = new Map<string, (end: AdmitEnd) => void>();
+  private readonly _forwarding = new Map<string, Forwarding>();
+  private readonly _terms = new Map<string, OfferTerms>();
+  private readonly _seen = new Set<string>();
+
+  constructor(private readonly _deps: OfferDeps) {}
+
+  /** Offers that are being handled. */
+  get inFlight(): number {
+    return this._terms.size;
+  }
+
+  onStart(call: GateCall): void {
+    this._admit(call.id, { kind: 'started' });
+  }
+
+  onShed(call: GateCall, reason: ErrorKind): void {
+    this._admit(call.id, { kind: 'shed', reason });
+  }
+
+  /** Takes an offer through the gate. */
+  async offer(terms: OfferTerms, payload: Payload): Promise<OfferEnd> {
+    const { target, ledger, decisions } = this._deps;
+    const local = target();
+    const ctx = {
+      gate: local.gate,
+      target: local.announcement?.target ?? '',
+      ledger,
+      seen: { add: (attempt: string) => this._markSeen(attempt) },
+      decide: decisions.add.bind(decisions),
+    };
+    this._terms.set(terms.attempt, terms);
+    try {
+      return await runProcedure(gateCall(terms, payload, ctx), {
+        admitted: ({ attempt }) => this._awaitAdmission(attempt),
+        forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline),
+      });
+    } finally {
+      this._terms.delete(terms.attempt);
+    }
+  }
+
+  /** Cancels an attempt. `before_start`: it has not started and never will. */
+  cancel(attempt: string): 'before_start' | 'started' {
+    const { gate } = this._deps.target();
+    if (gate?.cancel(attempt)) {
+      this._admit(attempt, { kind: 'cancelled' });
+      return 'before_start';
+    }
+    if (this._markSeen(attempt)) {
+      return 'before_start';
+    }
+    this._forwarding.get(attempt)?.cancel();
+    return 'started';
+  }
+
+  /** True for the first delivery of an attempt. */
+  private _markSeen(attempt: string): boolean {
+    if (this._seen.has(attempt)) {
+      return false;
+    }
+    this._seen.add(attempt);
+    const oldest = this._seen.keys().next();
+    if (this._seen.size > kSeenAttempts && !oldest.done) {
+      this._seen.delete(oldest.value);
+    }
+    return true;
+  }
+
+  private _awaitAdmission(attempt: string): Promise<AdmitEnd> {
+    return new Promise((resolve) => {
+      this._waiting.set(attempt, resolve);
+    });
+  }
+
+  private _admit(attempt: string, end: AdmitEnd): void {
+    const resolve = this._waiting.get(attempt);
+    this._waiting.delete(attempt);
+    resolve?.(end);
+  }
+
+  private _forward(attempt: string, payload: Payload, deadline: number): Promise<ForwardEnd> {
+    const announcement = this._deps.target().announcement;
+    const terms = this._terms.get(attempt);
+    if (!announcement || !terms) {
+      return Promise.resolve({ kind: 'lost', written: false });
+    }
+    const remainingMs = deadline - monotonicMs();
+    const headers = this._headersFor(terms, payload, remainingMs);
+    const pool = this._deps.pools.to(announcement.url, announcement.connections);
+    return new Promise((resolve) => {
+      let asked: 'timeout' | 'cancelled' | undefined;
+      const done = (end: ExchangeEnd): void => {
+        clearTimeout(timer);
+        this._forwarding.delete(attempt);
+        resolve(forwardEnd(end, asked));
+      };
+      const running = new HttpExchange(pool, { ...payload, headers }, this._deps.maxBodyBytes, done);
+      const stop = (why: 'timeout' | 'cancelled'): void => {
+        asked = why;
+        running.abort();
+      };
+      const timer = setTimeout(stop, remainingMs, 'timeout');
+      this._forwarding.set(attempt, {
+        cancel: () => {
+          stop('cancelled');
+        },
+      });
+    });
+  }
+
+  private _headersFor(terms: OfferTerms, payload: Payload, remainingMs: number): Record<string, string | string[]> {
+    const token = this._deps.tokens.seal({
+      entry: terms.attempt,
+      incarnation: BigInt(this._deps.incarnation),
+      root: terms.root,
+      importance: terms.importance,
+      cohort: terms.cohort,
+      depth: terms.depth,
+      deadline: wallMs() + remainingMs,
+      rootDaemon: terms.rootDaemon,
+      rootAddress: terms.rootAddress,
+      rootIncarnation: BigInt(terms.rootIncarnation),
+      repeatable: terms.repeatable,
+    });
+    const baggage = payload.headers.baggage;
+    return {
+      ...payload.headers,
+      [kChainHeader]: token,
+      baggage: withBaggage(Array.isArray(baggage) ? baggage.join(',') : baggage, token),
+      [kTimeoutHeader]: String(Math.max(1, Math.floor(remainingMs))),
+    };
+  }
+}
+
+function forwardEnd(end: ExchangeEnd, asked: 'timeout' | 'cancelled' | undefined): ForwardEnd {
+  switch (end.kind) {
+    case 'answered':
+      return { kind: 'answered', answer: { status: end.status, headers: end.headers, body: end.body } };
+    case 'truncated':
+      return { kind: 'truncated' };
+    case 'too_large':
+      return { kind: 'too_large' };
+    case 'lost':
+      return asked && end.written ? { kind: asked } : { kind: 'lost', written: end.written };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/app/peerCodec.ts
@@ -0,0 +1,69 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Between the core's records and the messages of the peer protocol. */
+
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import type { Member, MemberState, Served, TargetState } from '@gentiandrum/core';
+import { type Member as MemberMsg, MemberSchema, MemberState as StateMsg, TargetState as TargetMsg } from '@gentiandrum/protocol/peers';
+
+const kStates: Record<MemberState, StateMsg> = {
+  alive: StateMsg.ALIVE,
+  suspect: StateMsg.SUSPECT,
+  dead: StateMsg.DEAD,
+  left: StateMsg.LEFT,
+};
+const kTargetStates: Record<TargetState, TargetMsg> = { absent: TargetMsg.ABSENT, serving: TargetMsg.SERVING, leaving: TargetMsg.LEAVING };
+
+/** Member → message. */
+export function encodeMember(member: Member): MemberMsg {
+  const fields: MessageInitShape<typeof MemberSchema> = {
+    ...member,
+    incarnation: BigInt(member.incarnation),
+    configVersion: BigInt(member.configVersion),
+    state: kStates[member.state],
+    targetState: kTargetStates[member.targetState],
+  };
+  return create(MemberSchema, fields);
+}
+
+/** Message → member. */
+export function decodeMember(msg: MemberMsg): Member {
+  const { id, revision, address, zone, region, target, service, slots, level } = msg;
+  return {
+    id,
+    revision,
+    address,
+    zone,
+    region,
+    target,
+    service,
+    slots,
+    level,
+    incarnation: Number(msg.incarnation),
+    configVersion: Number(msg.configVersion),
+    state: keyOf(kStates, msg.state) ?? 'suspect',
+    targetState: keyOf(kTargetStates, msg.targetState) ?? 'absent',
+  };
+}
+
+/** Recorded end → its JSON part and its body. */
+export function encodeServed(served: Served): { served: string; body: Uint8Array } {
+  if (served.kind === 'error') {
+    return { served: JSON.stringify(served), body: new Uint8Array() };
+  }
+  const { status, headers, body } = served.answer;
+  return { served: JSON.stringify({ kind: 'answer', answer: { status, headers } }), body };
+}
+
+/** JSON part and body → recorded end. */
+export function decodeServed(text: string, body: Uint8Array): Served {
+  const served = JSON.parse(text) as Served;
+  return served.kind === 'error' ? served : { kind: 'answer', answer: { ...served.answer, body } };
+}
+
+function keyOf<K extends string, V>(table: Record<K, V>, value: V): K | undefined {
+  return (Object.keys(table) as K[]).find((key) => table[key] === value);
+}
--- /dev/null
+++ b/packages/daemon/src/client/streamTail.ts
@@ -0,0 +1,69 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Follows one stream of the log into something that folds it. */
+
+import type { ReadEnd } from '@gentiandrum/core';
+import type { LogClient } from './logClient.js';
+
+/** What folds a stream. */
+export interface StreamFold {
+  readonly next: number;
+  apply(offset: number, value: unknown): unknown;
+  /** Told when the log dropped records before they were read. */
+  skipTo?(offset: number): void;
+}
+
+/** Reader of one stream. Reads one after the other, so that records are folded in order. */
+export class StreamTail {
+  private _reading: Promise<ReadEnd> | undefined;
+
+  constructor(
+    private readonly _log: LogClient,
+    private readonly _stream: string,
+    private readonly _fold: StreamFold,
+  ) {}
+
+  /** Folds the stream up to `upTo`, or to its present end. */
+  async readUpTo(upTo?: number): Promise<ReadEnd> {
+    if (upTo !== undefined && this._fold.next > upTo) {
+      return { kind: 'read' };
+    }
+    const before = this._reading;
+    if (before) {
+      await before;
+      return this.readUpTo(upTo);
+    }
+    this._reading = this._readPages(upTo, 0);
+    const end = await this._reading;
+    this._reading = undefined;
+    return end;
+  }
+
+  /** Waits up to `waitMs` for new records, and folds them. */
+  async follow(waitMs: number): Promise<ReadEnd> {
+    return this._readPages(undefined, waitMs);
+  }
+
+  private async _readPages(upTo: number | undefined, waitMs: number): Promise<ReadEnd> {
+    for (;;) {
+      const from = this._fold.next;
+      const page = await this._log.read(this._stream, from, waitMs);
+      if (!page) {
+        return { kind: 'unavailable' };
+      }
+      if (page.oldest > from) {
+        this._fold.skipTo?.(page.oldest);
+      }
+      for (const { offset, value } of page.records) {
+        this._fold.apply(offset, value);
+      }
+      const done = page.records.length === 0 || waitMs > 0 || (upTo !== undefined && this._fold.next > upTo);
+      if (done) {
+        return upTo === undefined || this._fold.next > upTo ? { kind: 'read' } : { kind: 'unavailable' };
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,13 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Parts of the daemon for tests, benches and examples. */
+
+export { Daemon } from './app/daemon.js';
+export { ChainTokens } from './app/chainToken.js';
+export { loadSettings } from './app/loadSettings.js';
+export { exchange, HttpExchange } from './client/httpExchange.js';
+export { main } from './server/main.js';
+export { startServer } from './server/startServer.js';
--- /dev/null
+++ b/packages/daemon/src/server/callRoutes.ts
@@ -0,0 +1,101 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Routes that carry calls: from callers and targets to any service, and offers between daemons. */
+
+import { offerHeadSchema, kOfferHeader, kVerdictHeader } from '@gentiandrum/protocol';
+import { failedWith } from '@gentiandrum/core';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { verdictHeader } from '../app/callSession.js';
+import type { Daemon } from '../app/daemon.js';
+import { sendServed } from './problem.js';
+import { readBody, readOnce, readPayload, readTimeout } from './requestReader.js';
+
+const kNoId = 'none';
+const kNoBody = Buffer.alloc(0);
+/** Methods beyond those that the server knows by itself. */
+const kMoreMethods = ['PROPFIND', 'PROPPATCH', 'MKCOL', 'COPY', 'MOVE', 'LOCK', 'UNLOCK', 'SEARCH', 'REPORT'];
+
+/** Registers the routes. */
+export function callRoutes(app: FastifyInstance, daemon: Daemon): void {
+  for (const method of kMoreMethods) {
+    app.addHttpMethod(method, { hasBody: true });
+  }
+  app.post('/-/offer', (req, reply) => takeOffer(daemon, req, reply));
+  app.post('/-/cancel/:attempt', (req, reply) => {
+    const { attempt } = req.params as { attempt: string };
+    void reply.send(daemon.offers.cancel(attempt));
+  });
+  app.all('/*', (req, reply) => takeCall(daemon, req, reply));
+  app.setErrorHandler((err: { statusCode?: number; code?: string; message: string }, _req, reply) => {
+    const tooLarge = err.statusCode === 413;
+    sendServed(reply, kNoId, failedWith(tooLarge ? 'body_too_large' : 'bad_request', 'not_run', err.message));
+  });
+}
+
+async function takeCall(daemon: Daemon, req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+  const badRequest = (detail: string): FastifyReply => {
+    sendServed(reply, kNoId, failedWith('bad_request', 'not_run', detail));
+    return reply;
+  };
+  const body = await readBody(req, daemon.settings.limits.bodyBytes);
+  if (!body) {
+    sendServed(reply, kNoId, failedWith('body_too_large', 'not_run', `Expected at most ${daemon.settings.limits.bodyBytes} bytes.`));
+    return reply;
+  }
+  const timeout = readTimeout(req);
+  const key = readOnce(req, 'idempotency-key');
+  if (timeout.err) {
+    return badRequest(timeout.val);
+  }
+  if (key.err) {
+    return badRequest(key.val);
+  }
+  const chain = daemon.tokens.read(req.headers);
+  if (chain.kind === 'bad') {
+    sendServed(reply, kNoId, failedWith('bad_chain_token', 'not_run', 'Expected the token as the daemon gave it, whole.'));
+    return reply;
+  }
+  const { service, payload } = readPayload(req, body);
+  const token = chain.kind === 'token' ? chain.token : undefined;
+  const taken = daemon.calls.take({ service, payload, key: key.val, timeoutMs: timeout.val, chain: token });
+  const onClose = (): void => {
+    if (!reply.raw.writableEnded) {
+      taken.callerGone();
+    }
+  };
+  reply.raw.on('close', onClose);
+  const served = await taken.served;
+  reply.raw.off('close', onClose);
+  sendServed(reply, taken.id, served);
+  return reply;
+}
+
+async function takeOffer(daemon: Daemon, req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+  const text = req.headers[kOfferHeader];
+  const head = offerHeadSchema.safeParse(typeof text === 'string' ? parseJson(text) : undefined);
+  if (!head.success) {
+    return reply.code(400).send('expected an offer header');
+  }
+  const { terms, method, path, headers } = head.data;
+  const body = Buffer.isBuffer(req.body) ? req.body : kNoBody;
+  const onClose = (): void => {
+    if (!reply.raw.writableEnded) {
+      daemon.offers.cancel(terms.attempt);
+    }
+  };
+  reply.raw.on('close', onClose);
+  const end = await daemon.offers.offer(terms, { method, path, headers, body });
+  reply.raw.off('close', onClose);
+  return reply.header(kVerdictHeader, verdictHeader(end)).send(end.kind === 'answered' ? end.answer.body : kNoBody);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/server/controlController.ts
@@ -0,0 +1,140 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Requests of operators and targets, below `/-/`. */
+
+import { Body, Controller, Get, Header, HttpCode, HttpException, Inject, Param, Post, Query } from '@nestjs/common';
+import { answerOf, type ErrorKind, kOpenLevel, type Member, type Submitted, wallMs } from '@gentiandrum/core';
+import { announcementSchema, kProblemType, patchRequestSchema } from '@gentiandrum/protocol';
+import type { LoggedDecision } from '../app/decisionLog.js';
+import { Daemon } from '../app/daemon.js';
+
+/** Status of a daemon and what it knows of the others. */
+export interface StatusReport {
+  daemon: string;
+  zone: string;
+  version: number;
+  stopping: boolean;
+  members: Member[];
+  gate?: { inFlight: number; queued: number; limit: number; level: number; closed?: string };
+  openLevel: number;
+  memoryBytes: number;
+  control: { bytes: number; appends: number; uptimeMs: number };
+}
+
+/** Controls of one daemon. */
+@Controller('-')
+export class ControlController {
+  private readonly _startedAt = wallMs();
+
+  constructor(@Inject(Daemon) private readonly _daemon: Daemon) {}
+
+  /** A target's announcement. */
+  @Post('announce')
+  @HttpCode(200)
+  announce(@Body() body: Buffer): { state: string; intake: string } {
+    const checked = announcementSchema.safeParse(parseBody(body));
+    if (!checked.success) {
+      throw problem('bad_request', issuesText(checked.error.issues));
+    }
+    this._daemon.target.announce(checked.data);
+    return { state: this._daemon.target.state, intake: this._daemon.stopping ? 'stopping' : 'open' };
+  }
+
+  /** An operator's patch. */
+  @Post('patches')
+  @HttpCode(200)
+  async submit(@Body() body: Buffer): Promise<Submitted> {
+    const checked = patchRequestSchema.safeParse(parseBody(body));
+    if (!checked.success) {
+      throw problem('bad_request', issuesText(checked.error.issues));
+    }
+    const submitted = await this._daemon.config.submit(checked.data);
+    switch (submitted.kind) {
+      case 'accepted':
+        return submitted;
+      case 'conflict':
+        throw problem('patch_conflict', `Version ${submitted.current} is in force, by ${submitted.wonBy}.`, { ...submitted });
+      case 'invalid':
+        throw problem('patch_invalid', issuesText(submitted.issues), { ...submitted });
+      case 'unavailable':
+        throw problem('log_unavailable', 'The patch was not taken.', { ...submitted });
+      case 'unsettled':
+        throw problem('patch_unsettled', 'Submit it again with the same patch id.', { ...submitted });
+    }
+  }
+
+  /** The configuration, now or at an earlier version. */
+  @Get('config')
+  getConfig(@Query('at') at?: string): { version: number; config: unknown } {
+    const { fold } = this._daemon.config;
+    if (at === undefined || Number(at) === fold.version) {
+      return { version: fold.version, config: fold.written };
+    }
+    const entry = fold.history.find(({ version }) => version === Number(at));
+    if (!entry) {
+      throw problem('bad_request', `Expected a version that is still kept, at most ${fold.version}; got "${at}".`);
+    }
+    return { version: entry.version, config: entry.config };
+  }
+
+  /** The latest versions. */
+  @Get('history')
+  history(): { versions: { version: number; author: string; patchId: string }[] } {
+    return { versions: this._daemon.config.fold.history.map(({ version, author, patchId }) => ({ version, author, patchId })) };
+  }
+
+  /** Status of this daemon and what it knows of the others. */
+  @Get('status')
+  status(): StatusReport {
+    const { settings, config, members, target, meter, stopping } = this._daemon;
+    const { gate } = target;
+    return {
+      daemon: settings.id,
+      zone: settings.zone,
+      version: config.fold.version,
+      stopping,
+      members: members.view.all(),
+      gate: gate && { inFlight: gate.inFlight, queued: gate.queued, limit: gate.limit, level: gate.level, closed: gate.closed },
+      openLevel: kOpenLevel,
+      memoryBytes: process.memoryUsage.rss(),
+      control: { bytes: meter.bytes, appends: meter.appends, uptimeMs: wallMs() - this._startedAt },
+    };
+  }
+
+  /** The decisions made for a request here. */
+  @Get('decisions/:request')
+  decisions(@Param('request') request: string): { request: string; decisions: LoggedDecision[] } {
+    return { request, decisions: this._daemon.decisions.of(request) };
+  }
+
+  /** A namespace for a caller's numbered idempotency keys. */
+  @Post('namespaces')
+  @HttpCode(200)
+  @Header('cache-control', 'no-store')
+  openNamespace(): { namespace: string } {
+    return { namespace: this._daemon.calls.openNamespace() };
+  }
+}
+
+function parseBody(body: Buffer | undefined): unknown {
+  try {
+    return JSON.parse(Buffer.isBuffer(body) ? body.toString('utf8') : '');
+  } catch {
+    throw problem('bad_request', 'Expected a JSON body.');
+  }
+}
+
+function issuesText(issues: readonly { path: PropertyKey[] | string; message: string }[]): string {
+  return issues.map(({ path, message }) => `${Array.isArray(path) ? path.join('.') : path}: ${message}`).join('; ');
+}
+
+function problem(kind: ErrorKind, detail: string, more: object = {}): HttpException {
+  const { status, title, outcome } = answerOf(kind);
+  return new HttpException(
+    { type: `urn:gentiandrum:error:${kind}`, title, status, detail, kind, outcome, contentType: kProblemType, ...more },
+    status,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/server/main.ts
@@ -0,0 +1,72 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Command line of `gentiandrumd`. */
+
+import { cac } from 'cac';
+import { Daemon } from '../app/daemon.js';
+import { faultText, loadSettings } from '../app/loadSettings.js';
+import { startServer } from './startServer.js';
+
+/** Exit codes of the daemon. */
+export const kExit = { ok: 0, failed: 1, badSettings: 2 } as const;
+
+/** Runs the daemon with the process's arguments. */
+export async function main(argv: string[]): Promise<void> {
+  const cli = cac('gentiandrumd');
+  cli.usage('--settings FILE.yaml [--check]');
+  cli.option('--settings <file>', 'Settings of this daemon, YAML');
+  cli.option('--check', 'Only check the settings');
+  cli.example('  gentiandrumd --settings /etc/gentiandrum/daemon.yaml');
+  cli.help();
+  const { options } = cli.parse(argv, { run: false });
+  if (options.help === true) {
+    return;
+  }
+  const file: unknown = options.settings;
+  if (typeof file !== 'string') {
+    process.stderr.write('gentiandrumd: expected --settings FILE.yaml, got none\n');
+    process.exitCode = kExit.badSettings;
+    return;
+  }
+  const settings = loadSettings(file);
+  if (settings.err) {
+    process.stderr.write(settings.val.map((fault) => `gentiandrumd: ${file}: ${faultText(fault)}\n`).join(''));
+    process.exitCode = kExit.badSettings;
+    return;
+  }
+  if (options.check === true) {
+    process.stdout.write(`${file}: the settings are valid\n`);
+    return;
+  }
+  await run(new Daemon(settings.val));
+}
+
+async function run(daemon: Daemon): Promise<void> {
+  const server = await startServer(daemon).catch((err: unknown) => {
+    daemon.logger.error('start', `Could not listen on ${daemon.settings.listen}.`, { err: String(err) });
+    process.exit(kExit.failed);
+  });
+  let signals = 0;
+  const onSignal = (): void => {
+    signals++;
+    if (signals > 1) {
+      daemon.logger.warn('stop', `Stopped at once by a second signal; cut ${daemon.inFlight} calls.`, { cut: daemon.inFlight });
+      process.exit(kExit.failed);
+    }
+    void stop(daemon, () => server.close());
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+  await daemon.start();
+}
+
+async function stop(daemon: Daemon, closeServer: () => Promise<void>): Promise<void> {
+  daemon.logger.info('stop', 'A planned stop begins.', { inFlight: daemon.inFlight });
+  await daemon.stop();
+  await closeServer();
+  await daemon.close();
+  process.exit(kExit.ok);
+}
--- /dev/null
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -0,0 +1,99 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What this daemon offers the others over connect. */
+
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { type KeyVerdict, monotonicMs } from '@gentiandrum/core';
+import {
+  type FetchAnswerRequest,
+  FetchAnswerResponse_State as AnswerState,
+  FetchAnswerResponseSchema,
+  PeerService,
+  type SettleKeyRequest,
+  SettleKeyResponse_Verdict as Verdict,
+  SettleKeyResponseSchema,
+} from '@gentiandrum/protocol/peers';
+import type { Daemon } from '../app/daemon.js';
+import { decodeMember, encodeMember, encodeServed } from '../app/peerCodec.js';
+
+/** Registers the peer service. */
+export function peerRoutes(daemon: Daemon): (router: ConnectRouter) => void {
+  return (router) => {
+    router.service(PeerService, {
+      ping: ({ from, configVersion, changes }) => {
+        const pong = daemon.members.pinged(from, Number(configVersion), changes.map(decodeMember));
+        return { configVersion: BigInt(pong.configVersion), changes: pong.changes.map(encodeMember) };
+      },
+      fetchMembers: () => ({ members: daemon.members.view.all().map(encodeMember) }),
+      fetchConfig: ({ next }) => {
+        const lacking = daemon.config.since(Number(next));
+        const records = lacking.records.map(({ offset, value }) => ({ offset: BigInt(offset), value: JSON.stringify(value) }));
+        return { next: BigInt(lacking.next), records, snapshot: lacking.snapshot };
+      },
+      relayClaim: async ({ claim }) => {
+        const claimed = claim ? await daemon.claims.claimFor(claim) : undefined;
+        return { holder: claimed?.kind === 'holder' ? claimed.holder : undefined };
+      },
+      settleKey: (req) => settleKey(daemon, req),
+      fetchAnswer: (req) => fetchAnswer(daemon, req),
+    });
+  };
+}
+
+function settleKey(
+  daemon: Daemon,
+  { bid, root, settlerIncarnation }: SettleKeyRequest,
+): ReturnType<typeof create<typeof SettleKeyResponseSchema>> {
+  if (!bid || Number(settlerIncarnation) !== daemon.incarnation) {
+    return create(SettleKeyResponseSchema, { verdict: Verdict.UNKNOWN });
+  }
+  const { settler } = daemon.calls;
+  const verdict = root === '' ? settler.settleMinted(bid) : settler.settleDerived(root, bid);
+  return create(SettleKeyResponseSchema, verdictMsg(verdict));
+}
+
+function verdictMsg(verdict: KeyVerdict): { verdict: Verdict; holder?: string; holderAddress?: string } {
+  switch (verdict.kind) {
+    case 'granted':
+      return { verdict: Verdict.GRANTED };
+    case 'held':
+      return { verdict: Verdict.HELD, holder: verdict.holder, holderAddress: verdict.address };
+    case 'mismatch':
+      return { verdict: Verdict.MISMATCH };
+    case 'unknown':
+      return { verdict: Verdict.UNKNOWN };
+  }
+}
+
+async function fetchAnswer(daemon: Daemon, req: FetchAnswerRequest): Promise<ReturnType<typeof create<typeof FetchAnswerResponseSchema>>> {
+  const { id } = daemon.settings;
+  const { key, claimant } = req;
+  const mine = claimant === `${id}/${daemon.incarnation}` || claimant.startsWith(`${id}/${daemon.incarnation}/`);
+  if (!mine) {
+    return create(FetchAnswerResponseSchema, { state: AnswerState.UNKNOWN });
+  }
+  if (daemon.calls.answers.get(key)?.kind === 'running') {
+    await daemon.calls.joinRunning(key, monotonicMs() + req.waitMs);
+  }
+  const state = daemon.calls.answers.get(key);
+  if (state && state.body !== req.bodyDigest) {
+    return create(FetchAnswerResponseSchema, { state: AnswerState.MISMATCH });
+  }
+  switch (state?.kind) {
+    case 'answered':
+      return create(FetchAnswerResponseSchema, { state: AnswerState.RECORDED, ...encodeServed(state.served) });
+    case 'running':
+      return create(FetchAnswerResponseSchema, { state: AnswerState.RUNNING });
+    case 'abandoned':
+    case 'releasing':
+      void daemon.calls.release(key);
+      return create(FetchAnswerResponseSchema, { state: AnswerState.NOT_RUN });
+    case 'forgotten':
+    case undefined:
+      return create(FetchAnswerResponseSchema, { state: AnswerState.UNKNOWN });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/server/problem.ts
@@ -0,0 +1,74 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Answers to callers: whole answers of targets, and errors as problem+json (RFC 9457) from the one table. */
+
+import { answerOf, type Answer, type ErrorKind, type Served } from '@gentiandrum/core';
+import { kOutcomeHeader, kProblemType, kRequestIdHeader } from '@gentiandrum/protocol';
+import type { FastifyReply } from 'fastify';
+
+/** Callers that are told to come back do so spread over this time, in seconds. */
+const kRetrySpreadSeconds = 4;
+/** Headers that belong to one connection, and those that the server sets itself. */
+const kDropped: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'content-length',
+  'upgrade',
+  'trailer',
+  'te',
+]);
+
+/** Body of an error answer. */
+export interface Problem {
+  type: string;
+  title: string;
+  status: number;
+  detail: string;
+  /** Request id. */
+  instance: string;
+  kind: ErrorKind;
+  outcome: string;
+  repeatable: boolean;
+}
+
+/** Sends the end of a call to its caller. */
+export function sendServed(reply: FastifyReply, id: string, served: Served): void {
+  void reply.header(kRequestIdHeader, id);
+  if (served.kind === 'answer') {
+    sendAnswer(reply, served.answer);
+    return;
+  }
+  sendProblem(reply, id, served);
+}
+
+function sendAnswer(reply: FastifyReply, answer: Answer): void {
+  for (const [name, value] of Object.entries(answer.headers)) {
+    if (!kDropped.has(name)) {
+      void reply.header(name, value);
+    }
+  }
+  void reply.header(kOutcomeHeader, 'ran').code(answer.status).send(answer.body);
+}
+
+function sendProblem(reply: FastifyReply, id: string, served: Extract<Served, { kind: 'error' }>): void {
+  const { error, outcome, detail } = served;
+  const { status, title, repeat, retryAfter } = answerOf(error);
+  const problem: Problem = {
+    type: `urn:gentiandrum:error:${error}`,
+    title,
+    status,
+    detail,
+    instance: id,
+    kind: error,
+    outcome,
+    repeatable: repeat,
+  };
+  if (retryAfter) {
+    void reply.header('retry-after', 1 + Math.floor(Math.random() * kRetrySpreadSeconds));
+  }
+  void reply.header(kOutcomeHeader, outcome).header('content-type', kProblemType).code(status).send(Buffer.from(JSON.stringify(problem)));
+}
--- /dev/null
+++ b/packages/daemon/src/server/startServer.ts
@@ -0,0 +1,80 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Starts the HTTP side of a daemon. */
+
+import 'reflect-metadata';
+import { fastifyConnectPlugin } from '@connectrpc/connect-fastify';
+import { NestFactory } from '@nestjs/core';
+import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
+import type { FastifyInstance } from 'fastify';
+import type { Daemon } from '../app/daemon.js';
+import { AppModule } from './appModule.js';
+import { callRoutes } from './callRoutes.js';
+import { peerRoutes } from './peerRoutes.js';
+
+const kMaxHeaderBytes = 65_536;
+const kKeepAliveMs = 75_000;
+
+/** A listening server. */
+export interface Server {
+  /** Stops listening and closes idle connections. */
+  close(): Promise<void>;
+}
+
+/** Listens on the address of the daemon's settings. */
+export async function startServer(daemon: Daemon): Promise<Server> {
+  const adapter = new FastifyAdapter({
+    bodyLimit: daemon.settings.limits.bodyBytes,
+    http: { maxHeaderSize: kMaxHeaderBytes },
+    keepAliveTimeout: kKeepAliveMs,
+    exposeHeadRoutes: false,
+    forceCloseConnections: 'idle',
+  });
+  // Nest declares its options as a class and documents them as a literal.
+  // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+  const app: NestFastifyApplication = await NestFactory.create(AppModule.for(daemon), adapter, { bodyParser: false, logger: false });
+  const fastify = adapter.getInstance<FastifyInstance>();
+  meterPeers(fastify, daemon);
+  closeWhileStopping(fastify, daemon);
+  await fastify.register(fastifyConnectPlugin, { routes: peerRoutes(daemon), acceptCompression: [] });
+  takeBodiesWhole(fastify);
+  await fastify.register((scope, _options, done) => {
+    callRoutes(scope, daemon);
+    done();
+  });
+  const [host, port] = daemon.settings.listen.split(':');
+  await app.listen(Number(port), host ?? '');
+  return { close: () => app.close() };
+}
+
+/** Bodies are passed on as they came, whatever their type. */
+function takeBodiesWhole(fastify: FastifyInstance): void {
+  fastify.removeAllContentTypeParsers();
+  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => {
+    done(null, body);
+  });
+}
+
+/** During a planned stop every answer ends its connection, so that none is in use when the server closes. */
+function closeWhileStopping(fastify: FastifyInstance, daemon: Daemon): void {
+  fastify.addHook('onSend', (_req, reply, _payload, done) => {
+    if (daemon.stopping) {
+      void reply.header('connection', 'close');
+    }
+    done();
+  });
+}
+
+/** Counts the bytes of peer messages. */
+function meterPeers(fastify: FastifyInstance, daemon: Daemon): void {
+  fastify.addHook('onResponse', (req, reply, done) => {
+    if (req.url.startsWith('/gentiandrum.v1.')) {
+      const { bytesRead, bytesWritten } = req.raw.socket;
+      daemon.meter.addConnectionBytes(req.raw.socket, bytesRead + bytesWritten);
+    }
+    done();
+  });
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Schemas shared by daemons, targets, callers and operators, and the types inferred from them. */
+
+export * from './apiSchemas.js';
+export * from './configSchema.js';
+export * from './recordSchemas.js';
+export * from './settingsSchema.js';
--- /dev/null
+++ b/tests/standins/targetStandin.ts
@@ -0,0 +1,205 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Stand-in for a target: announces itself, does timed work in slots, calls onward, sheds and fails on demand. */
+
+import { createHash } from 'node:crypto';
+import { createServer, type IncomingMessage, request as httpRequest, type Server, type ServerResponse } from 'node:http';
+import { readBody, readJson, sendJson } from './httpJson.js';
+
+/** An onward call that the target makes for each call it serves. */
+export interface OnwardCall {
+  service: string;
+  method: string;
+  path: string;
+}
+
+/** What a target does; changed by `POST /-/behaviour`. */
+export interface Behaviour {
+  workMs: number;
+  onward: OnwardCall[];
+  /** Calls that run at once; more are shed with 503 and `Retry-After`. */
+  slots: number;
+  accepting: boolean;
+  /** Answers with this status instead of 200, for the next `failures` calls. */
+  failStatus: number;
+  failures: number;
+  /** Cuts so many answers half way. */
+  truncate: number;
+  /** Closes the connection without an answer, after the work, so many times. */
+  drop: number;
+  /** Echoes the request's body instead of a short text. */
+  echo: boolean;
+}
+
+/** Where a target stands. */
+export interface TargetPlace {
+  target: string;
+  service: string;
+  daemon: string;
+}
+
+const kAnnounceMs = 500;
+const kConnections = 1_000;
+
+/** A target. */
+export class TargetStandin {
+  /** Runs by the `x-call` header of the requests. */
+  readonly runs = new Map<string, number>();
+  started = 0;
+  ended = 0;
+  cancelled = 0;
+  private _running = 0;
+  private readonly _server: Server;
+  private _timer: NodeJS.Timeout | undefined;
+  private _url = '';
+  behaviour: Behaviour;
+
+  constructor(
+    private readonly _place: TargetPlace,
+    behaviour: Partial<Behaviour> = {},
+  ) {
+    const none = { workMs: 1, onward: [], slots: 50, accepting: true, failStatus: 500, failures: 0, truncate: 0, drop: 0, echo: false };
+    this.behaviour = { ...none, ...behaviour };
+    this._server = createServer((req, res) => {
+      void this._serve(req, res).catch(() => res.destroy());
+    });
+    this._server.keepAliveTimeout = 75_000;
+  }
+
+  /** Listens on the loopback and announces itself from now on. */
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve));
+    const address = this._server.address();
+    this._url = `http://127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
+    this._timer = setInterval(() => {
+      void this.announce();
+    }, kAnnounceMs);
+    await this.announce();
+  }
+
+  /** Announces itself once; true when the daemon took it. */
+  async announce(): Promise<boolean> {
+    const { target, service, daemon } = this._place;
+    const { slots, accepting } = this.behaviour;
+    const body = JSON.stringify({ target, service, url: this._url, slots, connections: kConnections, accepting, load: this._running });
+    try {
+      const res = await fetch(`http://${daemon}/-/announce`, { method: 'POST', body, headers: { 'content-type': 'application/json' } });
+      return res.ok;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Stops listening and announcing. */
+  close(): void {
+    clearInterval(this._timer);
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private async _serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.url?.startsWith('/-/') === true) {
+      await this._control(req, res);
+      return;
+    }
+    if (this._running >= this.behaviour.slots) {
+      res.writeHead(503, { 'retry-after': '1' }).end('shed');
+      return;
+    }
+    this._running++;
+    this.started++;
+    try {
+      await this._work(req, res);
+    } finally {
+      this._running--;
+    }
+  }
+
+  private async _work(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req);
+    const call = String(req.headers['x-call'] ?? 'none');
+    this.runs.set(call, (this.runs.get(call) ?? 0) + 1);
+    const gone = (): boolean => res.closed && !res.writableEnded;
+    await new Promise((resolve) => setTimeout(resolve, this.behaviour.workMs));
+    for (const onward of this.behaviour.onward) {
+      const status = gone() ? 499 : await this._callOnward(onward, req, res);
+      if (status >= 400) {
+        this._finish(res, status >= 500 ? 502 : status, 'onward call failed');
+        return;
+      }
+    }
+    if (gone()) {
+      this.cancelled++;
+      return;
+    }
+    this._answer(req, res, body);
+  }
+
+  private _answer(req: IncomingMessage, res: ServerResponse, body: Buffer): void {
+    const { behaviour } = this;
+    if (behaviour.drop > 0) {
+      behaviour.drop--;
+      res.destroy();
+    } else if (behaviour.truncate > 0) {
+      behaviour.truncate--;
+      res.writeHead(200, { 'content-length': '1000' });
+      res.write('half');
+      setTimeout(() => res.destroy(), 5);
+    } else if (behaviour.failures > 0) {
+      behaviour.failures--;
+      this._finish(res, behaviour.failStatus, 'failed on demand');
+    } else {
+      const text = behaviour.echo ? body : Buffer.from(`${this._place.service} ${req.method} ${req.url}`);
+      res.writeHead(200, { 'x-target': this._place.target, 'x-digest': createHash('sha256').update(text).digest('hex') }).end(text);
+      this.ended++;
+    }
+  }
+
+  private _finish(res: ServerResponse, status: number, text: string): void {
+    res.writeHead(status, { 'x-target': this._place.target }).end(text);
+    this.ended++;
+  }
+
+  /** Calls onward through the own daemon, with the chain's headers copied as any traced service does. */
+  private _callOnward(onward: OnwardCall, req: IncomingMessage, res: ServerResponse): Promise<number> {
+    const headers: Record<string, string> = {};
+    for (const name of ['baggage', 'traceparent', 'x-call']) {
+      const value = req.headers[name];
+      if (typeof value === 'string') {
+        headers[name] = value;
+      }
+    }
+    return new Promise((resolve) => {
+      const url = `http://${this._place.daemon}/${onward.service}${onward.path}`;
+      const sent = httpRequest(url, { method: onward.method, headers }, (answer) => {
+        answer.resume();
+        answer.on('end', () => {
+          resolve(answer.statusCode ?? 502);
+        });
+      });
+      sent.on('error', () => {
+        resolve(502);
+      });
+      res.on('close', () => sent.destroy());
+      sent.end();
+    });
+  }
+
+  private async _control(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readJson(req);
+    if (req.url === '/-/behaviour') {
+      this.behaviour = { ...this.behaviour, ...(body as Partial<Behaviour>) };
+      await this.announce();
+    }
+    const { started, ended, cancelled, _running: running } = this;
+    sendJson(res, 200, { started, ended, cancelled, running, runs: Object.fromEntries(this.runs) });
+  }
+
+  /** Base address of the target. */
+  get url(): string {
+    return this._url;
+  }
+}
--- /dev/null
+++ b/utils/setup.mjs
@@ -0,0 +1,24 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Installs the dependencies when they are missing, then builds what changed. */
+
+import { spawnSync } from 'node:child_process';
+import { existsSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+const kRoot = fileURLToPath(new URL('..', import.meta.url));
+
+function run(command, args) {
+  const done = spawnSync(command, args, { cwd: kRoot, stdio: 'inherit' });
+  if (done.status !== 0) {
+    process.exit(done.status ?? 1);
+  }
+}
+
+if (!existsSync(new URL('../node_modules/.package-lock.json', import.meta.url))) {
+  run('npm', ['ci']);
+}
+run(process.execPath, ['node_modules/typescript/bin/tsc', '-b']);
