--- /dev/null
+++ b/bench/policy/deployment.ts
@@ -0,0 +1,107 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The users' deployments at the brief's sizes, and the load that the bench puts on them. */
+
+import type { Importance } from '@gentiandrum/protocol';
+
+/** A service and its targets. */
+export interface ServicePlan {
+  name: string;
+  targets: number;
+  slots: number;
+  /** Mean time of a call at the target without its onward call, in milliseconds. */
+  workMs: number;
+}
+
+/** A kind of root requests. */
+export interface LoadPlan {
+  name: string;
+  importance: Importance;
+  idempotent: boolean;
+  /** Services along the chain. */
+  chain: string[];
+  perSecond: number;
+}
+
+/** A deployment and its load. */
+export interface Deployment {
+  name: string;
+  zones: string[];
+  zoneMs: number;
+  services: ServicePlan[];
+  loads: LoadPlan[];
+}
+
+/** Retries that a request of an idempotent class may spend over its chain. */
+export const kAllowance = 3;
+/** Time for one try of a root request, in milliseconds. */
+export const kDeadlineMs = 2_000;
+/** Network time within a zone, one way, in milliseconds. */
+export const kNearMs = 0.2;
+/** Network time between caller and daemon, one way, in milliseconds. */
+export const kCallerMs = 1;
+
+/** Tengerline: three zones; hazards is the narrow service at the end of every chain. */
+export const kTengerline: Deployment = {
+  name: 'tengerline',
+  zones: ['bayanzurkh', 'khan-uul', 'songino'],
+  zoneMs: 1.5,
+  services: [
+    { name: 'archive', targets: 4, slots: 150, workMs: 40 },
+    { name: 'defects', targets: 3, slots: 200, workMs: 40 },
+    { name: 'switching', targets: 3, slots: 200, workMs: 40 },
+    { name: 'hazards', targets: 3, slots: 20, workMs: 40 },
+  ],
+  loads: [
+    { name: 'hazard-lookup', importance: 'critical', idempotent: true, chain: ['hazards'], perSecond: 125 },
+    { name: 'outage-hold', importance: 'high', idempotent: false, chain: ['switching', 'hazards'], perSecond: 75 },
+    { name: 'span-history', importance: 'normal', idempotent: true, chain: ['archive', 'defects', 'switching', 'hazards'], perSecond: 500 },
+    { name: 'report', importance: 'low', idempotent: true, chain: ['archive', 'defects', 'switching', 'hazards'], perSecond: 200 },
+  ],
+};
+
+/** The shelter network: four zones; locuri is the narrow service. */
+export const kShelters: Deployment = {
+  name: 'shelters',
+  zones: ['hala-1', 'hala-2', 'hala-3', 'hala-4'],
+  zoneMs: 1,
+  services: [
+    { name: 'arhiva', targets: 4, slots: 45, workMs: 25 },
+    { name: 'evidenta', targets: 4, slots: 45, workMs: 25 },
+    { name: 'blocari', targets: 4, slots: 45, workMs: 25 },
+    { name: 'locuri', targets: 4, slots: 15, workMs: 40 },
+  ],
+  loads: [
+    { name: 'vacancy-search', importance: 'critical', idempotent: true, chain: ['locuri'], perSecond: 125 },
+    { name: 'bed-hold', importance: 'high', idempotent: false, chain: ['blocari', 'locuri'], perSecond: 75 },
+    { name: 'intake', importance: 'normal', idempotent: true, chain: ['arhiva', 'evidenta', 'blocari', 'locuri'], perSecond: 500 },
+    { name: 'statistics', importance: 'low', idempotent: true, chain: ['arhiva', 'evidenta', 'blocari', 'locuri'], perSecond: 200 },
+  ],
+};
+
+const kDepth = 28;
+
+/** A chain of 28 calls over 26 services, each with two targets. */
+export const kDeepChain: Deployment = {
+  name: 'deep',
+  zones: ['one', 'two'],
+  zoneMs: 1.5,
+  services: Array.from({ length: 26 }, (_, i) => ({ name: `s${i}`, targets: 2, slots: 200, workMs: 5 })),
+  loads: [
+    {
+      name: 'deep-read',
+      importance: 'normal',
+      idempotent: true,
+      chain: Array.from({ length: kDepth }, (_, i) => `s${i % 26}`),
+      perSecond: 60,
+    },
+  ],
+};
+
+/** Service with the fewest slots, at the end of the chains. */
+export function narrowService(deployment: Deployment): ServicePlan {
+  return deployment.services.reduce((a, b) => (b.targets * b.slots <= a.targets * a.slots ? b : a));
+}
--- /dev/null
+++ b/bench/policy/layerPolicy.ts
@@ -0,0 +1,396 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** gentiandrum itself: the core's real objects and procedures, with their effects performed in virtual time. */
+
+import {
+  AnswerStore,
+  type Call,
+  type CallEvent,
+  type Candidate,
+  ClaimIndex,
+  type Effect,
+  type ErrorKind,
+  Gate,
+  type GateCall,
+  gateCall,
+  type GateContext,
+  importanceIndex,
+  KeySettler,
+  type OfferEnd,
+  type Procedure,
+  type Reply,
+  RetryLedger,
+  RetryRatio,
+  RootFilter,
+  type ServeContext,
+  serveCall,
+  type AdmitEnd,
+  TargetPicker,
+  type NamedClass,
+} from '@gentiandrum/core';
+import type { OfferTerms } from '@gentiandrum/protocol';
+import { kAllowance, kDeadlineMs } from './deployment.js';
+import type { Cancel } from './fakeTarget.js';
+import type { CallEnd, Policy } from './policy.js';
+import type { ChainCall, Host, World } from './world.js';
+import type { Scheduled } from './virtualTime.js';
+
+const kRetryRatio = 0.1;
+/** Time after which others stop sending to a dead host, and to one that they can't reach. */
+const kDetectMs = 3_000;
+const kResetMs = 1;
+const kPayload = { method: 'GET', path: '/', headers: {}, body: new Uint8Array() };
+const kAnswer = { status: 200, headers: {}, body: new Uint8Array() };
+const kFailed = { status: 500, headers: {}, body: new Uint8Array() };
+
+interface Daemon {
+  host: Host;
+  gate: Gate<GateCall>;
+  ledger: RetryLedger;
+  serve: ServeContext;
+  gateContext: GateContext;
+  waiting: Map<string, (end: AdmitEnd) => void>;
+  /** Cancels what runs at the target, by attempt. */
+  running: Map<string, Cancel>;
+  knownGone: Set<string>;
+}
+
+/** Makes one call wait for its events. */
+class Session {
+  private readonly _events: CallEvent[] = [];
+  private _resume: ((event: CallEvent) => void) | undefined;
+  private _timer: Scheduled | undefined;
+
+  constructor(private readonly _world: World) {}
+
+  push(event: CallEvent): void {
+    const resume = this._resume;
+    if (!resume) {
+      this._events.push(event);
+      return;
+    }
+    this._resume = undefined;
+    if (this._timer) {
+      this._world.time.cancel(this._timer);
+    }
+    resume(event);
+  }
+
+  await(until: number, resume: (event: CallEvent) => void): void {
+    const event = this._events.shift();
+    if (event) {
+      resume(event);
+      return;
+    }
+    this._resume = resume;
+    this._timer = this._world.time.after(until - this._world.time.now, () => {
+      this._resume = undefined;
+      resume({ kind: 'timeout' });
+    });
+  }
+}
+
+/** The layer as a policy. */
+export class LayerPolicy implements Policy {
+  readonly name: string;
+  private readonly _daemons: Daemon[];
+  private readonly _chainCalls = new Map<string, ChainCall>();
+  private readonly _attempts = new Map<string, ChainCall>();
+  private readonly _classes = new Map<string, NamedClass>();
+  private _ids = 0;
+
+  constructor(
+    private readonly _world: World,
+    private readonly _favour: 'goodput' | 'recovery',
+  ) {
+    this.name = `gentiandrum-${_favour}`;
+    this._daemons = _world.hosts.map((host) => this._makeDaemon(host));
+  }
+
+  call(from: Host, chainCall: ChainCall, parent: string | undefined, done: (end: CallEnd) => void): Cancel {
+    const session = new Session(this._world);
+    const call = this._makeCall(chainCall, parent);
+    this._chainCalls.set(call.id, chainCall);
+    const daemon = this._daemon(from);
+    let open = true;
+    this._world.counters.firstOffers++;
+    this._drive(serveCall(call, daemon.serve), daemon, session, (served) => {
+      this._chainCalls.delete(call.id);
+      if (open) {
+        open = false;
+        done({ ok: served.kind === 'answer' && served.answer.status < 500, retryAfter: served.kind === 'error' });
+      }
+    });
+    return () => {
+      open = false;
+      session.push({ kind: 'caller_gone' });
+    };
+  }
+
+  hostChanged(host: Host): void {
+    const gone = host.dead;
+    this._world.time.after(gone ? kDetectMs : 0, () => {
+      for (const daemon of this._daemons) {
+        this._setKnown(daemon, host, gone && host.dead);
+      }
+    });
+    if (!gone) {
+      this._daemons[host.index] = this._makeDaemon(host);
+    }
+  }
+
+  /** A cut zone is noticed as dead hosts are. */
+  zoneChanged(): void {
+    this._world.time.after(kDetectMs, () => {
+      for (const daemon of this._daemons) {
+        for (const host of this._world.hosts) {
+          this._setKnown(daemon, host, host.dead || this._world.delay(daemon.host, host) === undefined);
+        }
+      }
+    });
+  }
+
+  private _setKnown(daemon: Daemon, host: Host, gone: boolean): void {
+    if (gone) {
+      daemon.knownGone.add(host.name);
+    } else {
+      daemon.knownGone.delete(host.name);
+    }
+  }
+
+  private _drive<T>(procedure: Procedure<T>, daemon: Daemon, session: Session | undefined, ended: (value: T) => void): void {
+    const resume = (reply: Reply): void => {
+      const step = procedure.next(reply);
+      if (step.done === true) {
+        ended(step.value);
+      } else {
+        this._perform(step.value, daemon, session, resume);
+      }
+    };
+    resume(undefined);
+  }
+
+  private _perform(effect: Effect, daemon: Daemon, session: Session | undefined, resume: (reply: Reply) => void): void {
+    switch (effect.type) {
+      case 'offer':
+        this._offer(daemon, effect.attempt, effect.to, effect.terms, session);
+        resume(undefined);
+        return;
+      case 'awaitEvent':
+        session?.await(effect.until, resume);
+        return;
+      case 'cancel':
+        this._cancel(daemon, effect.attempt, effect.to, resume);
+        return;
+      case 'admitted':
+        daemon.waiting.set(effect.attempt, resume);
+        return;
+      case 'forward':
+        this._forward(daemon, effect.attempt, effect.deadline, resume);
+        return;
+      default:
+        throw new Error(`expected an effect of a call without key, got "${effect.type}"`);
+    }
+  }
+
+  private _offer(from: Daemon, attempt: string, to: Candidate, terms: OfferTerms, session: Session | undefined): void {
+    const call = this._chainCalls.get(terms.request);
+    const host = this._world.hostNamed(to.target);
+    const delay = host && this._world.delay(from.host, host);
+    const back = (end: OfferEnd, ms: number): void => {
+      this._world.time.after(ms, () => {
+        session?.push({ kind: 'ended', attempt, end });
+      });
+    };
+    if (!host || !call || delay === undefined) {
+      return;
+    }
+    this._world.time.after(delay, () => {
+      if (host.dead) {
+        back({ kind: 'lost', written: false }, kResetMs);
+        return;
+      }
+      const daemon = this._daemon(host);
+      this._attempts.set(attempt, call);
+      this._drive(gateCall(terms, kPayload, daemon.gateContext), daemon, undefined, (end) => {
+        this._attempts.delete(attempt);
+        const home = this._world.delay(host, from.host);
+        if (home !== undefined) {
+          back(end, home);
+        }
+      });
+    });
+  }
+
+  private _cancel(from: Daemon, attempt: string, to: Candidate, resume: (reply: Reply) => void): void {
+    const host = this._world.hostNamed(to.target);
+    const delay = host && this._world.delay(from.host, host);
+    if (!host || host.dead || delay === undefined) {
+      resume({ kind: 'unknown' });
+      return;
+    }
+    this._world.time.after(delay, () => {
+      const daemon = this._daemon(host);
+      const beforeStart = daemon.gate.cancel(attempt);
+      if (beforeStart) {
+        const waiting = daemon.waiting.get(attempt);
+        daemon.waiting.delete(attempt);
+        waiting?.({ kind: 'cancelled' });
+      }
+      daemon.running.get(attempt)?.();
+      this._world.time.after(delay, () => {
+        resume({ kind: beforeStart ? 'before_start' : 'started' });
+      });
+    });
+  }
+
+  private _forward(daemon: Daemon, attempt: string, deadline: number, resume: (reply: Reply) => void): void {
+    const call = this._attempts.get(attempt);
+    if (!call) {
+      throw new Error(`expected a known attempt, got ${attempt}`);
+    }
+    const next: ChainCall = { ...call, step: call.step + 1, deadline };
+    const end = (reply: Reply): void => {
+      this._world.time.cancel(timer);
+      daemon.running.delete(attempt);
+      resume(reply);
+    };
+    const cancel = daemon.host.target.serve({
+      onward:
+        next.step < call.load.chain.length
+          ? (done) =>
+              this.call(daemon.host, next, attempt, ({ ok }) => {
+                done(ok);
+              })
+          : undefined,
+      started: () => {
+        this._world.started(call.root);
+      },
+      done: (how) => {
+        end(how === 'dead' ? { kind: 'lost', written: true } : { kind: 'answered', answer: how === 'ok' ? kAnswer : kFailed });
+      },
+    });
+    const stop = (kind: 'timeout' | 'cancelled'): void => {
+      cancel();
+      end({ kind });
+    };
+    const timer = this._world.time.after(deadline - this._world.time.now, () => {
+      stop('timeout');
+    });
+    daemon.running.set(attempt, () => {
+      stop('cancelled');
+    });
+  }
+
+  private _makeDaemon(host: Host): Daemon {
+    const waiting = new Map<string, (end: AdmitEnd) => void>();
+    const admit = (id: string, end: AdmitEnd): void => {
+      const resume = waiting.get(id);
+      waiting.delete(id);
+      resume?.(end);
+    };
+    const events = {
+      onStart: (call: GateCall) => {
+        admit(call.id, { kind: 'started' });
+      },
+      onShed: (call: GateCall, reason: ErrorKind) => {
+        admit(call.id, { kind: 'shed', reason });
+      },
+    };
+    const favour = (): 'goodput' | 'recovery' => this._favour;
+    const cold = this._world.time.now > 0;
+    const gate = new Gate<GateCall>(host.slots, favour, events, cold ? this._world.time.now : -Infinity);
+    const ledger = new RetryLedger();
+    const knownGone = new Set<string>();
+    const gateContext: GateContext = { gate, target: host.name, ledger, seen: { add: () => true }, decide: () => undefined };
+    return { host, gate, ledger, waiting, running: new Map(), knownGone, gateContext, serve: this._makeServe(host, ledger, knownGone) };
+  }
+
+  private _makeServe(host: Host, ledger: RetryLedger, knownGone: Set<string>): ServeContext {
+    const ratios = new Map<string, RetryRatio>();
+    const candidates = new Map<string, Candidate[]>();
+    for (const plan of this._world.deployment.services) {
+      candidates.set(
+        plan.name,
+        this._world.hostsOf(plan.name).map((to) => ({
+          target: to.name,
+          daemon: to.name,
+          incarnation: 1,
+          address: '',
+          service: to.service,
+          zone: to.zone,
+          region: 'one',
+          slots: to.slots,
+        })),
+      );
+    }
+    return {
+      daemon: { id: host.name, incarnation: 1, address: '' },
+      stopping: () => false,
+      candidates: (service) => (candidates.get(service) ?? []).filter((candidate) => !knownGone.has(candidate.target)),
+      picker: new TargetPicker(host.zone, 'one', this._world.random),
+      rootFilter: new RootFilter(() => this._favour),
+      ledger,
+      retryRatio: (service) => {
+        const ratio = ratios.get(service) ?? new RetryRatio(() => kRetryRatio);
+        ratios.set(service, ratio);
+        return ratio;
+      },
+      answers: new AnswerStore(1),
+      settler: new KeySettler(),
+      claimShard: () => ({ shard: 0, index: new ClaimIndex(1) }),
+      newId: () => String(this._ids++),
+      decide: ({ step }) => {
+        if (step === 'retry' || step === 'compete') {
+          this._world.counters.repeats++;
+        }
+      },
+    };
+  }
+
+  private _makeCall(chainCall: ChainCall, parent: string | undefined): Call {
+    const { load, step, root, cohort, deadline } = chainCall;
+    const id = String(this._ids++);
+    return {
+      id,
+      cls: this._classOf(load.name, load.chain[step] ?? '', load.idempotent),
+      chain: {
+        root,
+        parent,
+        importance: importanceIndex(load.importance),
+        cohort,
+        depth: step,
+        rootDaemon: '',
+        rootAddress: '',
+        rootIncarnation: 1,
+        repeatable: false,
+      },
+      key: { kind: 'none' },
+      bodyDigest: '',
+      payload: kPayload,
+      deadline,
+    };
+  }
+
+  private _classOf(name: string, service: string, idempotent: boolean): NamedClass {
+    const key = `${name}/${service}`;
+    let cls = this._classes.get(key);
+    if (!cls) {
+      const retries = idempotent ? kAllowance : 0;
+      cls = { name, service, methods: [], path: '/**', importance: 'normal', idempotent, deadlineMs: kDeadlineMs, retries };
+      this._classes.set(key, cls);
+    }
+    return cls;
+  }
+
+  private _daemon(host: Host): Daemon {
+    const daemon = this._daemons[host.index];
+    if (!daemon) {
+      throw new Error(`expected a daemon on ${host.name}`);
+    }
+    return daemon;
+  }
+}
--- /dev/null
+++ b/bench/policy/main.ts
@@ -0,0 +1,77 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Compares overload policies: `main.js [SCENARIO-PART]`. Each run is a process of its own, as many at once as half the
+ * cores; the same seed gives the same digits.
+ */
+
+import { fork } from 'node:child_process';
+import { availableParallelism } from 'node:os';
+import { fileURLToPath } from 'node:url';
+import { kPolicies, type Measures, type PolicyName, runScenario } from './runScenario.js';
+import { kScenarios } from './scenarios.js';
+
+const kSeed = 20_261_202;
+
+interface Job {
+  index: number;
+  policy: PolicyName;
+}
+
+const wanted = process.argv[2];
+if (wanted === '--job' && process.send) {
+  const job = JSON.parse(process.argv[3] ?? '{}') as Job;
+  const scenario = kScenarios[job.index];
+  if (scenario) {
+    process.send(runScenario(scenario, job.policy, kSeed));
+  }
+  process.disconnect();
+} else {
+  await compare(wanted ?? '');
+}
+
+function runJob(job: Job): Promise<Measures> {
+  return new Promise((resolve, reject) => {
+    const child = fork(fileURLToPath(import.meta.url), ['--job', JSON.stringify(job)]);
+    child.once('message', (measures) => {
+      resolve(measures as Measures);
+    });
+    child.once('exit', (code) => {
+      if (code !== 0) {
+        reject(new Error(`expected job ${JSON.stringify(job)} to end with 0, got ${code}`));
+      }
+    });
+  });
+}
+
+async function compare(part: string): Promise<void> {
+  const jobs = kScenarios.flatMap((scenario, index) =>
+    `${scenario.deployment.name}/${scenario.name}`.includes(part) ? kPolicies.map((policy) => ({ index, policy })) : [],
+  );
+  const results = new Map<Job, Measures>();
+  const queue = [...jobs].reverse();
+  const worker = async (): Promise<void> => {
+    for (let job = queue.pop(); job; job = queue.pop()) {
+      results.set(job, await runJob(job));
+    }
+  };
+  await Promise.all(Array.from({ length: Math.max(1, Math.floor(availableParallelism() * 0.75)) }, worker));
+  print(jobs, results);
+}
+
+function print(jobs: Job[], results: Map<Job, Measures>): void {
+  const all: Record<string, Record<string, Measures | undefined>> = {};
+  kScenarios.forEach((scenario, index) => {
+    const ofScenario = jobs.filter((job) => job.index === index);
+    if (ofScenario.length > 0) {
+      const name = `${scenario.deployment.name}/${scenario.name}`;
+      all[name] = Object.fromEntries(ofScenario.map((job) => [job.policy, results.get(job)]));
+      console.log(name);
+      console.table(all[name]);
+    }
+  });
+  console.log(JSON.stringify({ seed: kSeed, scenarios: all }));
+}
--- /dev/null
+++ b/bench/support/openLoop.ts
@@ -0,0 +1,59 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Open-loop load: calls start on schedule, however long earlier ones take. */
+
+import { build, type Histogram } from 'hdr-histogram-js';
+
+const kMicros = 1_000;
+
+/** Latencies of one run, in milliseconds. */
+export interface Latencies {
+  count: number;
+  failed: number;
+  p50: number;
+  p99: number;
+}
+
+/** Several loads interleaved in one run, so that all meet the same noise. */
+export async function runInterleaved(
+  loads: Record<string, () => Promise<boolean>>,
+  perSecond: number,
+  seconds: number,
+): Promise<Record<string, Latencies>> {
+  const names = Object.keys(loads);
+  const runs = await Promise.all(names.map((name, i) => runOne(loads[name] ?? (() => Promise.resolve(false)), perSecond, seconds, i / names.length)));
+  return Object.fromEntries(names.map((name, i) => [name, runs[i] ?? { count: 0, failed: 0, p50: 0, p99: 0 }]));
+}
+
+async function runOne(call: () => Promise<boolean>, perSecond: number, seconds: number, phase: number): Promise<Latencies> {
+  const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
+  const intervalMs = 1_000 / perSecond;
+  const total = perSecond * seconds;
+  const startedAt = performance.now() + phase * intervalMs;
+  const pending: Promise<void>[] = [];
+  let failed = 0;
+  for (let i = 0; i < total; i++) {
+    const due = startedAt + i * intervalMs;
+    const waitMs = due - performance.now();
+    if (waitMs > 0.5) {
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+    }
+    pending.push(
+      timed(call, histogram).then((ok) => {
+        failed += ok ? 0 : 1;
+      }),
+    );
+  }
+  await Promise.all(pending);
+  return { count: total, failed, p50: histogram.getValueAtPercentile(50) / kMicros, p99: histogram.getValueAtPercentile(99) / kMicros };
+}
+
+async function timed(call: () => Promise<boolean>, histogram: Histogram): Promise<boolean> {
+  const startedAt = performance.now();
+  const ok = await call().catch(() => false);
+  histogram.recordValue(Math.max(1, Math.round((performance.now() - startedAt) * kMicros)));
+  return ok;
+}
--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -20,6 +20,8 @@
 /** Refusals for overload before the call is given up: the other target of two random choices is asked, no more. */
 const kMaxOverloadRefusals = 2;
 const kServerError = 500;
+/** Timers may fire this much early, in milliseconds. */
+const kTimerSlackMs = 1;
 
 /** A call while it runs. */
 class Run {
@@ -124,7 +126,7 @@
     case 'caller_gone':
       return failedWith('cancelled', 'unknown', 'The caller hung up.');
     case 'timeout':
-      return monotonicMs() >= run.call.deadline ? failedWith('deadline_exceeded', 'unknown', 'No whole answer came in time.') : undefined;
+      return monotonicMs() >= run.call.deadline - kTimerSlackMs ? failedWith('deadline_exceeded', 'unknown', 'No whole answer came in time.') : undefined;
   }
 }
 
