Admission level steers by capacity; the root filter learns by service; invested work is let in

Cause, found by tracing the gate of the narrow service at 3x: (1) each class learned its level only from its own answers, so a class that was shed altogether opened by itself every 200 ms and wasted three hops a try; (2) the level was cut again each window before the first cut came back through the chain, then opened to full and flooded the gate. Ruled out: a longer window (slower recovery, the same swing), refusing at the gate alone (all waste is upstream). Change: answers name the service that set the tightest level and every answer refreshes it; the level moves to the rank up to which arrivals fit limit / mean time and books its move in the arrival rates at once; a call that passed the level where it entered is let in up to one importance over it; the limit grows only while own time stays within 10%.

--- a/packages/core/src/admission/adaptiveLimit.ts
+++ b/packages/core/src/admission/adaptiveLimit.ts
@@ -16,6 +16,8 @@
 const kMinSamples = 8;
 /** Growth of own time over its baseline that starts a trial. */
 const kTolerance = 1.5;
+/** Growth of own time over its baseline up to which the limit may still grow. */
+const kGrowthTolerance = 1.1;
 const kNarrow = 0.85;
 /** Share of own time that a trial must gain, per window, to go on. */
 const kTrialGain = 0.05;
@@ -108,7 +110,7 @@
     } else if (busy && mean > this._baseline * kTolerance) {
       this._trial = { windows: 0, limitBefore: this._limit, lastMean: mean };
       this._limit = this._clamp(this._limit * kNarrow);
-    } else if (busy) {
+    } else if (busy && mean <= this._baseline * kGrowthTolerance) {
       this._limit = this._clamp(this._limit + Math.max(1, Math.sqrt(this._limit) / 2));
     }
   }
--- a/packages/core/src/admission/admissionLevel.ts
+++ b/packages/core/src/admission/admissionLevel.ts
@@ -6,44 +6,65 @@
 /**
  * Admission level of one gate: calls with a rank at or over it are refused before they queue.
  *
- * The level is recomputed at the end of each window from what the gate saw in it: tightened to what the target
- * completed when calls had to be shed or a queue stood, relaxed as soon as spare capacity was seen.
+ * At the end of each window the level moves to the rank up to which arrivals fit what the target can end: a little more
+ * while the queue is shorter than wanted, a little less while it is longer. What a move will change is booked in the
+ * arrival rates at once, since its effect comes back only after the time of a whole chain.
  */
 
-import { kOpenLevel } from './rank.js';
+import { kCohorts, kOpenLevel } from './rank.js';
 
 const kWindowMs = 100;
-/** Queue delay that counts as a standing queue, in milliseconds. */
-const kStandingDelayMs = 20;
-/** Share of the arrivals that one window refuses at the most. */
+/** Weight of the newest window in the arrival rates. */
+const kWeight = 0.3;
+/** Queue delay that is aimed at, as a share of a call's mean time, and its least value in milliseconds. */
+const kDelayShare = 0.5;
+const kMinDelayMs = 10;
+/** By how much an empty or a long queue shifts what is let in. */
+const kGain = 0.3;
+/** Largest cut of the level in one window, as a share of what is let in. */
 const kMaxCut = 0.5;
-/** Share of the completions that is let in while overloaded; the surplus keeps the queue from running dry. */
-const kSurplus = 1.05;
-const kFirstStep = { goodput: 4, recovery: 32 } as const;
-
-/** What the gate saw in a window. */
-interface Window {
-  start: number;
-  arrivals: number;
-  completions: number;
-  shed: number;
-  minDelay: number;
-  idle: boolean;
+/** Largest rise in one window, in ranks; it doubles while slots stay free. */
+const kMaxRise = { goodput: 16, recovery: 64 } as const;
+/** Least arrival rate that is assumed for a rank that is opened, in calls a window. */
+const kMinDensity = 0.01;
+
+/**
+ * Ranks over the level up to which a call with work invested in it is admitted: it passed the level a moment ago, where
+ * its request entered. The queue still starts the more important first.
+ */
+const kInvestedSlack = kCohorts;
+
+/** What the gate tells at the end of a window. */
+export interface GateState {
+  /** Time that a call admitted now would wait, in milliseconds. */
+  delayMs: number;
+  /** Mean time of a call at the target, in milliseconds; 0 while none ended. */
+  meanMs: number;
+  /** Calls that run at once when the target is full. */
+  limit: number;
 }
 
 /** Admission level of one gate. */
 export class AdmissionLevel {
   private _level = kOpenLevel;
-  private _step = 0;
-  private readonly _histogram = new Uint32Array(kOpenLevel);
-  private _window: Window;
-
-  /** @param _favour what the operator favours, see `overload.favour` */
+  private _rises = 0;
+  /** Arrivals a window by rank, smoothed; and those of the present window. */
+  private readonly _rates = new Float64Array(kOpenLevel);
+  private readonly _counts = new Uint32Array(kOpenLevel);
+  private _windowStart: number;
+  private _shed = 0;
+  private _idle = false;
+
+  /**
+   * @param _favour what the operator favours, see `overload.favour`
+   * @param _state the gate's state, asked at the end of each window
+   */
   constructor(
     private readonly _favour: () => 'goodput' | 'recovery',
+    private readonly _state: () => GateState,
     now: number,
   ) {
-    this._window = emptyWindow(now);
+    this._windowStart = now;
   }
 
   /** The level as of `now`. */
@@ -52,77 +73,114 @@
     return this._level;
   }
 
-  /** Notes a call that arrived, whatever becomes of it. */
-  arrived(rank: number, now: number): void {
+  /** Notes a call that arrived; true when it is admitted. `depth` counts the calls made on the way. */
+  admits(rank: number, depth: number, now: number): boolean {
     this._roll(now);
-    this._window.arrivals++;
-    this._histogram[rank] = (this._histogram[rank] ?? 0) + 1;
-  }
-
-  /** Notes that a call started after it had waited. `idle` tells that slots stayed free. */
-  started(waitedMs: number, idle: boolean): void {
-    this._window.minDelay = Math.min(this._window.minDelay, waitedMs);
-    this._window.idle ||= idle;
+    this._counts[rank] = (this._counts[rank] ?? 0) + 1;
+    return rank < this._level + (depth > 0 ? kInvestedSlack : 0);
   }
 
-  /** Notes a call that the target ended. */
-  completed(now: number): void {
-    this._roll(now);
-    this._window.completions++;
+  /** Notes that slots stayed free although calls came. */
+  idle(): void {
+    this._idle = true;
   }
 
-  /** Notes a call that was shed from the queue, or found it full. */
+  /** Notes a call that was admitted and shed all the same. */
   shed(): void {
-    this._window.shed++;
+    this._shed++;
   }
 
   private _roll(now: number): void {
-    const elapsed = now - this._window.start;
-    if (elapsed < kWindowMs) {
+    const windows = Math.floor((now - this._windowStart) / kWindowMs);
+    if (windows < 1) {
       return;
     }
+    this._windowStart += windows * kWindowMs;
     this._adjust();
-    const quietWindows = Math.floor(elapsed / kWindowMs) - 1;
-    for (let i = 0; i < quietWindows && this._level < kOpenLevel; i++) {
-      this._relax();
+    for (let quiet = Math.min(windows - 1, kOpenLevel); quiet > 0 && this._level < kOpenLevel; quiet--) {
+      this._idle = true;
+      this._adjust();
     }
-    this._histogram.fill(0);
-    this._window = emptyWindow(now);
   }
 
   private _adjust(): void {
-    const { shed, minDelay, idle, completions } = this._window;
-    const standing = minDelay !== Infinity && minDelay > kStandingDelayMs;
-    if (!idle && (shed > 0 || standing) && completions > 0) {
-      this._tighten();
-      return;
+    this._smoothRates();
+    const error = this._queueError();
+    if (this._level < kOpenLevel || error < 0) {
+      this._moveTo(this._capacity() * (1 + kGain * error));
     }
-    if (this._level < kOpenLevel && !standing) {
-      this._relax();
+    this._shed = 0;
+    this._idle = false;
+  }
+
+  private _smoothRates(): void {
+    for (let rank = 0; rank < kOpenLevel; rank++) {
+      const before = this._rates[rank] ?? 0;
+      this._rates[rank] = before + ((this._counts[rank] ?? 0) - before) * kWeight;
     }
+    this._counts.fill(0);
   }
 
-  /** Lowers the level to the rank up to which arrivals fit what the target completed. */
-  private _tighten(): void {
-    this._step = 0;
-    const { arrivals, completions } = this._window;
-    const room = Math.max(completions * kSurplus, arrivals * (1 - kMaxCut));
-    let admitted = 0;
+  /** How much shorter (positive) or longer (negative) than wanted the queue is, from -1 to 1. */
+  private _queueError(): number {
+    if (this._shed > 0) {
+      return -1;
+    }
+    if (this._idle) {
+      return 1;
+    }
+    const { delayMs, meanMs } = this._state();
+    const wantedMs = Math.max(kMinDelayMs, meanMs * kDelayShare);
+    return Math.max(-1, Math.min(1, (wantedMs - delayMs) / wantedMs));
+  }
+
+  /** Calls that the target ends in a window when it is full. */
+  private _capacity(): number {
+    const { limit, meanMs } = this._state();
+    return meanMs === 0 ? Infinity : (limit * kWindowMs) / meanMs;
+  }
+
+  /** Moves the level so that `wanted` calls a window are let in. */
+  private _moveTo(wanted: number): void {
+    const admitted = this._ratesBelow(0, this._level);
+    if (admitted > wanted) {
+      this._rises = 0;
+      this._cutTo(Math.max(wanted, admitted * (1 - kMaxCut)));
+    } else {
+      this._riseBy(wanted - admitted);
+    }
+  }
+
+  private _cutTo(wanted: number): void {
+    let below = 0;
     for (let rank = 0; rank < this._level; rank++) {
-      admitted += this._histogram[rank] ?? 0;
-      if (admitted > room) {
+      below += this._rates[rank] ?? 0;
+      if (below > wanted) {
         this._level = Math.max(1, rank);
         return;
       }
     }
   }
 
-  private _relax(): void {
-    this._step = this._step === 0 ? kFirstStep[this._favour()] : this._step * 2;
-    this._level = Math.min(kOpenLevel, this._level + this._step);
+  private _riseBy(missing: number): void {
+    const from = Math.max(0, this._level - kCohorts);
+    const density = Math.max(kMinDensity, this._ratesBelow(from, this._level) / Math.max(1, this._level - from));
+    this._rises = this._idle ? this._rises + 1 : 0;
+    const highest = Math.min(kOpenLevel, this._level + kMaxRise[this._favour()] * 2 ** Math.min(this._rises, 5));
+    let opened = 0;
+    while (this._level < highest && opened < missing) {
+      const rate = Math.max(this._rates[this._level] ?? 0, density);
+      this._rates[this._level] = rate;
+      opened += rate;
+      this._level++;
+    }
   }
-}
 
-function emptyWindow(start: number): Window {
-  return { start, arrivals: 0, completions: 0, shed: 0, minDelay: Infinity, idle: false };
+  private _ratesBelow(from: number, to: number): number {
+    let sum = 0;
+    for (let rank = from; rank < to; rank++) {
+      sum += this._rates[rank] ?? 0;
+    }
+    return sum;
+  }
 }
--- a/packages/core/src/admission/gate.ts
+++ b/packages/core/src/admission/gate.ts
@@ -12,7 +12,7 @@
 import type { ErrorKind } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
 import { AdaptiveLimit } from './adaptiveLimit.js';
-import { AdmissionLevel } from './admissionLevel.js';
+import { AdmissionLevel, type GateState } from './admissionLevel.js';
 import { AdmissionQueue, type Queued } from './admissionQueue.js';
 import { kOpenLevel } from './rank.js';
 
@@ -23,6 +23,8 @@
 /** Weight of the newest call in the mean time per call. */
 const kMeanWeight = 0.05;
 const kStandingQueueMs = 20;
+/** Share of the limit below which slots count as free. */
+const kBusyShare = 0.9;
 
 /** Fate of an offered call. */
 export type GateDecision = { kind: 'started' } | { kind: 'queued' } | { kind: 'refused'; reason: ErrorKind };
@@ -55,7 +57,7 @@
     startedAt: number,
   ) {
     const now = monotonicMs();
-    this._level = new AdmissionLevel(favour, now);
+    this._level = new AdmissionLevel(favour, () => this._state(), now);
     this._limit = new AdaptiveLimit(slots, startedAt, now);
   }
 
@@ -114,8 +116,7 @@
       return { kind: 'refused', reason: this._closed };
     }
     const now = monotonicMs();
-    this._level.arrived(call.rank, now);
-    if (call.rank >= this._level.current(now)) {
+    if (!this._level.admits(call.rank, call.depth, now)) {
       return { kind: 'refused', reason: 'overloaded' };
     }
     if (call.deadline <= now) {
@@ -145,10 +146,14 @@
     return this._queue.remove(id);
   }
 
+  private _state(): GateState {
+    const limit = this._limit.current(monotonicMs());
+    return { delayMs: (this._queue.size * this._meanMs) / limit, meanMs: this._meanMs, limit };
+  }
+
   private _learn(end: GateEnd, inFlight: number, now: number): void {
     switch (end.kind) {
       case 'completed':
-        this._level.completed(now);
         this._limit.completed(end.ownMs, inFlight, now);
         this._meanMs = this._meanMs === 0 ? end.totalMs : this._meanMs + (end.totalMs - this._meanMs) * kMeanWeight;
         return;
@@ -208,7 +213,9 @@
 
   private _start(call: T, now: number): void {
     this._running.set(call.id, call);
-    this._level.started(now - call.queuedAt, this._running.size < this._limit.current(now) * 0.9);
+    if (this._running.size < this._limit.current(now) * kBusyShare) {
+      this._level.idle();
+    }
   }
 
   private _shed(call: T, reason: ErrorKind): void {
--- a/packages/core/src/admission/rootFilter.ts
+++ b/packages/core/src/admission/rootFilter.ts
@@ -6,37 +6,36 @@
 /**
  * Early refusal where a request enters: a request that would be shed further down is refused before its first hop.
  *
- * Answers bring back the tightest admission level met on their way. The filter keeps one level per request class; it
- * follows the answers within a short time and opens by itself when none come.
+ * Answers bring back the tightest admission level met on their way, and the service that set it. The filter keeps one
+ * level per service, which any answer refreshes, and for each request class the service that narrowed it last: a class
+ * that is shed altogether here still hears from the answers of others when that service opens again.
  */
 
+import type { LevelReport } from './levelReport.js';
 import { kOpenLevel } from './rank.js';
 
 /** Time over which a level follows the answers, in milliseconds. */
 const kFollowMs = 50;
-/** Ranks by which a level opens per millisecond without answers. */
-const kOpenPerMs = { goodput: 0.5, recovery: 2 } as const;
-const kQuietMs = 200;
+/** Time without any answer about a service after which its level opens by itself. */
+const kQuietMs = 500;
+/** Ranks by which it then opens per millisecond. */
+const kOpenPerMs = { goodput: 0.1, recovery: 0.5 } as const;
 
-interface ClassLevel {
+interface ServiceLevel {
   level: number;
   at: number;
 }
 
-/** Levels by request class at one daemon. */
+/** Levels at one daemon. */
 export class RootFilter {
-  private readonly _levels = new Map<string, ClassLevel>();
+  private readonly _services = new Map<string, ServiceLevel>();
+  private readonly _narrowest = new Map<string, string>();
 
   constructor(private readonly _favour: () => 'goodput' | 'recovery') {}
 
   /** Level of a class as of `now`. */
   level(className: string, now: number): number {
-    const known = this._levels.get(className);
-    if (!known) {
-      return kOpenLevel;
-    }
-    const quietMs = Math.max(0, now - known.at - kQuietMs);
-    return Math.min(kOpenLevel, known.level + quietMs * kOpenPerMs[this._favour()]);
+    return this._serviceLevel(this._narrowest.get(className) ?? '', now);
   }
 
   /** Whether a root request may enter. */
@@ -44,16 +43,43 @@
     return rank < this.level(className, now);
   }
 
-  /** Takes the level that an answer brought back. */
-  learn(className: string, level: number, now: number): void {
-    const known = this._levels.get(className);
+  /** Takes what the answer to a root request of a class brought back. */
+  learn(className: string, report: LevelReport, now: number): void {
+    if (report.service === '') {
+      return;
+    }
+    if (report.level < kOpenLevel) {
+      this._narrowest.set(className, report.service);
+    }
+    this.learnService(report.service, report.level, now);
+    const narrowest = this._narrowest.get(className);
+    if (narrowest !== undefined && narrowest !== report.service) {
+      this.learnService(narrowest, kOpenLevel, now);
+    }
+  }
+
+  /** Takes the level of a service's gate, from any answer. */
+  learnService(service: string, level: number, now: number): void {
+    if (service === '') {
+      return;
+    }
+    const known = this._services.get(service);
     if (!known) {
-      this._levels.set(className, { level, at: now });
+      this._services.set(service, { level, at: now });
       return;
     }
-    const before = this.level(className, now);
+    const before = this._serviceLevel(service, now);
     const weight = 1 - Math.exp(-Math.max(1, now - known.at) / kFollowMs);
     known.level = before + (level - before) * weight;
     known.at = now;
   }
+
+  private _serviceLevel(service: string, now: number): number {
+    const known = this._services.get(service);
+    if (!known) {
+      return kOpenLevel;
+    }
+    const quietMs = Math.max(0, now - known.at - kQuietMs);
+    return Math.min(kOpenLevel, known.level + quietMs * kOpenPerMs[this._favour()]);
+  }
 }
--- a/packages/core/src/chain/retryLedger.ts
+++ b/packages/core/src/chain/retryLedger.ts
@@ -10,9 +10,11 @@
  * returns unspent comes back. So over a whole chain no more retries happen than the root was granted.
  */
 
+import { kAllOpen, type LevelReport, tighter } from '../admission/levelReport.js';
+
 interface LedgerEntry {
   remaining: number;
-  level: number;
+  level: LevelReport;
   retriedBelow: boolean;
   onwardCalls: number;
   openOnward: number;
@@ -25,7 +27,7 @@
 export interface LedgerSummary {
   unspent: number;
   /** Tightest admission level met below. */
-  level: number;
+  level: LevelReport;
   retriedBelow: boolean;
   onwardCalls: number;
   /** Time that the target waited for its own onward calls, in milliseconds. */
@@ -42,10 +44,10 @@
   }
 
   /** Opens an entry with the allowance that came with a call. */
-  open(id: string, allowance: number, level: number): void {
+  open(id: string, allowance: number): void {
     this._entries.set(id, {
       remaining: allowance,
-      level,
+      level: kAllOpen,
       retriedBelow: false,
       onwardCalls: 0,
       openOnward: 0,
@@ -102,13 +104,13 @@
   }
 
   /** Notes the end of an onward call, and takes back what it left unspent. */
-  endOnward(id: string, now: number, end: { unspent: number; level: number; final: boolean }): void {
+  endOnward(id: string, now: number, end: { unspent: number; level: LevelReport; final: boolean }): void {
     const entry = this._entries.get(id);
     if (!entry) {
       return;
     }
     entry.remaining += end.unspent;
-    entry.level = Math.min(entry.level, end.level);
+    entry.level = tighter(entry.level, end.level);
     entry.retriedBelow ||= end.final;
     entry.openOnward--;
     if (entry.openOnward === 0) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './admission/admissionLevel.js';
 export * from './admission/admissionQueue.js';
 export * from './admission/gate.js';
+export * from './admission/levelReport.js';
 export * from './admission/rank.js';
 export * from './admission/rootFilter.js';
 export * from './chain/retryLedger.js';
--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -6,6 +6,7 @@
 /** What a procedure that serves a call knows and uses. */
 
 import type { OfferTerms } from '@gentiandrum/protocol';
+import type { LevelReport } from '../admission/levelReport.js';
 import type { RootFilter } from '../admission/rootFilter.js';
 import type { RetryLedger } from '../chain/retryLedger.js';
 import type { RetryRatio } from '../chain/retryRatio.js';
@@ -111,7 +112,7 @@
   served: Served;
   /** Allowance left of what the call had. */
   unspent: number;
-  level: number;
+  level: LevelReport;
   /** Whether the call failed for good: a retry above it would be a second one, or would meet the same overload. */
   final: boolean;
 }
--- a/packages/core/src/procedures/effects.ts
+++ b/packages/core/src/procedures/effects.ts
@@ -9,6 +9,7 @@
  */
 
 import type { ClaimRecord, OfferTerms, PatchRecord } from '@gentiandrum/protocol';
+import type { LevelReport } from '../admission/levelReport.js';
 import type { ErrorKind } from '../errors/errorKind.js';
 import type { Candidate } from '../routing/targetPicker.js';
 import type { KeyBid, KeyVerdict } from '../claims/keySettler.js';
@@ -25,9 +26,9 @@
 
 /** How an offer to a gate ended. */
 export type OfferEnd =
-  | { kind: 'answered'; answer: Answer; unspent: number; level: number; retriedBelow: boolean; load?: GateLoad }
-  | { kind: 'refused'; reason: ErrorKind; unspent: number; level: number; load?: GateLoad }
-  | { kind: 'failed'; reason: ErrorKind; unspent: number; level: number; retriedBelow: boolean; load?: GateLoad }
+  | { kind: 'answered'; answer: Answer; unspent: number; level: LevelReport; retriedBelow: boolean; load?: GateLoad }
+  | { kind: 'refused'; reason: ErrorKind; unspent: number; level: LevelReport; load?: GateLoad }
+  | { kind: 'failed'; reason: ErrorKind; unspent: number; level: LevelReport; retriedBelow: boolean; load?: GateLoad }
   | { kind: 'lost'; written: boolean };
 
 /** Load of a gate as it reports it. */
--- a/packages/core/src/procedures/gateCall.ts
+++ b/packages/core/src/procedures/gateCall.ts
@@ -8,7 +8,8 @@
 import type { OfferTerms } from '@gentiandrum/protocol';
 import type { Queued } from '../admission/admissionQueue.js';
 import type { Gate, GateEnd } from '../admission/gate.js';
-import { kOpenLevel, rankOf } from '../admission/rank.js';
+import { kAllOpen, type LevelReport, tighter } from '../admission/levelReport.js';
+import { rankOf } from '../admission/rank.js';
 import type { LedgerSummary, RetryLedger } from '../chain/retryLedger.js';
 import type { ErrorKind } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
@@ -71,14 +72,14 @@
     gate.ended(call.id, { kind: 'not_run' });
     return refusedBy(terms, ctx, 'deadline_before_start');
   }
-  ctx.ledger.open(call.id, terms.allowance, kOpenLevel);
+  ctx.ledger.open(call.id, terms.allowance);
   ctx.decide({ request: terms.request, attempt: call.id, step: 'gate', cls: terms.className, target: terms.target, reason: 'started' });
   const end = yield* perform('forward', { attempt: call.id, payload, entry: call.id, deadline });
   const now = monotonicMs();
   const summary = ctx.ledger.close(call.id, now) ?? kNoSummary;
   const refusal = provenRefusal(end, summary);
   gate.ended(call.id, gateEnd(refusal, now - startedAt, summary));
-  return offerEnd(end, summary, refusal, gate);
+  return offerEnd(end, summary, refusal, { gate, service: terms.service });
 }
 
 function gateEnd(refusal: ErrorKind | undefined, totalMs: number, summary: LedgerSummary): GateEnd {
@@ -88,7 +89,7 @@
   return refusal ? { kind: 'not_run' } : { kind: 'completed', totalMs, ownMs: Math.max(0, totalMs - summary.waitedMs) };
 }
 
-const kNoSummary: LedgerSummary = { unspent: 0, level: kOpenLevel, retriedBelow: false, onwardCalls: 0, waitedMs: 0 };
+const kNoSummary: LedgerSummary = { unspent: 0, level: kAllOpen, retriedBelow: false, onwardCalls: 0, waitedMs: 0 };
 
 /**
  * Reason for which a call that was sent provably did not run. A target sheds with 429 or 503 and `Retry-After`; that
@@ -102,8 +103,8 @@
   return shed && summary.onwardCalls === 0 ? 'target_shed' : undefined;
 }
 
-function offerEnd(end: ForwardEnd, summary: LedgerSummary, refusal: ErrorKind | undefined, gate: Gate<GateCall>): OfferEnd {
-  const common = { unspent: summary.unspent, level: Math.min(summary.level, gate.level), load: loadOf(gate) };
+function offerEnd(end: ForwardEnd, summary: LedgerSummary, refusal: ErrorKind | undefined, at: GateOfService): OfferEnd {
+  const common = { unspent: summary.unspent, level: tighter(summary.level, levelOf(at)), load: loadOf(at.gate) };
   const failed = (reason: ErrorKind): OfferEnd => ({ kind: 'failed', reason, retriedBelow: summary.retriedBelow, ...common });
   if (refusal) {
     return { kind: 'refused', reason: refusal, ...common };
@@ -127,7 +128,16 @@
 function refusedBy(terms: OfferTerms, ctx: GateContext, reason: ErrorKind): OfferEnd {
   const { gate } = ctx;
   ctx.decide({ request: terms.request, attempt: terms.attempt, step: 'gate', cls: terms.className, target: terms.target, reason });
-  return { kind: 'refused', reason, unspent: terms.allowance, level: gate?.level ?? kOpenLevel, load: gate ? loadOf(gate) : undefined };
+  return { kind: 'refused', reason, unspent: terms.allowance, level: gate ? levelOf({ gate, service: terms.service }) : kAllOpen, load: gate ? loadOf(gate) : undefined };
+}
+
+interface GateOfService {
+  gate: Gate<GateCall>;
+  service: string;
+}
+
+function levelOf({ gate, service }: GateOfService): LevelReport {
+  return { level: gate.level, service };
 }
 
 function loadOf(gate: Gate<GateCall>): GateLoad {
--- a/packages/core/src/procedures/serveCall.ts
+++ b/packages/core/src/procedures/serveCall.ts
@@ -5,7 +5,8 @@
 
 /** Serves a call at the daemon where it came in: from a caller, or from the target on this host. */
 
-import { kOpenLevel, rankOf } from '../admission/rank.js';
+import { kAllOpen } from '../admission/levelReport.js';
+import { rankOf } from '../admission/rank.js';
 import { answerOf, type ErrorKind } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
 import type { Call, ServeContext, ServedCall } from './callContext.js';
@@ -75,7 +76,7 @@
 }
 
 function endWithoutRun(served: Served, unspent: number, refusal?: ErrorKind): ServedCall {
-  return { served, unspent, level: kOpenLevel, final: refusal === 'overloaded' };
+  return { served, unspent, level: kAllOpen, final: refusal === 'overloaded' };
 }
 
 /** Keeps the end of a keyed call for its repeats. A call that provably did not run may be repeated under its claim. */
--- a/packages/daemon/src/app/callSession.ts
+++ b/packages/daemon/src/app/callSession.ts
@@ -10,7 +10,7 @@
 import { exchange, type ExchangeEnd, HttpExchange } from '../client/httpExchange.js';
 import type { Pools } from '../client/pools.js';
 import type { OfferService } from './offerService.js';
-import { isErrorKind, kOpenLevel } from '@gentiandrum/core';
+import { isErrorKind, kAllOpen } from '@gentiandrum/core';
 
 /** Time for the word whether a cancelled attempt had started, in milliseconds. */
 const kCancelMs = 50;
@@ -136,7 +136,7 @@
 /** The gate's answer as it travels. */
 export function verdictHeader(end: OfferEnd): string {
   if (end.kind === 'lost') {
-    return JSON.stringify({ kind: 'lost', unspent: 0, level: kOpenLevel, retriedBelow: false, load: 0, limit: 1 });
+    return JSON.stringify({ kind: 'lost', unspent: 0, level: kAllOpen, retriedBelow: false, load: 0, limit: 1 });
   }
   const { load } = end;
   const common = { unspent: end.unspent, level: end.level, load: load?.load ?? 0, limit: load?.limit ?? 1 };
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -83,8 +83,8 @@
   reason: z.string().optional(),
   /** Allowance that was not spent below. */
   unspent: z.int().min(0),
-  /** Tightest admission level met at the gate or below it. */
-  level: z.int().min(0),
+  /** Tightest admission level met at the gate or below it, and the service that set it. */
+  level: z.object({ level: z.number().min(0), service: z.string() }),
   /** Whether the failure was already retried below. */
   retriedBelow: z.boolean(),
   /** Calls running and waiting at the gate, and its limit. */
