--- a/bench/hop/main.ts
+++ b/bench/hop/main.ts
@@ -31,7 +31,9 @@
 }
 
 async function compareWays(): Promise<Record<string, Latencies>> {
-  const server = spawn(process.execPath, [fileURLToPath(new URL('./hopServer.js', import.meta.url))], { stdio: ['ignore', 'pipe', 'inherit'] });
+  const server = spawn(process.execPath, [fileURLToPath(new URL('./hopServer.js', import.meta.url))], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
   const line = await new Promise<string>((resolve) => {
     server.stdout.once('data', (data: Buffer) => {
       resolve(data.toString());
@@ -39,7 +41,10 @@
   });
   const [one, two] = line.trim().split(' ');
   const client = (port: string | undefined, httpVersion: '1.1' | '2'): (() => Promise<boolean>) => {
-    const peers = createClient(PeerService, createConnectTransport({ baseUrl: `http://127.0.0.1:${port ?? ''}`, httpVersion, useBinaryFormat: true }));
+    const peers = createClient(
+      PeerService,
+      createConnectTransport({ baseUrl: `http://127.0.0.1:${port ?? ''}`, httpVersion, useBinaryFormat: true }),
+    );
     return async () => (await peers.fetchAnswer({ key: 'k'.repeat(256) })).body.length === 1_024;
   };
   const pool = new Pool(`http://127.0.0.1:${one ?? ''}`, { connections: 32 });
@@ -95,7 +100,15 @@
 console.table(ways);
 const rounds = await addedByLayer();
 console.log(`caller to target by two daemons against the direct call, ${kPerSecond} calls/s, ${kRounds} rounds of ${kSeconds} s`);
-console.table(rounds.map(({ direct, layer }) => ({ direct_p50: direct.p50, direct_p99: direct.p99, layer_p50: layer.p50, layer_p99: layer.p99, failed: layer.failed })));
+console.table(
+  rounds.map(({ direct, layer }) => ({
+    direct_p50: direct.p50,
+    direct_p99: direct.p99,
+    layer_p50: layer.p50,
+    layer_p99: layer.p99,
+    failed: layer.failed,
+  })),
+);
 const added = {
   added_p50_ms: round(median(rounds.map(({ direct, layer }) => layer.p50 - direct.p50))),
   added_p99_ms: round(median(rounds.map(({ direct, layer }) => layer.p99 - direct.p99))),
--- a/bench/hop/oneLoop.ts
+++ b/bench/hop/oneLoop.ts
@@ -45,7 +45,10 @@
 const a = await startDaemon('a1', kPortA, log, level);
 await startDaemon('b1', kPortB, log, level);
 await a.config.submit({ patchId: 'bench-patch', base: 0, author: 'bench', patch: configSchema.parse(kSampleConfig) });
-const target = new TargetStandin({ target: 't1', service: 'alpha', daemon: `127.0.0.1:${kPortB}` }, { workMs: 0, slots: 1_000, echo: true });
+const target = new TargetStandin(
+  { target: 't1', service: 'alpha', daemon: `127.0.0.1:${kPortB}` },
+  { workMs: 0, slots: 1_000, echo: true },
+);
 await target.start();
 await new Promise((resolve) => setTimeout(resolve, 2_000));
 const loads = {
@@ -62,5 +65,7 @@
   }
 }
 const middle = (values: number[]): number => [...values].sort((x, y) => x - y)[Math.floor(values.length / 2)] ?? 0;
-process.stderr.write(`${JSON.stringify({ one_loop_added_p50_ms: middle(added.map((x) => x.p50)), one_loop_added_p99_ms: middle(added.map((x) => x.p99)) })}\n`);
+process.stderr.write(
+  `${JSON.stringify({ one_loop_added_p50_ms: middle(added.map((x) => x.p50)), one_loop_added_p99_ms: middle(added.map((x) => x.p99)) })}\n`,
+);
 process.exit(0);
--- a/bench/policy/baselinePolicies.ts
+++ b/bench/policy/baselinePolicies.ts
@@ -92,8 +92,11 @@
   /** The less loaded of two random targets, by their own reports. */
   private _choose(service: string): Host {
     const hosts = this._world.hostsOf(service);
-    const draw = (): Host => hosts[Math.floor(this._world.random() * hosts.length)] as Host;
+    const draw = (): Host | undefined => hosts[Math.floor(this._world.random() * hosts.length)];
     const [a, b] = [draw(), draw()];
+    if (!a || !b) {
+      throw new Error(`expected targets of ${service}`);
+    }
     return a.target.reported <= b.target.reported ? a : b;
   }
 
--- a/bench/policy/ideal.ts
+++ b/bench/policy/ideal.ts
@@ -37,7 +37,9 @@
   }
   const zones = [...new Set(world.hosts.map((host) => host.zone))];
   const alone = zones.filter((zone) =>
-    world.hosts.some((host) => host.zone === zone && world.hosts.every((other) => other.zone === zone || world.delay(host, other) === undefined)),
+    world.hosts.some(
+      (host) => host.zone === zone && world.hosts.every((other) => other.zone === zone || world.delay(host, other) === undefined),
+    ),
   );
   const cut = alone.length > 0 && alone.length < zones.length ? alone : [];
   const together = world.hosts.filter((host) => !cut.includes(host.zone));
--- a/bench/policy/runScenario.ts
+++ b/bench/policy/runScenario.ts
@@ -149,7 +149,9 @@
     const { triggerMs, deployment } = this._scenario;
     const end = kTriggerAt + triggerMs;
     const during = this.requests.filter(({ at }) => at >= kTriggerAt && at < end);
-    const answered = this.requests.filter(({ answeredAt }) => answeredAt !== undefined && answeredAt >= kTriggerAt && answeredAt < end).length;
+    const answered = this.requests.filter(
+      ({ answeredAt }) => answeredAt !== undefined && answeredAt >= kTriggerAt && answeredAt < end,
+    ).length;
     const idealTotal = [...ideal.values()].reduce((sum, rate) => sum + rate, 0) * (triggerMs / 1_000);
     const top = deployment.loads.find(({ importance }) => importance === 'critical') ?? deployment.loads[0];
     const ofTop = during.filter(({ load }) => load === top);
--- a/bench/support/openLoop.ts
+++ b/bench/support/openLoop.ts
@@ -24,7 +24,9 @@
   seconds: number,
 ): Promise<Record<string, Latencies>> {
   const names = Object.keys(loads);
-  const runs = await Promise.all(names.map((name, i) => runOne(loads[name] ?? (() => Promise.resolve(false)), perSecond, seconds, i / names.length)));
+  const runs = await Promise.all(
+    names.map((name, i) => runOne(loads[name] ?? (() => Promise.resolve(false)), perSecond, seconds, i / names.length)),
+  );
   return Object.fromEntries(names.map((name, i) => [name, runs[i] ?? { count: 0, failed: 0, p50: 0, p99: 0 }]));
 }
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,6 +23,9 @@
   {
     // The Nest module class is a shell by design; consumers of test titles nest functions deeply.
     files: ['tests/**/*.ts', 'bench/**/*.ts', 'examples/**/*.ts'],
-    rules: { 'max-lines-per-function': 'off' },
+    rules: {
+      'max-lines-per-function': 'off',
+      '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+    },
   },
 );
--- a/packages/core/src/admission/gate.ts
+++ b/packages/core/src/admission/gate.ts
@@ -91,6 +91,11 @@
     return this._meanMs;
   }
 
+  /** A call that runs at the target. */
+  started(id: string): T | undefined {
+    return this._running.get(id);
+  }
+
   /** Takes the target's latest announcement of its slots. */
   announce(slots: number): void {
     this._limit.announce(slots);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './claims/answerStore.js';
 export * from './claims/claimIndex.js';
 export * from './claims/keySettler.js';
+export * from './claims/lookUpAnswer.js';
 export * from './config/configFold.js';
 export * from './config/mergePatch.js';
 export * from './errors/errorKind.js';
--- a/packages/core/src/procedures/gateCall.ts
+++ b/packages/core/src/procedures/gateCall.ts
@@ -128,7 +128,13 @@
 function refusedBy(terms: OfferTerms, ctx: GateContext, reason: ErrorKind): OfferEnd {
   const { gate } = ctx;
   ctx.decide({ request: terms.request, attempt: terms.attempt, step: 'gate', cls: terms.className, target: terms.target, reason });
-  return { kind: 'refused', reason, unspent: terms.allowance, level: gate ? levelOf({ gate, service: terms.service }) : kAllOpen, load: gate ? loadOf(gate) : undefined };
+  return {
+    kind: 'refused',
+    reason,
+    unspent: terms.allowance,
+    level: gate ? levelOf({ gate, service: terms.service }) : kAllOpen,
+    load: gate ? loadOf(gate) : undefined,
+  };
 }
 
 interface GateOfService {
--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -126,7 +126,9 @@
     case 'caller_gone':
       return failedWith('cancelled', 'unknown', 'The caller hung up.');
     case 'timeout':
-      return monotonicMs() >= run.call.deadline - kTimerSlackMs ? failedWith('deadline_exceeded', 'unknown', 'No whole answer came in time.') : undefined;
+      return monotonicMs() >= run.call.deadline - kTimerSlackMs
+        ? failedWith('deadline_exceeded', 'unknown', 'No whole answer came in time.')
+        : undefined;
   }
 }
 
--- a/packages/core/src/procedures/serveCall.ts
+++ b/packages/core/src/procedures/serveCall.ts
@@ -13,7 +13,7 @@
 import type { Procedure } from './effects.js';
 import { runAttempts } from './runAttempts.js';
 import { failedWith, type Served } from './served.js';
-import { settleCall } from './settleCall.js';
+import { joinKnown, settleCall } from './settleCall.js';
 
 /** Deepest call of a chain that is served. */
 export const kMaxChainDepth = 64;
@@ -36,13 +36,17 @@
 }
 
 function* serveSettled(call: Call, ctx: ServeContext, allowance: number): Procedure<ServedCall> {
+  const known = yield* joinKnown(call, ctx);
+  if (known) {
+    return endWithoutRun(ofThisTry(call, known), allowance);
+  }
   const refusal = refuseEarly(call, ctx);
   if (refusal) {
-    return endWithoutRun(refused(call, ctx, refusal), allowance, refusal);
+    return endWithoutRun(ofThisTry(call, refused(call, ctx, refusal)), allowance, refusal);
   }
   const settled = yield* settleCall(call, ctx);
   if (settled.kind === 'done') {
-    return endWithoutRun(settled.served, allowance);
+    return endWithoutRun(ofThisTry(call, settled.served), allowance);
   }
   const result = yield* runAttempts(call, ctx, allowance);
   if (call.key.kind !== 'none') {
@@ -79,6 +83,13 @@
   return { served, unspent, level: kAllOpen, final: refusal === 'overloaded' };
 }
 
+/** Marks a `not_run` that was told before it was settled who holds the key: an earlier try may have run elsewhere. */
+function ofThisTry(call: Call, served: Served): Served {
+  const settledElsewhere = call.key.kind === 'own' || call.key.kind === 'minted';
+  const unsettled = served.kind === 'error' && served.outcome === 'not_run' && served.error !== 'key_mismatch';
+  return settledElsewhere && unsettled ? { ...served, thisTryOnly: true } : served;
+}
+
 /** Keeps the end of a keyed call for its repeats. A call that provably did not run may be repeated under its claim. */
 function recordEnd(call: Call, ctx: ServeContext, key: string, nonce: string, served: Served): void {
   const notRun = served.kind === 'error' && served.outcome === 'not_run';
--- a/packages/core/src/procedures/served.ts
+++ b/packages/core/src/procedures/served.ts
@@ -16,7 +16,15 @@
 
 /** What a daemon tells the caller in the end: a target's whole answer, or an error of the closed list. */
 export type Served =
-  { kind: 'answer'; answer: Answer } | { kind: 'error'; error: ErrorKind; outcome: Outcome; detail: string; retryAfterMs?: number };
+  | { kind: 'answer'; answer: Answer }
+  | {
+      kind: 'error';
+      error: ErrorKind;
+      outcome: Outcome;
+      detail: string;
+      /** Set where `not_run` speaks of this try alone: an earlier try under the same key may have run. */
+      thisTryOnly?: boolean;
+    };
 
 /** Makes an error end. The outcome is what was proved of the attempts, not what the kind alone would allow. */
 export function failedWith(error: ErrorKind, outcome: Outcome, detail: string): Served {
--- a/packages/core/src/procedures/settleCall.ts
+++ b/packages/core/src/procedures/settleCall.ts
@@ -28,10 +28,6 @@
   if (key.kind === 'none') {
     return { kind: 'run' };
   }
-  const local = yield* settleHere(call, ctx, key.key);
-  if (local) {
-    return local;
-  }
   const state = ctx.answers.get(key.key);
   const nonce = state?.kind === 'abandoned' ? state.nonce : ctx.newId();
   ctx.answers.begin(key.key, call.bodyDigest);
@@ -49,30 +45,28 @@
 }
 
 /** Looks at what this daemon knows of the key itself: a repeat joins, or gets the recorded answer. */
-function* settleHere(call: Call, ctx: ServeContext, key: string): Procedure<Settled | undefined> {
+export function* joinKnown(call: Call, ctx: ServeContext): Procedure<Served | undefined> {
+  const key = keyText(call);
   const state = ctx.answers.get(key);
   if (!state) {
     return undefined;
   }
   if (state.body !== call.bodyDigest) {
-    return refuse(call, ctx, 'key_mismatch', 'The key was used with another request.');
+    return refusal(call, ctx, 'key_mismatch', 'The key was used with another request.');
   }
   switch (state.kind) {
     case 'answered':
       note(call, ctx, 'join', 'recorded answer');
-      return { kind: 'done', served: state.served };
+      return state.served;
     case 'forgotten':
-      return refuse(call, ctx, 'outcome_unknown', 'The call ran; its answer is no longer kept.');
+      return refusal(call, ctx, 'outcome_unknown', 'The call ran; its answer is no longer kept.');
     case 'running': {
       note(call, ctx, 'join', 'running here');
       const served = yield* perform('joinRunning', { key, until: call.deadline });
-      return {
-        kind: 'done',
-        served: served ?? failedWith('outcome_unknown', 'unknown', 'The first run of this key gave no answer in time.'),
-      };
+      return served ?? failedWith('outcome_unknown', 'unknown', 'The first run of this key gave no answer in time.');
     }
     case 'releasing':
-      return refuse(call, ctx, 'log_unavailable', 'The earlier claim of this key is being released.');
+      return refusal(call, ctx, 'log_unavailable', 'The earlier claim of this key is being released.');
     case 'abandoned':
       return undefined;
   }
@@ -203,8 +197,12 @@
 }
 
 function refuse(call: Call, ctx: ServeContext, error: ErrorKind, detail: string): Extract<Settled, { kind: 'done' }> {
+  return { kind: 'done', served: refusal(call, ctx, error, detail) };
+}
+
+function refusal(call: Call, ctx: ServeContext, error: ErrorKind, detail: string): Served {
   note(call, ctx, 'refuse', error);
-  return { kind: 'done', served: failedWith(error, answerOf(error).outcome, detail) };
+  return failedWith(error, answerOf(error).outcome, detail);
 }
 
 function note(call: Call, ctx: ServeContext, step: 'refuse' | 'settle' | 'join', reason: string): void {
--- a/packages/core/src/procedures/submitPatch.ts
+++ b/packages/core/src/procedures/submitPatch.ts
@@ -38,3 +38,13 @@
   }
   return read.kind === 'read' && appended.kind === 'appended' ? { kind: 'unavailable' } : { kind: 'unsettled' };
 }
+
+/** Keeps a snapshot in the log ahead of what retention drops. The fold is read to its end first. */
+export function* refreshSnapshot(): Procedure<boolean> {
+  const read = yield* perform('readConfig', {});
+  if (read.kind === 'unavailable') {
+    return false;
+  }
+  const appended = yield* perform('appendSnapshot', {});
+  return appended.kind === 'appended';
+}
--- a/packages/daemon/src/app/configService.ts
+++ b/packages/daemon/src/app/configService.ts
@@ -9,7 +9,16 @@
  */
 
 import { type Config, kConfigStream, kSnapshotStream, type PatchRecord } from '@gentiandrum/protocol';
-import { type AppendEnd, ConfigFold, type MemberView, type ReadEnd, runProcedure, type Submitted, submitPatch } from '@gentiandrum/core';
+import {
+  type AppendEnd,
+  ConfigFold,
+  type MemberView,
+  type ReadEnd,
+  runProcedure,
+  refreshSnapshot,
+  type Submitted,
+  submitPatch,
+} from '@gentiandrum/core';
 import type { LogClient } from '../client/logClient.js';
 import type { PeerClient } from '../client/peerClient.js';
 import { StreamTail } from '../client/streamTail.js';
@@ -150,28 +159,28 @@
     return { next: this.fold.next, records: complete ? records : [], snapshot };
   }
 
-  /** Appends a snapshot. */
-  async appendSnapshot(): Promise<AppendEnd> {
-    const end = await this._log.append(kSnapshotStream, this.fold.snapshot(textDigest));
-    if (end.kind === 'appended') {
-      this._snapshotOffset = this.fold.next;
-      this._snapshotAt = Date.now();
-      this._logger.info('config', 'Appended a snapshot.', { version: this.fold.version, offset: this.fold.next });
-    }
-    return end;
-  }
-
   private async _followLoop(): Promise<void> {
     while (!this._stopped) {
       const end = this.isReader ? await this._tail.follow(kFollowMs) : undefined;
       if (end?.kind !== 'read') {
         await this._wait(kRetryMs);
       } else if (this._snapshotDue()) {
-        await this.appendSnapshot();
+        await runProcedure(refreshSnapshot(), { readConfig: ({ upTo }) => this.read(upTo), appendSnapshot: () => this._appendSnapshot() });
       }
     }
   }
 
+  /** Appends a snapshot. */
+  private async _appendSnapshot(): Promise<AppendEnd> {
+    const end = await this._log.append(kSnapshotStream, this.fold.snapshot(textDigest));
+    if (end.kind === 'appended') {
+      this._snapshotOffset = this.fold.next;
+      this._snapshotAt = Date.now();
+      this._logger.info('config', 'Appended a snapshot.', { version: this.fold.version, offset: this.fold.next });
+    }
+    return end;
+  }
+
   private _snapshotDue(): boolean {
     const first = this._rank(() => true) === 0;
     const records = this.fold.next - this._snapshotOffset;
--- a/packages/daemon/src/server/callRoutes.ts
+++ b/packages/daemon/src/server/callRoutes.ts
@@ -7,6 +7,7 @@
 
 import { offerHeadSchema, kOfferHeader, kVerdictHeader } from '@gentiandrum/protocol';
 import { failedWith } from '@gentiandrum/core';
+import type { IncomingMessage } from 'node:http';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { verdictHeader } from '../app/callSession.js';
 import type { Daemon } from '../app/daemon.js';
@@ -14,6 +15,9 @@
 import { readBody, readOnce, readPayload, readTimeout } from './requestReader.js';
 
 const kNoId = 'none';
+const kTooLarge = 413;
+/** Longest time for which the rest of a request that is too large is read off, in milliseconds. */
+const kReadOffMs = 2_000;
 const kNoBody = Buffer.alloc(0);
 /** Methods beyond those that the server knows by itself. */
 const kMoreMethods = ['PROPFIND', 'PROPPATCH', 'MKCOL', 'COPY', 'MOVE', 'LOCK', 'UNLOCK', 'SEARCH', 'REPORT'];
@@ -29,9 +33,26 @@
     void reply.send(daemon.offers.cancel(attempt));
   });
   app.all('/*', (req, reply) => takeCall(daemon, req, reply));
-  app.setErrorHandler((err: { statusCode?: number; code?: string; message: string }, _req, reply) => {
-    const tooLarge = err.statusCode === 413;
+  app.setErrorHandler(async (err: { statusCode?: number; code?: string; message: string }, req, reply) => {
+    const tooLarge = err.statusCode === kTooLarge;
+    if (tooLarge) {
+      await readOff(req.raw);
+    }
     sendServed(reply, kNoId, failedWith(tooLarge ? 'body_too_large' : 'bad_request', 'not_run', err.message));
+    return reply;
+  });
+}
+
+/** Reads off the rest of a request for a while: a caller that is still sending would be cut before it saw the answer. */
+function readOff(req: IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, kReadOffMs);
+    const done = (): void => {
+      clearTimeout(timer);
+      resolve();
+    };
+    req.once('end', done).once('close', done);
+    req.resume();
   });
 }
 
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -7,7 +7,7 @@
 
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
-import { type KeyVerdict, monotonicMs } from '@gentiandrum/core';
+import { type KeyVerdict, lookUpAnswer, monotonicMs } from '@gentiandrum/core';
 import {
   type FetchAnswerRequest,
   FetchAnswerResponse_State as AnswerState,
@@ -70,30 +70,25 @@
 }
 
 async function fetchAnswer(daemon: Daemon, req: FetchAnswerRequest): Promise<ReturnType<typeof create<typeof FetchAnswerResponseSchema>>> {
-  const { id } = daemon.settings;
-  const { key, claimant } = req;
-  const mine = claimant === `${id}/${daemon.incarnation}` || claimant.startsWith(`${id}/${daemon.incarnation}/`);
-  if (!mine) {
-    return create(FetchAnswerResponseSchema, { state: AnswerState.UNKNOWN });
-  }
-  if (daemon.calls.answers.get(key)?.kind === 'running') {
+  const { key, bodyDigest: body, claimant } = req;
+  const { answers } = daemon.calls;
+  const self = `${daemon.settings.id}/${daemon.incarnation}`;
+  if (answers.get(key)?.kind === 'running') {
     await daemon.calls.joinRunning(key, monotonicMs() + req.waitMs);
   }
-  const state = daemon.calls.answers.get(key);
-  if (state && state.body !== req.bodyDigest) {
-    return create(FetchAnswerResponseSchema, { state: AnswerState.MISMATCH });
-  }
-  switch (state?.kind) {
-    case 'answered':
-      return create(FetchAnswerResponseSchema, { state: AnswerState.RECORDED, ...encodeServed(state.served) });
+  const found = lookUpAnswer(answers, { key, body, claimant }, self);
+  switch (found.kind) {
+    case 'recorded':
+      return create(FetchAnswerResponseSchema, { state: AnswerState.RECORDED, ...encodeServed(found.served) });
     case 'running':
       return create(FetchAnswerResponseSchema, { state: AnswerState.RUNNING });
-    case 'abandoned':
-    case 'releasing':
+    case 'not_run':
       void daemon.calls.release(key);
       return create(FetchAnswerResponseSchema, { state: AnswerState.NOT_RUN });
-    case 'forgotten':
-    case undefined:
+    case 'mismatch':
+      return create(FetchAnswerResponseSchema, { state: AnswerState.MISMATCH });
+    case 'unknown':
+    case 'unreachable':
       return create(FetchAnswerResponseSchema, { state: AnswerState.UNKNOWN });
   }
 }
--- a/packages/daemon/src/server/problem.ts
+++ b/packages/daemon/src/server/problem.ts
@@ -33,6 +33,8 @@
   kind: ErrorKind;
   outcome: string;
   repeatable: boolean;
+  /** `try` where `not_run` speaks of this try alone, and an earlier one under the same key may have run. */
+  scope: 'request' | 'try';
 }
 
 /** Sends the end of a call to its caller. */
@@ -55,7 +57,7 @@
 }
 
 function sendProblem(reply: FastifyReply, id: string, served: Extract<Served, { kind: 'error' }>): void {
-  const { error, outcome, detail } = served;
+  const { error, outcome, detail, thisTryOnly } = served;
   const { status, title, repeat, retryAfter } = answerOf(error);
   const problem: Problem = {
     type: `urn:gentiandrum:error:${error}`,
@@ -66,9 +68,14 @@
     kind: error,
     outcome,
     repeatable: repeat,
+    scope: thisTryOnly === true ? 'try' : 'request',
   };
   if (retryAfter) {
     void reply.header('retry-after', 1 + Math.floor(Math.random() * kRetrySpreadSeconds));
   }
-  void reply.header(kOutcomeHeader, outcome).header('content-type', kProblemType).code(status).send(Buffer.from(JSON.stringify(problem)));
+  void reply
+    .header(kOutcomeHeader, outcome)
+    .header('content-type', kProblemType)
+    .code(status)
+    .send(Buffer.from(JSON.stringify(problem)));
 }
--- a/tests/e2e/path.spec.ts
+++ b/tests/e2e/path.spec.ts
@@ -83,7 +83,10 @@
   ];
   for (const { title, path, init, kind } of cases) {
     itAlone(`should name ${title} and say that nothing ran`, async (t) => {
-      const res = await send('a1', path, { ...init, headers: { 'x-call': kind, ...(init as RequestInit).headers } });
+      const res = await send('a1', path, {
+        ...init,
+        headers: { 'x-call': kind, ...((init as RequestInit).headers as Record<string, string> | undefined) },
+      });
       const problem = (await res.json()) as { kind: string; outcome: string };
       t.is(problem.kind, kind);
       t.is(problem.outcome, 'not_run');
--- /dev/null
+++ b/tests/matrix/brokenVariants.ts
@@ -0,0 +1,91 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Deliberately broken variants of the core, each without one mechanism: the matrix must catch every one. */
+
+import { ClaimIndex, ConfigFold, Gate, RetryLedger, RetryRatio } from '@gentiandrum/core';
+import { kAdapter } from './matrixWorld.js';
+
+/** A broken variant: what it leaves out, and the promise that must be seen broken. */
+export interface BrokenVariant {
+  name: string;
+  promise: string;
+  /** Breaks the mechanism; returns how to mend it. */
+  install: () => () => void;
+}
+
+/** Replaces a method of a class for a while. */
+function replace<T extends object, K extends keyof T>(proto: T, method: K, broken: T[K]): () => void {
+  const whole = proto[method];
+  proto[method] = broken;
+  return () => {
+    proto[method] = whole;
+  };
+}
+
+/** The variants. */
+export const kBrokenVariants: BrokenVariant[] = [
+  {
+    name: 'a retry allowance that is copied to each call',
+    promise: '1 retries bounded',
+    install: () => {
+      const mends = [
+        replace(RetryLedger.prototype, 'reserve', () => 2),
+        replace(RetryLedger.prototype, 'takeOne', () => true),
+        replace(RetryLedger.prototype, 'remaining', () => 2),
+        replace(RetryRatio.prototype, 'spend', () => true),
+      ];
+      return () => {
+        mends.forEach((mend) => {
+          mend();
+        });
+      };
+    },
+  },
+  {
+    name: 'a claim that runs before it is read back',
+    promise: '5 at most once',
+    install: () => {
+      const mends = [
+        replace(ClaimIndex.prototype, 'apply', function apply(this: ClaimIndex, offset: number, value: unknown) {
+          const latest = (value as { key: string }[]).at(-1);
+          if (latest) {
+            (this as unknown as { _holders: Map<string, unknown> })._holders.set(latest.key, latest);
+          }
+        }),
+      ];
+      return () => {
+        mends.forEach((mend) => {
+          mend();
+        });
+      };
+    },
+  },
+  {
+    name: 'a snapshot that is adopted without a look at its version',
+    promise: '8 configuration',
+    install: () =>
+      replace(ConfigFold.prototype, 'adopt', function adopt(this: ConfigFold, value: unknown) {
+        const { version, offset, config } = value as { version: number; offset: number; config: unknown };
+        Object.assign(this, { _version: version, _next: offset, _written: config });
+        return true;
+      }),
+  },
+  {
+    name: 'a gate that forgets that it is closed',
+    promise: '6 leaving takes nothing',
+    install: () => replace(Gate.prototype, 'close', () => undefined),
+  },
+  {
+    name: 'an adapter that calls a lost reply not sent',
+    promise: '4 not run',
+    install: () => {
+      kAdapter.lostMayHaveRun = false;
+      return () => {
+        kAdapter.lostMayHaveRun = true;
+      };
+    },
+  },
+];
--- /dev/null
+++ b/tests/matrix/checkers.ts
@@ -0,0 +1,118 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The eight promises of the brief, checked after each cell. */
+
+import { textOf } from './matrixDaemon.js';
+import type { Journal } from './journal.js';
+import type { ConfigFold } from '@gentiandrum/core';
+
+/** State at the end of a cell, once nothing moves any more. */
+export interface Ending {
+  journal: Journal;
+  /** Configuration as each living daemon holds it, all having read the log to its end. */
+  folds: Map<string, ConfigFold>;
+}
+
+/** Violations of the promises, in words; none when all hold. */
+export function violations({ journal, folds }: Ending): string[] {
+  return [
+    ...retriesBounded(journal),
+    ...importantShedLast(journal),
+    ...wholeAnswers(journal),
+    ...notRunIsTrue(journal),
+    ...atMostOnce(journal),
+    ...leavingTakesNothing(journal),
+    ...plannedStopsCutNothing(journal),
+    ...configurationStands(journal, folds),
+  ];
+}
+
+function retriesBounded({ tries, retries }: Journal): string[] {
+  return tries
+    .filter(({ request, allowance }) => (retries.get(request) ?? 0) > allowance)
+    .map(({ request, allowance }) => `1 retries bounded: ${request} spent ${retries.get(request) ?? 0} of ${allowance}`);
+}
+
+function importantShedLast({ shed, started }: Journal): string[] {
+  return shed.flatMap(({ host, rank, at, order }) =>
+    started
+      .filter((start) => start.host === host && start.at === at && start.order > order && start.rank > rank)
+      .map((start) => `2 important shed last: ${host} shed rank ${rank} and then started rank ${start.rank}`),
+  );
+}
+
+function wholeAnswers({ tries }: Journal): string[] {
+  return tries.flatMap(({ request, served, body }) =>
+    served?.kind === 'answer' && served.answer.status === 200 && textOf(served.answer) !== `answer to ${body}`
+      ? [`3 whole answers: ${request} with body ${body} got "${textOf(served.answer)}"`]
+      : [],
+  );
+}
+
+function notRunIsTrue({ tries, runs }: Journal): string[] {
+  return tries.flatMap(({ request, served, key }) => {
+    if (served?.kind !== 'error' || served.outcome !== 'not_run') {
+      return [];
+    }
+    const wider = served.thisTryOnly !== true && served.error !== 'key_mismatch' ? key : undefined;
+    const ran = runs.some(
+      (run) => run.request === request || (wider !== undefined && run.meaning === wider && wasBefore(tries, request, run.request)),
+    );
+    return ran ? [`4 not run: ${request} was told ${served.error}, not_run, and ran`] : [];
+  });
+}
+
+/** Whether `other` is the same or an earlier try than `request`. */
+function wasBefore(tries: Journal['tries'], request: string, other: string): boolean {
+  const index = (id: string): number => tries.findIndex((attempt) => attempt.request === id);
+  return index(other) >= 0 && index(other) <= index(request);
+}
+
+function atMostOnce({ runs }: Journal): string[] {
+  const counts = new Map<string, number>();
+  for (const { meaning } of runs.filter((run) => !run.idempotent)) {
+    counts.set(meaning, (counts.get(meaning) ?? 0) + 1);
+  }
+  return [...counts].filter(([, count]) => count > 1).map(([meaning, count]) => `5 at most once: ${meaning} ran ${count} times`);
+}
+
+function leavingTakesNothing({ runs, closed }: Journal): string[] {
+  return runs
+    .filter(({ host, at }) => at > (closed.get(host) ?? Infinity))
+    .map(({ host, request }) => `6 leaving takes nothing: ${host} started ${request} after it closed`);
+}
+
+function plannedStopsCutNothing({ stops, runs }: Journal): string[] {
+  return stops.flatMap(({ host, cut }) => {
+    const lost = runs.filter((run) => run.host === host && run.cut);
+    return cut > 0 || lost.length > 0 ? [`7 planned stop: ${host} cut ${cut + lost.length} calls`] : [];
+  });
+}
+
+function configurationStands({ versions, submitted }: Journal, folds: Map<string, ConfigFold>): string[] {
+  const faults: string[] = [];
+  for (const [daemon, held] of versions) {
+    if (held.some((version, i) => i > 0 && version < (held[i - 1] ?? 0))) {
+      faults.push(`8 configuration: ${daemon} went back: ${held.join(' ')}`);
+    }
+  }
+  const texts = new Set([...folds.values()].map((fold) => JSON.stringify([fold.version, fold.written])));
+  if (texts.size > 1) {
+    faults.push(`8 configuration: daemons differ at the same offset: ${[...texts].join(' / ')}`);
+  }
+  for (const { patchId, kind, version } of submitted) {
+    for (const [daemon, fold] of folds) {
+      const verdict = fold.verdict(patchId);
+      if (kind === 'accepted' && (verdict?.kind !== 'accepted' || verdict.version !== version)) {
+        faults.push(`8 configuration: ${patchId} was told accepted as ${version ?? 0}, and ${daemon} holds ${JSON.stringify(verdict)}`);
+      }
+      if ((kind === 'conflict' || kind === 'invalid') && verdict?.kind === 'accepted') {
+        faults.push(`8 configuration: ${patchId} was told ${kind}, and is in force`);
+      }
+    }
+  }
+  return faults;
+}
--- /dev/null
+++ b/tests/matrix/matrix.spec.ts
@@ -0,0 +1,44 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The matrix in the test run: every single fault, a seeded sample of the pairs, and the broken variants. */
+
+import { seededRandom } from '@gentiandrum/core';
+import { describe, itAlone } from '../support/describe.js';
+import { kBrokenVariants } from './brokenVariants.js';
+import { emptyRows, runMatrix } from './runMatrix.js';
+import { kScenarios } from './scenarios.js';
+
+const kSeed = 7;
+const kPairShare = 0.05;
+
+describe('the fault matrix', () => {
+  itAlone('should hold all eight promises under every fault at every step, and under sampled pairs', (t) => {
+    const random = seededRandom(kSeed);
+    const report = runMatrix(kScenarios, () => random() < kPairShare);
+    t.deepEqual(report.violations, []);
+    t.deepEqual(report.missed, []);
+    t.log(`${report.cells} cells, ${report.pairs} pairs, seed ${kSeed}`);
+  });
+
+  itAlone('should have a cell for every fault that an effect admits', (t) => {
+    t.deepEqual(emptyRows(runMatrix(kScenarios, () => false)), []);
+  });
+
+  for (const { name, promise, install } of kBrokenVariants) {
+    itAlone(`should catch ${name}`, (t) => {
+      const mend = install();
+      try {
+        const { violations } = runMatrix(kScenarios, () => false);
+        t.true(
+          violations.some((violation) => violation.includes(promise)),
+          `expected a violation of "${promise}", got ${violations.slice(0, 3).join('; ') || 'none'}`,
+        );
+      } finally {
+        mend();
+      }
+    });
+  }
+});
--- /dev/null
+++ b/tests/matrix/matrixDaemon.ts
@@ -0,0 +1,144 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** One daemon of the matrix: the core's real objects, and nothing else. */
+
+import {
+  type AdmitEnd,
+  AnswerStore,
+  type Answer,
+  type Candidate,
+  ClaimIndex,
+  ConfigFold,
+  type ErrorKind,
+  Gate,
+  type GateCall,
+  type GateContext,
+  KeySettler,
+  RetryLedger,
+  RetryRatio,
+  RootFilter,
+  seededRandom,
+  type ServeContext,
+  TargetPicker,
+} from '@gentiandrum/core';
+import type { Journal } from './journal.js';
+
+const kSlots = 1;
+const kAnswerBytes = 1_000_000;
+const kClaims = 1_000;
+
+/** What the world gives a daemon. */
+export interface DaemonPlan {
+  id: string;
+  service: string;
+  candidates: (service: string) => Candidate[];
+  journal: Journal;
+  newId: () => string;
+  /** Root request of a call. */
+  rootOf: (call: string) => string;
+  /** Address of the daemon that batches claims, if another does. */
+  relay?: string;
+}
+
+/** A daemon of the matrix. */
+export class MatrixDaemon {
+  readonly ledger = new RetryLedger();
+  readonly answers = new AnswerStore(kAnswerBytes);
+  readonly settler = new KeySettler();
+  readonly index = new ClaimIndex(kClaims);
+  readonly fold = new ConfigFold();
+  readonly waiting = new Map<string, (end: AdmitEnd) => void>();
+  readonly running = new Map<string, () => void>();
+  readonly onDeath = new Set<() => void>();
+  readonly gate: Gate<GateCall>;
+  readonly serve: ServeContext;
+  readonly gateContext: GateContext;
+  readonly seen = new Set<string>();
+  dead = false;
+  stopping = false;
+  pausedUntil = 0;
+  inFlight = 0;
+  snapshotNext = 0;
+
+  constructor(
+    readonly plan: DaemonPlan,
+    readonly incarnation: number,
+  ) {
+    const { id, journal } = plan;
+    const events = {
+      onStart: (call: GateCall) => {
+        this._admit(call.id, { kind: 'started' });
+      },
+      onShed: (call: GateCall, reason: ErrorKind) => {
+        this._admit(call.id, { kind: 'shed', reason });
+      },
+    };
+    this.gate = new Gate<GateCall>(kSlots, () => 'goodput', events, -Infinity);
+    this.gateContext = {
+      gate: this.gate,
+      target: id,
+      ledger: this.ledger,
+      seen: {
+        add: (attempt) => !this.seen.has(attempt) && this.seen.add(attempt) === this.seen,
+      },
+      decide: () => undefined,
+    };
+    this.serve = this._makeServe(journal);
+  }
+
+  /** `daemon/incarnation`. */
+  get name(): string {
+    return `${this.plan.id}/${this.incarnation}`;
+  }
+
+  /** Dies: all that runs is lost, and so is its memory. */
+  die(): void {
+    this.dead = true;
+    for (const notice of this.onDeath) {
+      notice();
+    }
+    this.onDeath.clear();
+  }
+
+  /** Tells a call that waits at the gate what became of it. */
+  admit(attempt: string, end: AdmitEnd): void {
+    this._admit(attempt, end);
+  }
+
+  private _admit(attempt: string, end: AdmitEnd): void {
+    const resume = this.waiting.get(attempt);
+    this.waiting.delete(attempt);
+    resume?.(end);
+  }
+
+  private _makeServe(journal: Journal): ServeContext {
+    const { id, candidates, newId, relay, rootOf } = this.plan;
+    const ratio = new RetryRatio(() => 1);
+    return {
+      daemon: { id, incarnation: this.incarnation, address: id },
+      stopping: () => this.stopping,
+      candidates,
+      picker: new TargetPicker(id, 'one', seededRandom(1)),
+      rootFilter: new RootFilter(() => 'goodput'),
+      ledger: this.ledger,
+      retryRatio: () => ratio,
+      answers: this.answers,
+      settler: this.settler,
+      claimShard: () => ({ shard: 0, index: this.index, relay }),
+      newId,
+      decide: ({ step, request }) => {
+        if (step === 'retry' || step === 'compete') {
+          journal.retried(rootOf(request));
+        }
+      },
+    };
+  }
+}
+
+/** Text of an answer's body. */
+export function textOf(answer: Answer): string {
+  return Buffer.from(answer.body).toString();
+}
--- /dev/null
+++ b/tests/matrix/matrixPeers.ts
@@ -0,0 +1,132 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What daemons of the matrix ask each other about keys. */
+
+import { type Effect, lookUpAnswer, releaseClaim, type Reply, type Served } from '@gentiandrum/core';
+import type { Fault } from './faults.js';
+import { kClaimStream } from './matrixLog.js';
+import type { MatrixDaemon } from './matrixDaemon.js';
+import type { MatrixWorld } from './matrixWorld.js';
+import type { Resume } from './session.js';
+
+const kLostMs = 20;
+const kWorkMs = 5;
+
+type EffectOf<K extends Effect['type']> = Extract<Effect, { type: K }>;
+type ReplyLater = (value: Reply, ms?: number) => void;
+
+/** Questions between daemons. */
+export class MatrixPeers {
+  private readonly _rivalRan = new Set<string>();
+
+  constructor(private readonly _world: MatrixWorld) {}
+
+  /** A daemon appends a claim for another. */
+  relayClaim(effect: EffectOf<'relayClaim'>, reply: ReplyLater, fault: Fault | undefined): void {
+    const home = this._world.daemon(effect.to);
+    if (fault === 'refused') {
+      reply({ kind: 'unavailable' });
+      return;
+    }
+    if (fault === 'lost_before' || home.dead) {
+      reply({ kind: 'unreachable' }, kLostMs);
+      return;
+    }
+    if (fault === 'rival') {
+      this._world.log.rivalClaims(effect.record);
+    }
+    const records = this._world.log.stream(kClaimStream);
+    records.push([structuredClone(effect.record)]);
+    records.forEach((value, offset) => {
+      home.index.apply(offset, value);
+    });
+    if (fault === 'peer_crash') {
+      home.die();
+    }
+    const holder = home.index.holder(effect.record.key);
+    const answered = holder && fault !== 'lost_after' && fault !== 'peer_crash';
+    reply(answered ? { kind: 'holder', holder } : { kind: 'unreachable' });
+  }
+
+  /** A daemon settles a key of its own. */
+  settleKey(effect: EffectOf<'settleKey'>, reply: ReplyLater, fault: Fault | undefined): void {
+    const settler = this._world.daemon(effect.to);
+    if (fault === 'lost_before' || settler.dead) {
+      reply({ kind: 'unreachable' }, kLostMs);
+      return;
+    }
+    const { bid, root, incarnation } = effect;
+    const settle = (made: typeof bid): Reply =>
+      root === undefined ? settler.settler.settleMinted(made) : settler.settler.settleDerived(root, made);
+    if (fault === 'rival' && (settle({ ...bid, claimant: 'rival/1', address: 'rival' }) as { kind: string }).kind === 'granted') {
+      this._rivalRunsOnce(bid.key);
+    }
+    const verdict = incarnation === settler.incarnation ? settle(bid) : ({ kind: 'unknown' } as const);
+    if (fault === 'peer_crash') {
+      settler.die();
+    }
+    reply(fault === 'lost_after' || fault === 'peer_crash' ? { kind: 'unreachable' } : verdict);
+  }
+
+  /** A claimant tells the answer of a key. */
+  fetchAnswer(effect: EffectOf<'fetchAnswer'>, reply: ReplyLater, fault: Fault | undefined): void {
+    const { address, key, body, claimant } = effect;
+    if (fault === 'lost_before' || fault === 'lost_after') {
+      reply({ kind: 'unreachable' }, kLostMs);
+      return;
+    }
+    if (address === 'rival') {
+      const answer = { status: 200, headers: {}, body: Buffer.from(`answer to ${body}`) };
+      reply(fault === 'peer_crash' ? { kind: 'unreachable' } : { kind: 'recorded', served: { kind: 'answer', answer } });
+      return;
+    }
+    const holder = this._world.daemon(address);
+    if (fault === 'peer_crash') {
+      holder.die();
+    }
+    if (holder.dead) {
+      reply({ kind: 'unreachable' });
+      return;
+    }
+    if (holder.answers.get(key)?.kind === 'running' && this._world.time.now < effect.until) {
+      this._world.time.after(kWorkMs, () => {
+        this.fetchAnswer(effect, reply, undefined);
+      });
+      return;
+    }
+    const found = lookUpAnswer(holder.answers, { key, body, claimant }, holder.name);
+    if (found.kind === 'not_run') {
+      const release = { key, shard: 0, claimant: holder.name, address };
+      this._world.run(holder, releaseClaim(release, holder.answers), () => undefined);
+    }
+    reply(found);
+  }
+
+  /** Waits for the running call of a key. */
+  join(daemon: MatrixDaemon, effect: EffectOf<'joinRunning'>, resume: Resume, fault: Fault | undefined): void {
+    let open = true;
+    const end = (served: Served | undefined): void => {
+      if (open) {
+        open = false;
+        resume(served);
+      }
+    };
+    if (fault !== 'timeout') {
+      daemon.answers.wait(effect.key, end);
+    }
+    this._world.time.after(effect.until - this._world.time.now, () => {
+      end(undefined);
+    });
+  }
+
+  /** A rival that bids again is granted again, and knows that it has run. */
+  private _rivalRunsOnce(key: string): void {
+    if (!this._rivalRan.has(key)) {
+      this._rivalRan.add(key);
+      this._world.log.rivalRuns(key);
+    }
+  }
+}
--- /dev/null
+++ b/tests/matrix/matrixWorld.ts
@@ -0,0 +1,551 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * A small deployment on virtual time whose every effect is a numbered step. At given steps faults strike; what happens is
+ * written to a journal.
+ */
+
+import {
+  type Call,
+  type CallKey,
+  type Candidate,
+  type ConfigFold,
+  type Effect,
+  gateCall,
+  type Gate,
+  type GateCall,
+  type OfferEnd,
+  type Procedure,
+  rankOf,
+  type Reply,
+  serveCall,
+  type Served,
+} from '@gentiandrum/core';
+import { kConfigStream, kSnapshotStream, type OfferTerms } from '@gentiandrum/protocol';
+import { VirtualTime } from '../support/virtualTime.js';
+import { kFaults, type Fault, type Injection } from './faults.js';
+import { Journal } from './journal.js';
+import { MatrixDaemon } from './matrixDaemon.js';
+import { digest, kClaimStream, MatrixLog } from './matrixLog.js';
+import { MatrixPeers } from './matrixPeers.js';
+import type { Request } from './request.js';
+import { type Resume, Session } from './session.js';
+
+const kHopMs = 1;
+const kWorkMs = 5;
+const kLostMs = 20;
+const kLateMs = 300;
+/** Longer than every deadline of the scenarios. */
+const kPauseMs = 10_000;
+
+/** What the adapters below the core are trusted to tell; a broken variant lies. */
+export const kAdapter = { lostMayHaveRun: true };
+
+type EffectOf<K extends Effect['type']> = Extract<Effect, { type: K }>;
+
+/** A step as it was taken. */
+export interface Step {
+  effect: Effect['type'];
+  daemon: string;
+}
+
+/** The deployment. */
+export class MatrixWorld {
+  readonly time = new VirtualTime();
+  readonly journal = new Journal();
+  readonly steps: Step[] = [];
+  /** Injections that found a step of theirs. */
+  readonly struck: Injection[] = [];
+  readonly log = new MatrixLog(this.journal, this.time);
+  private readonly _peers = new MatrixPeers(this);
+  readonly daemons = new Map<string, MatrixDaemon>();
+  private readonly _requests = new Map<string, Request>();
+  private readonly _services = new Map<string, string[]>();
+  private readonly _roots = new Map<string, string>();
+  private _ids = 0;
+
+  constructor(
+    private readonly _injections: readonly Injection[],
+    services: Record<string, string[]>,
+    private readonly _relay?: string,
+  ) {
+    for (const [service, ids] of Object.entries(services)) {
+      this._services.set(service, ids);
+      ids.forEach((id) => this._addDaemon(id, service, 1));
+    }
+  }
+
+  /** The living daemon of this name. */
+  daemon(id: string): MatrixDaemon {
+    const daemon = this.daemons.get(id);
+    if (!daemon) {
+      throw new Error(`expected a daemon of the matrix, got "${id}"`);
+    }
+    return daemon;
+  }
+
+  /** Sends a request; `then` hears how it ended, with undefined when its daemon died. */
+  send(at: string, req: Request, then: (served: Served | undefined) => void = () => undefined): void {
+    const daemon = this.daemon(at);
+    const id = `q${this._ids++}`;
+    const call = this._rootCall(daemon, id, req);
+    const { cls, key, body } = req;
+    const entry = {
+      request: id,
+      key: key ?? undefined,
+      body,
+      idempotent: cls.idempotent,
+      rank: rankOf(call.chain),
+      allowance: cls.retries,
+      served: undefined as Served | undefined,
+    };
+    this.journal.tries.push(entry);
+    const finish = (served: Served | undefined): void => {
+      entry.served = served;
+      then(served);
+    };
+    if (daemon.dead) {
+      finish(undefined);
+      return;
+    }
+    this._requests.set(id, req);
+    this._serve(daemon, call, undefined, finish);
+  }
+
+  /** Runs a procedure that belongs to a daemon. */
+  run<T>(daemon: MatrixDaemon, procedure: Procedure<T>, ended: (value: T) => void, session?: Session): void {
+    const resume: Resume = (reply) => {
+      if (daemon.dead) {
+        return;
+      }
+      if (this.time.now < daemon.pausedUntil) {
+        this.time.after(daemon.pausedUntil - this.time.now, () => {
+          resume(reply);
+        });
+        return;
+      }
+      const step = procedure.next(reply);
+      this.journal.holds(daemon.name, daemon.fold.version);
+      if (step.done === true) {
+        ended(step.value);
+      } else {
+        this._take(daemon, step.value, session, resume);
+      }
+    };
+    resume(undefined);
+  }
+
+  /** Starts a daemon anew after its death; its memory is gone. */
+  restart(id: string): MatrixDaemon {
+    const before = this.daemon(id);
+    before.die();
+    return this._addDaemon(id, before.plan.service, before.incarnation + 1);
+  }
+
+  /** Lets everything end, and reads every living daemon's configuration to the log's end. */
+  settle(until: number): Map<string, ConfigFold> {
+    this.time.runUntil(until);
+    const living = [...this.daemons.values()].filter((daemon) => !daemon.dead);
+    for (const daemon of living) {
+      this.log.foldConfig(daemon);
+      this.journal.holds(daemon.name, daemon.fold.version);
+    }
+    this.time.restore();
+    return new Map(living.map((daemon) => [daemon.plan.id, daemon.fold]));
+  }
+
+  private _addDaemon(id: string, service: string, incarnation: number): MatrixDaemon {
+    const candidates = (wanted: string): Candidate[] =>
+      (this._services.get(wanted) ?? []).map((target) => ({
+        target,
+        daemon: target,
+        incarnation: 1,
+        address: target,
+        service: wanted,
+        zone: target,
+        region: 'one',
+        slots: 1,
+      }));
+    const relay = this._relay === id ? undefined : this._relay;
+    const plan = {
+      id,
+      service,
+      candidates,
+      journal: this.journal,
+      newId: () => `n${this._ids++}`,
+      relay,
+      rootOf: (id: string) => this._roots.get(id) ?? id,
+    };
+    const daemon = new MatrixDaemon(plan, incarnation);
+    this.daemons.set(id, daemon);
+    return daemon;
+  }
+
+  private _serve(daemon: MatrixDaemon, call: Call, session: Session | undefined, finish: (served: Served | undefined) => void): void {
+    const lost = (): void => {
+      finish(undefined);
+    };
+    daemon.onDeath.add(lost);
+    this._roots.set(call.id, call.chain.root);
+    daemon.inFlight++;
+    this.run(
+      daemon,
+      serveCall(call, daemon.serve),
+      (served) => {
+        daemon.onDeath.delete(lost);
+        daemon.inFlight--;
+        finish(served);
+      },
+      session ?? new Session(this.time),
+    );
+  }
+
+  private _rootCall(daemon: MatrixDaemon, id: string, req: Request): Call {
+    return {
+      id,
+      cls: req.cls,
+      chain: {
+        root: id,
+        importance: req.importance ?? 2,
+        cohort: 0,
+        depth: 0,
+        rootDaemon: daemon.plan.id,
+        rootAddress: daemon.plan.id,
+        rootIncarnation: daemon.incarnation,
+        repeatable: false,
+      },
+      key: this._keyOf(req),
+      bodyDigest: req.body,
+      payload: { method: 'POST', path: '/', headers: {}, body: Buffer.from(req.body) },
+      deadline: this.time.now + req.cls.deadlineMs,
+    };
+  }
+
+  private _keyOf({ key, minted }: Request): CallKey {
+    if (key === undefined) {
+      return { kind: 'none' };
+    }
+    return minted ? { kind: 'minted', key, owner: minted.owner, address: minted.owner, incarnation: 1 } : { kind: 'own', key };
+  }
+
+  /** Takes a step: performs the effect, with the fault that strikes there, if any. */
+  private _take(daemon: MatrixDaemon, effect: Effect, session: Session | undefined, resume: Resume): void {
+    const number = this.steps.length;
+    this.steps.push({ effect: effect.type, daemon: daemon.plan.id });
+    const injection = this._injections.find(({ step, fault }) => step === number && kFaults[effect.type].includes(fault));
+    if (!injection) {
+      this._perform(daemon, effect, session, resume, undefined);
+      return;
+    }
+    this.struck.push(injection);
+    switch (injection.fault) {
+      case 'crash_before':
+        daemon.die();
+        return;
+      case 'crash_after':
+        this._perform(daemon, effect, session, () => undefined, undefined);
+        this.time.after(kHopMs / 2, () => {
+          daemon.die();
+        });
+        return;
+      case 'pause':
+        daemon.pausedUntil = this.time.now + kPauseMs;
+        this._perform(daemon, effect, session, resume, undefined);
+        return;
+      default:
+        this._perform(daemon, effect, session, resume, injection.fault);
+    }
+  }
+
+  private _perform(daemon: MatrixDaemon, effect: Effect, session: Session | undefined, resume: Resume, fault: Fault | undefined): void {
+    const reply = (value: Reply, ms = kHopMs): void => {
+      this.time.after(fault === 'late' ? ms + kLateMs : ms, () => {
+        resume(value);
+      });
+    };
+    switch (effect.type) {
+      case 'offer':
+        this._offer(effect, session, fault);
+        reply(undefined, 0);
+        return;
+      case 'awaitEvent':
+        this._awaitEvent(effect, session, resume, fault);
+        return;
+      case 'cancel':
+        this._cancel(effect, reply, fault);
+        return;
+      case 'appendClaim':
+        this.log.append(kClaimStream, [effect.record], reply, fault, () => {
+          this.log.rivalClaims(effect.record);
+        });
+        return;
+      case 'readClaims':
+        this.log.read(reply, fault, () => {
+          this.log.stream(kClaimStream).forEach((value, offset) => {
+            daemon.index.apply(offset, value);
+          });
+        });
+        return;
+      case 'relayClaim':
+        this._peers.relayClaim(effect, reply, fault);
+        return;
+      case 'settleKey':
+        this._peers.settleKey(effect, reply, fault);
+        return;
+      case 'fetchAnswer':
+        this._peers.fetchAnswer(effect, reply, fault);
+        return;
+      case 'joinRunning':
+        this._peers.join(daemon, effect, resume, fault);
+        return;
+      case 'admitted':
+        daemon.waiting.set(effect.attempt, resume);
+        return;
+      case 'forward':
+        this._forward(daemon, effect, resume, fault);
+        return;
+      case 'appendPatch':
+        this.log.append(kConfigStream, effect.record, reply, fault, () => {
+          this.log.rivalPatch(effect.record);
+        });
+        return;
+      case 'readConfig':
+        this.log.read(reply, fault, () => {
+          this.log.foldConfig(daemon);
+        });
+        return;
+      case 'readSnapshots':
+        this.log.readSnapshots(daemon, reply, fault);
+        return;
+      case 'appendSnapshot':
+        this.log.append(kSnapshotStream, daemon.fold.snapshot(digest), reply, fault);
+        return;
+      case 'askPeers':
+        this._askPeers(daemon, reply, fault);
+        return;
+      case 'appendMember':
+        this.log.append('members', { id: daemon.plan.id, goodbye: effect.goodbye }, reply, fault);
+        return;
+      case 'spreadWord':
+        reply(undefined);
+        return;
+      case 'sleep':
+        reply(undefined, effect.ms);
+        return;
+      case 'awaitIdle':
+        this._awaitIdle(daemon, effect, resume, fault);
+        return;
+    }
+  }
+
+  private _offer(effect: EffectOf<'offer'>, session: Session | undefined, fault: Fault | undefined): void {
+    const { attempt, to, terms } = effect;
+    const end = (value: OfferEnd, ms = kHopMs): void => {
+      this.time.after(fault === 'late' ? ms + kLateMs : ms, () => {
+        session?.push({ kind: 'ended', attempt, end: value });
+      });
+    };
+    const target = this.daemon(to.daemon);
+    if (fault === 'refused' || target.dead) {
+      end({ kind: 'lost', written: false });
+      return;
+    }
+    if (fault === 'lost_before') {
+      end({ kind: 'lost', written: kAdapter.lostMayHaveRun }, kLostMs);
+      return;
+    }
+    const lost = (): void => {
+      end({ kind: 'lost', written: kAdapter.lostMayHaveRun });
+    };
+    const arrive = (report: (value: OfferEnd) => void): void => {
+      target.onDeath.add(lost);
+      this.run(target, gateCall(terms, effect.payload, this._gateContext(target, terms)), (value) => {
+        target.onDeath.delete(lost);
+        report(value);
+      });
+    };
+    this.time.after(kHopMs, () => {
+      arrive(fault === 'lost_after' ? lost : end);
+      if (fault === 'duplicate') {
+        arrive(() => undefined);
+      }
+      if (fault === 'peer_crash') {
+        this.time.after(kHopMs, () => {
+          target.die();
+        });
+      }
+    });
+  }
+
+  /** The gate's context, noting in the journal what the gate refuses for overload. */
+  private _gateContext(target: MatrixDaemon, terms: OfferTerms): MatrixDaemon['gateContext'] {
+    const note = (reason: string): void => {
+      if (reason === 'overloaded') {
+        this.journal.shed.push({ host: target.plan.id, rank: rankOf(terms), at: this.time.now, order: this.journal.next() });
+      }
+    };
+    return {
+      ...target.gateContext,
+      decide: ({ reason }) => {
+        note(reason);
+      },
+    };
+  }
+
+  private _awaitEvent(effect: EffectOf<'awaitEvent'>, session: Session | undefined, resume: Resume, fault: Fault | undefined): void {
+    if (fault === 'caller_gone') {
+      session?.push({ kind: 'caller_gone' });
+    }
+    if (fault === 'timeout') {
+      this.time.after(effect.until - this.time.now, () => {
+        resume({ kind: 'timeout' });
+      });
+      return;
+    }
+    session?.await(effect.until, resume);
+  }
+
+  private _cancel(effect: EffectOf<'cancel'>, reply: (value: Reply, ms?: number) => void, fault: Fault | undefined): void {
+    const target = this.daemon(effect.to.daemon);
+    if (fault === 'lost_before' || target.dead) {
+      reply({ kind: 'unknown' }, kLostMs);
+      return;
+    }
+    const waiting = target.gate.cancel(effect.attempt);
+    if (waiting) {
+      target.admit(effect.attempt, { kind: 'cancelled' });
+    }
+    const unseen = !waiting && target.gateContext.seen.add(effect.attempt);
+    target.running.get(effect.attempt)?.();
+    const kind = waiting || unseen ? 'before_start' : 'started';
+    reply({ kind: fault === 'lost_after' ? 'unknown' : kind });
+  }
+
+  private _askPeers(daemon: MatrixDaemon, reply: (value: Reply) => void, fault: Fault | undefined): void {
+    const others = fault === 'lost_before' ? [] : [...this.daemons.values()].filter((other) => other !== daemon && !other.dead);
+    const offered = fault === 'stale' ? this.log.stream(kSnapshotStream).slice(0, 1) : others.map(({ fold }) => fold.snapshot(digest));
+    offered.forEach((snapshot) => daemon.fold.adopt(snapshot, digest));
+    reply({ answered: others.length });
+  }
+
+  private _awaitIdle(daemon: MatrixDaemon, effect: EffectOf<'awaitIdle'>, resume: Resume, fault: Fault | undefined): void {
+    const busy = (): number => daemon.inFlight + daemon.running.size;
+    const poll = (): void => {
+      if ((fault !== 'timeout' && busy() === 0) || this.time.now >= effect.until) {
+        resume({ inFlight: busy() });
+      } else {
+        this.time.after(kWorkMs, poll);
+      }
+    };
+    poll();
+  }
+
+  private _forward(daemon: MatrixDaemon, effect: EffectOf<'forward'>, resume: Resume, fault: Fault | undefined): void {
+    const { attempt, payload, deadline } = effect;
+    const call = daemon.gateContext.ledger.has(attempt);
+    const terms = this._termsOf(daemon.gate, attempt);
+    if (fault === 'lost_before' || !call || !terms) {
+      this.time.after(kHopMs, () => {
+        resume({ kind: 'lost', written: false });
+      });
+      return;
+    }
+    if (fault === 'target_sheds') {
+      this.time.after(kHopMs, () => {
+        resume({ kind: 'answered', answer: { status: 503, headers: { 'retry-after': '1' }, body: Buffer.alloc(0) } });
+      });
+      return;
+    }
+    this._startRun(daemon, terms, payload.body);
+    let open = true;
+    const end = (reply: Reply): void => {
+      if (open) {
+        open = false;
+        daemon.running.delete(attempt);
+        this.time.after(fault === 'late' ? kLateMs : kHopMs, () => {
+          resume(reply);
+        });
+      }
+    };
+    daemon.running.set(attempt, () => {
+      end({ kind: 'cancelled' });
+    });
+    this.time.after(deadline - this.time.now, () => {
+      end({ kind: 'timeout' });
+    });
+    this._work(daemon, terms, (ok) => {
+      this._endRun(fault, ok, payload.body, end);
+    });
+  }
+
+  private _endRun(fault: Fault | undefined, ok: boolean, body: Uint8Array, end: (reply: Reply) => void): void {
+    switch (fault) {
+      case 'lost_after':
+        end({ kind: 'lost', written: true });
+        return;
+      case 'truncated':
+        end({ kind: 'truncated' });
+        return;
+      case 'timeout':
+        return;
+      default: {
+        const status = ok && fault !== 'target_fails' ? 200 : 500;
+        end({ kind: 'answered', answer: { status, headers: {}, body: Buffer.from(`answer to ${Buffer.from(body).toString()}`) } });
+      }
+    }
+  }
+
+  private _termsOf(gate: Gate<GateCall>, attempt: string): OfferTerms | undefined {
+    return gate.started(attempt)?.terms;
+  }
+
+  private _startRun(daemon: MatrixDaemon, terms: OfferTerms, body: Uint8Array): void {
+    const req = this._requests.get(terms.request);
+    const meaning = req?.key ?? `${terms.root}/${terms.depth}/${Buffer.from(body).toString()}`;
+    const run = { host: daemon.plan.id, request: terms.request, root: terms.root, meaning, idempotent: terms.idempotent };
+    this.journal.ran({ ...run, rank: rankOf(terms), at: this.time.now, cut: false });
+  }
+
+  /** The target works, and makes its onward calls through its own daemon. */
+  private _work(daemon: MatrixDaemon, terms: OfferTerms, done: (ok: boolean) => void): void {
+    const req = this._requests.get(terms.request);
+    const onward = req?.onward ?? [];
+    let open = onward.length;
+    let ok = req?.fails !== true;
+    this.time.after(kWorkMs, () => {
+      if (open === 0 || daemon.dead) {
+        done(ok && !daemon.dead);
+        return;
+      }
+      for (const next of onward) {
+        const id = `q${this._ids++}`;
+        this._requests.set(id, next);
+        this._serve(daemon, this._onwardCall(id, next, terms), undefined, (served) => {
+          ok &&= served?.kind === 'answer' && served.answer.status === 200;
+          open--;
+          if (open === 0) {
+            done(ok);
+          }
+        });
+      }
+    });
+  }
+
+  private _onwardCall(id: string, req: Request, terms: OfferTerms): Call {
+    const { root, rootDaemon, rootAddress, rootIncarnation, repeatable, importance, cohort } = terms;
+    const depth = terms.depth + 1;
+    const derived = !req.cls.idempotent && repeatable;
+    return {
+      id,
+      cls: req.cls,
+      chain: { root, parent: terms.attempt, importance, cohort, depth, rootDaemon, rootAddress, rootIncarnation, repeatable },
+      key: derived ? { kind: 'derived', key: `${root}/${depth}/${req.body}` } : { kind: 'none' },
+      bodyDigest: req.body,
+      payload: { method: 'POST', path: '/', headers: {}, body: Buffer.from(req.body) },
+      deadline: this.time.now + req.cls.deadlineMs,
+    };
+  }
+}
--- /dev/null
+++ b/tests/matrix/scenarios.ts
@@ -0,0 +1,251 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What the matrix plays: each procedure of the core at work, alone and together with others. */
+
+import { coldStart, type NamedClass, plannedStop, refreshSnapshot, type Served, submitPatch } from '@gentiandrum/core';
+import { kConfigStream, type PatchRecord } from '@gentiandrum/protocol';
+import { digest } from './matrixLog.js';
+import { MatrixWorld } from './matrixWorld.js';
+import type { Request } from './request.js';
+import type { Injection } from './faults.js';
+import type { MatrixDaemon } from './matrixDaemon.js';
+
+/** One scenario. */
+export interface Scenario {
+  name: string;
+  services: Record<string, string[]>;
+  relay?: string;
+  play: (world: MatrixWorld) => void;
+}
+
+const kServices = { alpha: ['a'], beta: ['b', 'c'] };
+const kRepeatMs = 100;
+const kStopMs = 3;
+/** Shorter than a target's work, so that a competing attempt starts. */
+const kCompeteMs = 3;
+
+const kBase: NamedClass = {
+  name: 'read',
+  service: 'beta',
+  methods: [],
+  path: '/**',
+  importance: 'normal',
+  idempotent: true,
+  deadlineMs: 1_000,
+  retries: 2,
+};
+const kHoldClass: NamedClass = { ...kBase, name: 'hold', idempotent: false, retries: 0 };
+const kHold: Request = { cls: kHoldClass, body: 'hold', key: 'key-1' };
+const kRead: Request = { cls: kBase, body: 'read' };
+
+/** Sends a request, and repeats it elsewhere until it is answered, as callers do. */
+function sendAndRepeat(world: MatrixWorld, places: string[], req: Request): void {
+  const [at, ...others] = places;
+  if (at === undefined) {
+    return;
+  }
+  world.send(at, req, () => {
+    world.time.after(kRepeatMs, () => {
+      sendAndRepeat(world, others, req);
+    });
+  });
+}
+
+function patch(patchId: string, base: number, change: Record<string, unknown>): PatchRecord {
+  return { patchId, base, author: patchId, patch: change };
+}
+
+/** Submits a patch, and asks again under the same id while its fate is unknown, as the client does. */
+function submit(world: MatrixWorld, daemon: MatrixDaemon, record: PatchRecord, tries = 3): void {
+  world.run(daemon, submitPatch(record, daemon.fold), (end) => {
+    if ((end.kind === 'unsettled' || end.kind === 'unavailable') && tries > 1) {
+      world.time.after(kRepeatMs, () => {
+        submit(world, daemon, record, tries - 1);
+      });
+      return;
+    }
+    world.journal.submitted.push({ patchId: record.patchId, kind: end.kind, version: end.kind === 'accepted' ? end.version : undefined });
+  });
+}
+
+function stop(world: MatrixWorld, daemon: MatrixDaemon): void {
+  const close = (): void => {
+    daemon.stopping = true;
+    daemon.gate.close('stopping');
+    world.journal.closed.set(daemon.plan.id, Math.min(world.journal.closed.get(daemon.plan.id) ?? Infinity, world.time.now));
+  };
+  const ctx = { announceLeaving: close, closeGate: close, announceLeft: () => undefined, limitMs: 0 };
+  world.run(daemon, plannedStop(ctx), ({ cut }) => {
+    world.journal.stops.push({ host: daemon.plan.id, cut });
+  });
+}
+
+function startCold(world: MatrixWorld, id: string): void {
+  const daemon = world.daemon(id);
+  world.run(daemon, coldStart(daemon.fold, 3), () => undefined);
+}
+
+/** All scenarios. */
+export const kScenarios: Scenario[] = [
+  {
+    name: 'read',
+    services: kServices,
+    play: (world) => {
+      sendAndRepeat(world, ['a', 'a'], kRead);
+    },
+  },
+  {
+    name: 'read with a competing attempt',
+    services: kServices,
+    play: (world) => {
+      sendAndRepeat(world, ['a'], { ...kRead, cls: { ...kBase, attemptTimeoutMs: kCompeteMs } });
+    },
+  },
+  {
+    name: 'hold without key',
+    services: kServices,
+    play: (world) => {
+      world.send('a', { cls: kHoldClass, body: 'hold' });
+    },
+  },
+  {
+    name: 'hold under an own key',
+    services: kServices,
+    play: (world) => {
+      sendAndRepeat(world, ['a', 'c', 'a'], kHold);
+    },
+  },
+  {
+    name: 'two callers with one key',
+    services: kServices,
+    play: (world) => {
+      sendAndRepeat(world, ['a', 'b'], kHold);
+      sendAndRepeat(world, ['c', 'a'], kHold);
+    },
+  },
+  {
+    name: 'a repeat that joins at the same daemon',
+    services: kServices,
+    play: (world) => {
+      sendAndRepeat(world, ['a', 'b'], kHold);
+      sendAndRepeat(world, ['a', 'c'], kHold);
+    },
+  },
+  {
+    name: 'hold by a relay',
+    services: { ...kServices, gamma: ['d'] },
+    relay: 'd',
+    play: (world) => {
+      sendAndRepeat(world, ['a', 'c', 'a'], kHold);
+    },
+  },
+  {
+    name: 'hold under a minted key',
+    services: kServices,
+    play: (world) => {
+      world.daemon('a').settler.openNamespace('ns');
+      sendAndRepeat(world, ['b', 'a', 'b'], { ...kHold, key: 'ns/1', minted: { owner: 'a', namespace: 'ns' } });
+    },
+  },
+  {
+    name: 'chain of reads',
+    services: kServices,
+    play: (world) => {
+      sendAndRepeat(world, ['b'], { cls: { ...kBase, name: 'outer', service: 'alpha' }, body: 'outer', onward: [kRead] });
+    },
+  },
+  {
+    name: 'fan-out of failing reads',
+    services: kServices,
+    play: (world) => {
+      const failing = ['one', 'two'].map((body) => ({ cls: kBase, body, fails: true }));
+      sendAndRepeat(world, ['b'], { cls: { ...kBase, name: 'outer', service: 'alpha' }, body: 'outer', onward: failing });
+    },
+  },
+  {
+    name: 'hold inside a chain',
+    services: { alpha: ['a', 'd'], beta: ['b', 'c'] },
+    play: (world) => {
+      sendAndRepeat(world, ['b'], {
+        cls: { ...kBase, name: 'outer', service: 'alpha' },
+        body: 'outer',
+        onward: [{ cls: kHoldClass, body: 'inner' }],
+      });
+    },
+  },
+  {
+    name: 'three calls for one slot',
+    services: { alpha: ['a'], beta: ['b'] },
+    play: (world) => {
+      [3, 2, 0].forEach((importance) => {
+        world.send('a', { ...kRead, importance, body: `read-${importance}` });
+      });
+    },
+  },
+  {
+    name: 'planned stop with calls running and waiting',
+    services: kServices,
+    play: (world) => {
+      for (let i = 0; i < 3; i++) {
+        world.send('a', { ...kRead, body: `read-${i}` });
+      }
+      world.time.after(kStopMs, () => {
+        stop(world, world.daemon('b'));
+      });
+    },
+  },
+  {
+    name: 'racing patches',
+    services: kServices,
+    play: (world) => {
+      submit(world, world.daemon('a'), patch('patch-of-a', 0, { retryRatio: 0.2 }));
+      submit(world, world.daemon('b'), patch('patch-of-b', 0, { retryRatio: 0.3 }));
+    },
+  },
+  {
+    name: 'cold start beside a patch and snapshots',
+    services: kServices,
+    play: (world) => {
+      const log = world.log.stream(kConfigStream);
+      log.push(patch('patch-one', 0, { retryRatio: 0.2 }));
+      const early = world.daemon('b');
+      early.fold.apply(0, log[0]);
+      world.log.stream('gentiandrum.snapshots').push(early.fold.snapshot(digest));
+      log.push(patch('patch-two', 1, { retryRatio: 0.3 }));
+      startCold(world, 'a');
+      world.run(early, refreshSnapshot(), () => undefined);
+      submit(world, world.daemon('c'), patch('patch-three', 2, { retryRatio: 0.4 }));
+    },
+  },
+];
+
+/** A cell as it went. */
+export interface Cell {
+  world: MatrixWorld;
+  folds: ReturnType<MatrixWorld['settle']>;
+}
+
+const kSettleMs = 60_000;
+
+/** Plays a scenario with faults. */
+export function play(scenario: Scenario, injections: readonly Injection[]): Cell {
+  const world = new MatrixWorld(injections, scenario.services, scenario.relay);
+  try {
+    scenario.play(world);
+    return { world, folds: world.settle(kSettleMs) };
+  } catch (err) {
+    world.time.restore();
+    throw err;
+  }
+}
+
+/** How a try ended, for people. */
+export function endOf(served: Served | undefined): string {
+  if (!served) {
+    return 'no answer';
+  }
+  return served.kind === 'answer' ? `status ${served.answer.status}` : `${served.error}/${served.outcome}`;
+}
--- a/bench/policy/virtualTime.ts
+++ b/tests/support/virtualTime.ts
@@ -76,7 +76,7 @@
   }
 
   private _rise(start: number): void {
-    for (let i = start; i > 0; ) {
+    for (let i = start; i > 0;) {
       const parent = (i - 1) >> 1;
       if (this._before(parent, i)) {
         return;
@@ -87,7 +87,7 @@
   }
 
   private _sink(start: number): void {
-    for (let i = start; ; ) {
+    for (let i = start; ;) {
       const left = 2 * i + 1;
       if (left >= this._heap.length) {
         return;
