Gates on the way refuse what is shed below them

Ruled out: a tighter gate alone (the work upstream is done by then). Change: each gate keeps the levels that its target's onward calls meet, and refuses at once what they shed, naming the service; such a level opens quickly when nothing is heard, since the root guards the chain.

--- a/packages/core/src/admission/admissionLevel.ts
+++ b/packages/core/src/admission/admissionLevel.ts
@@ -11,7 +11,7 @@
  * arrival rates at once, since its effect comes back only after the time of a whole chain.
  */
 
-import { kCohorts, kOpenLevel } from './rank.js';
+import { kCohorts, kOpenLevel, passesLevel } from './rank.js';
 
 const kWindowMs = 100;
 /** Weight of the newest window in the arrival rates. */
@@ -30,12 +30,6 @@
 /** Least arrival rate that is assumed for a rank that is opened, in calls a window. */
 const kMinDensity = 0.01;
 
-/**
- * Ranks over the level up to which a call with work invested in it is admitted: it passed the level a moment ago, where
- * its request entered. The queue still starts the more important first.
- */
-const kInvestedSlack = kCohorts;
-
 /** What the gate tells at the end of a window. */
 export interface GateState {
   /** Time that a call admitted now would wait, in milliseconds. */
@@ -83,7 +77,7 @@
     this._roll(now);
     this._counts[rank] = (this._counts[rank] ?? 0) + 1;
     this._arrivals++;
-    return rank < this._level + (depth > 0 ? kInvestedSlack : 0);
+    return passesLevel(rank, depth, this._level);
   }
 
   /** Notes that slots stayed free although calls came. */
--- a/packages/core/src/admission/rootFilter.ts
+++ b/packages/core/src/admission/rootFilter.ts
@@ -16,10 +16,18 @@
 
 /** Time over which a level follows the answers, in milliseconds. */
 const kFollowMs = 50;
-/** Time without any answer about a service after which its level opens by itself. */
-const kQuietMs = 500;
-/** Ranks by which it then opens per millisecond. */
-const kOpenPerMs = { goodput: 0.1, recovery: 0.5 } as const;
+/** How a level that nothing is heard of opens by itself. */
+export interface Opening {
+  /** Time without any answer about a service after which its level begins to open, in milliseconds. */
+  quietMs: number;
+  /** Ranks by which it then opens per millisecond. */
+  perMs: { goodput: number; recovery: number };
+}
+
+/** Where requests enter: what opens too early wastes the work of a whole chain. */
+export const kOpeningAtRoot: Opening = { quietMs: 500, perMs: { goodput: 0.1, recovery: 0.5 } };
+/** At a gate on the way: the root guards the chain, and a stale level here would tell it wrong. */
+export const kOpeningOnTheWay: Opening = { quietMs: 150, perMs: { goodput: 3, recovery: 3 } };
 
 interface ServiceLevel {
   level: number;
@@ -31,7 +39,10 @@
   private readonly _services = new Map<string, ServiceLevel>();
   private readonly _narrowest = new Map<string, string>();
 
-  constructor(private readonly _favour: () => 'goodput' | 'recovery') {}
+  constructor(
+    private readonly _favour: () => 'goodput' | 'recovery',
+    private readonly _opening: Opening = kOpeningAtRoot,
+  ) {}
 
   /** Level of a class as of `now`. */
   level(className: string, now: number): number {
@@ -88,7 +99,7 @@
     if (!known) {
       return kOpenLevel;
     }
-    const quietMs = Math.max(0, now - known.at - kQuietMs);
-    return Math.min(kOpenLevel, known.level + quietMs * kOpenPerMs[this._favour()]);
+    const quietMs = Math.max(0, now - known.at - this._opening.quietMs);
+    return Math.min(kOpenLevel, known.level + quietMs * this._opening.perMs[this._favour()]);
   }
 }
--- a/packages/core/src/procedures/gateCall.ts
+++ b/packages/core/src/procedures/gateCall.ts
@@ -9,7 +9,8 @@
 import type { Queued } from '../admission/admissionQueue.js';
 import type { Gate, GateEnd } from '../admission/gate.js';
 import { kAllOpen, type LevelReport, tighter } from '../admission/levelReport.js';
-import { rankOf } from '../admission/rank.js';
+import { passesLevel, rankOf } from '../admission/rank.js';
+import type { RootFilter } from '../admission/rootFilter.js';
 import type { LedgerSummary, RetryLedger } from '../chain/retryLedger.js';
 import type { ErrorKind } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
@@ -26,6 +27,8 @@
   /** Name of the target that the gate leads to. */
   target: string;
   ledger: RetryLedger;
+  /** Levels further down, as the target's onward calls meet them: what they shed is not even begun here. */
+  below: RootFilter;
   /** Attempts that arrived before: an attempt is started once, however often it is delivered. */
   seen: { add: (attempt: string) => boolean };
   decide: (decision: { request: string; attempt: string; step: 'gate'; cls: string; target: string; reason: string }) => void;
@@ -52,6 +55,9 @@
     queuedAt: now,
     terms,
   };
+  if (!passesLevel(call.rank, call.depth, levelBelow(terms, ctx).level)) {
+    return refusedBy(terms, ctx, 'overloaded');
+  }
   const decision = gate.offer(call);
   if (decision.kind === 'refused') {
     return refusedBy(terms, ctx, decision.reason);
@@ -77,6 +83,7 @@
   const end = yield* perform('forward', { attempt: call.id, payload, entry: call.id, deadline });
   const now = monotonicMs();
   const summary = ctx.ledger.close(call.id, now) ?? kNoSummary;
+  ctx.below.learn(terms.className, summary.level, now);
   const refusal = provenRefusal(end, summary);
   gate.ended(call.id, gateEnd(refusal, now - startedAt, summary));
   return offerEnd(end, summary, refusal, { gate, service: terms.service });
@@ -132,11 +139,17 @@
     kind: 'refused',
     reason,
     unspent: terms.allowance,
-    level: gate ? levelOf({ gate, service: terms.service }) : kAllOpen,
+    level: gate ? tighter(levelBelow(terms, ctx), levelOf({ gate, service: terms.service })) : kAllOpen,
     load: gate ? loadOf(gate) : undefined,
   };
 }
 
+/** Tightest level that calls of this class met below the target. */
+function levelBelow(terms: OfferTerms, ctx: GateContext): LevelReport {
+  const service = ctx.below.narrowest(terms.className);
+  return service === undefined ? kAllOpen : { level: ctx.below.level(terms.className, monotonicMs()), service };
+}
+
 interface GateOfService {
   gate: Gate<GateCall>;
   service: string;
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -90,6 +90,7 @@
       tokens: this.tokens,
       decisions: this.decisions,
       target: () => this.target,
+      favour: () => this.config.fold.config.overload.favour,
     });
     this.target = new LocalTarget(
       () => this.config.fold.config.overload.favour,
--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -11,11 +11,13 @@
   type ForwardEnd,
   type GateCall,
   gateCall,
+  kOpeningOnTheWay,
   type GateEvents,
   monotonicMs,
   type OfferEnd,
   type Payload,
   type RetryLedger,
+  RootFilter,
   runProcedure,
   wallMs,
 } from '@gentiandrum/core';
@@ -42,6 +44,7 @@
   tokens: ChainTokens;
   decisions: DecisionLog;
   target: () => LocalTarget;
+  favour: () => 'goodput' | 'recovery';
 }
 
 /** Gate side of one daemon. */
@@ -50,8 +53,11 @@
   private readonly _forwarding = new Map<string, Forwarding>();
   private readonly _terms = new Map<string, OfferTerms>();
   private readonly _seen = new Set<string>();
+  private readonly _below: RootFilter;
 
-  constructor(private readonly _deps: OfferDeps) {}
+  constructor(private readonly _deps: OfferDeps) {
+    this._below = new RootFilter(_deps.favour, kOpeningOnTheWay);
+  }
 
   /** Offers that are being handled. */
   get inFlight(): number {
@@ -74,6 +80,7 @@
       gate: local.gate,
       target: local.announcement?.target ?? '',
       ledger,
+      below: this._below,
       seen: { add: (attempt: string) => this._markSeen(attempt) },
       decide: decisions.add.bind(decisions),
     };
--- a/tests/matrix/matrixDaemon.ts
+++ b/tests/matrix/matrixDaemon.ts
@@ -81,6 +81,7 @@
       gate: this.gate,
       target: id,
       ledger: this.ledger,
+      below: new RootFilter(() => 'goodput'),
       seen: {
         add: (attempt) => !this.seen.has(attempt) && this.seen.add(attempt) === this.seen,
       },
