--- a/bench/policy/layerPolicy.ts
+++ b/bench/policy/layerPolicy.ts
@@ -322,7 +322,14 @@
     const gate = new Gate<GateCall>(host.slots, favour, events, cold ? this._world.time.now : -Infinity);
     const ledger = new RetryLedger();
     const knownGone = new Set<string>();
-    const gateContext: GateContext = { gate, target: host.name, ledger, below: new RootFilter(favour, kOpeningOnTheWay), seen: { add: () => true }, decide: () => undefined };
+    const gateContext: GateContext = {
+      gate,
+      target: host.name,
+      ledger,
+      below: new RootFilter(favour, kOpeningOnTheWay),
+      seen: { add: () => true },
+      decide: () => undefined,
+    };
     return { host, gate, ledger, waiting, running: new Map(), knownGone, gateContext, serve: this._makeServe(host, ledger, knownGone) };
   }
 
--- a/packages/daemon/src/server/controlController.ts
+++ b/packages/daemon/src/server/controlController.ts
@@ -56,13 +56,13 @@
       case 'accepted':
         return submitted;
       case 'conflict':
-        throw problem('patch_conflict', `Version ${submitted.current} is in force, by ${submitted.wonBy}.`, { ...submitted });
+        throw problem('patch_conflict', `Version ${submitted.current} is in force, by ${submitted.wonBy}.`, { verdict: submitted });
       case 'invalid':
-        throw problem('patch_invalid', issuesText(submitted.issues), { ...submitted });
+        throw problem('patch_invalid', issuesText(submitted.issues), { verdict: submitted });
       case 'unavailable':
-        throw problem('log_unavailable', 'The patch was not taken.', { ...submitted });
+        throw problem('log_unavailable', 'The patch was not taken.', { verdict: submitted });
       case 'unsettled':
-        throw problem('patch_unsettled', 'Submit it again with the same patch id.', { ...submitted });
+        throw problem('patch_unsettled', 'Submit it again with the same patch id.', { verdict: submitted });
     }
   }
 
