--- /dev/null
+++ b/bench/bodies/main.ts
@@ -0,0 +1,97 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * A hundred thousand calls with mixed bodies, through real daemons: none may be lost or crossed, and every body must come
+ * back equal by its hash. Bodies go from nothing to 1 MB, with a length or in chunks; targets answer late and out of order.
+ */
+
+import { createHash } from 'node:crypto';
+import { Readable } from 'node:stream';
+import { seededRandom } from '@gentiandrum/core';
+import { Pool } from 'undici';
+import { Fleet } from '../../tests/support/fleet.js';
+import { kSampleConfig } from '../../tests/support/sampleConfig.js';
+
+const kCalls = Number(process.argv[2] ?? 100_000);
+const kAtOnce = 48;
+const kSeed = 5;
+const kLargest = 1_048_576;
+const kPieces = 4;
+/** Every so many-th call takes a body of up to the largest size; the others are small. */
+const kLargeEvery = 100;
+
+interface Counts {
+  equal: number;
+  crossed: number;
+  refused: number;
+  lost: number;
+}
+
+const random = seededRandom(kSeed);
+const noise = Buffer.from(Array.from({ length: kLargest }, () => Math.floor(random() * 256)));
+
+/** Body of a call: its number, then noise. */
+function bodyOf(i: number): Buffer {
+  const size = i % 50 === 0 ? 0 : Math.floor(random() ** 3 * (i % kLargeEvery === 1 ? kLargest : 4_096));
+  return size === 0 ? Buffer.alloc(0) : Buffer.concat([Buffer.from(`${i}:`), noise.subarray(0, size)]);
+}
+
+function chunked(body: Buffer): Readable {
+  const step = Math.ceil(body.length / kPieces) || 1;
+  return Readable.from(
+    Array.from({ length: kPieces }, (_, i) => body.subarray(i * step, (i + 1) * step)).filter((part) => part.length > 0),
+  );
+}
+
+async function call(pool: Pool, i: number, counts: Counts): Promise<void> {
+  const body = bodyOf(i);
+  const sent = i % 3 === 0 && body.length > 0 ? chunked(body) : body;
+  try {
+    const res = await pool.request({ method: 'PUT', path: `/alpha/${i}`, body: sent, headers: { 'x-call': 'bodies' } });
+    const answer = Buffer.from(await res.body.arrayBuffer());
+    const want = createHash('sha256').update(body).digest('hex');
+    const got = createHash('sha256').update(answer).digest('hex');
+    if (res.statusCode !== 200) {
+      counts.refused++;
+    } else if (got === want && res.headers['x-digest'] === want) {
+      counts.equal++;
+    } else {
+      counts.crossed++;
+    }
+  } catch {
+    counts.lost++;
+  }
+}
+
+const host = (id: string, zone: string, workMs: number): Parameters<typeof Fleet.start>[0][number] => ({
+  id,
+  zone,
+  service: 'alpha',
+  behaviour: { workMs, slots: 60, echo: true },
+});
+const fleet = await Fleet.start([host('a1', 'east', 0), host('a2', 'east', 7), host('a3', 'west', 20)], { logLevel: 'warn' });
+try {
+  await fleet.client(['apply', 'FILE', '--base', '0', '--wait'], kSampleConfig);
+  await fleet.untilTargets('alpha', 3);
+  const pools = [...fleet.hosts.values()].map(({ address }) => new Pool(`http://${address}`, { connections: kAtOnce }));
+  const counts: Counts = { equal: 0, crossed: 0, refused: 0, lost: 0 };
+  let next = 0;
+  const startedAt = performance.now();
+  const worker = async (): Promise<void> => {
+    for (let i = next++; i < kCalls; i = next++) {
+      const pool = pools[i % pools.length];
+      if (pool) {
+        await call(pool, i, counts);
+      }
+    }
+  };
+  await Promise.all(Array.from({ length: kAtOnce }, worker));
+  const seconds = Math.round((performance.now() - startedAt) / 1_000);
+  console.log(JSON.stringify({ calls: kCalls, ...counts, seconds, seed: kSeed }));
+} finally {
+  fleet.stop();
+}
+process.exit(0);
--- /dev/null
+++ b/bench/control/main.ts
@@ -0,0 +1,203 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * What control costs a daemon: processor time, memory, bytes and appends, against members, configuration changes, claims
+ * and calls. Real daemon processes on the loopback; their host names spread over seven zones in two regions.
+ */
+
+import { Pool } from 'undici';
+import { Fleet, type HostPlan } from '../../tests/support/fleet.js';
+import { kSampleConfig } from '../../tests/support/sampleConfig.js';
+import { fitLine, type Line } from './fit.js';
+
+const kMembers = (process.argv[2] ?? '4,8,16,32,64').split(',').map(Number);
+const kSmall = 8;
+const kZones = 7;
+const kSettleMs = 8_000;
+const kMeasureMs = 10_000;
+const kChangesPerSecond = [0, 1, 2];
+const kClaimsPerSecond = [0, 20, 40, 80];
+const kCallsPerSecond = [0, 50, 100, 200];
+const kStartAtOnce = 8;
+
+interface Status {
+  memoryBytes: number;
+  heapBytes: number;
+  cpuMs: number;
+  control: { bytes: number; appends: number; reads: number; uptimeMs: number };
+}
+
+/** Means over the daemons of one measurement. */
+interface Point {
+  cpuShare: number;
+  bytesPerSecond: number;
+  appendsPerSecond: number;
+  readsPerSecond: number;
+  rssMb: number;
+  heapMb: number;
+}
+
+const kQuiet = { logLevel: 'warn' as const };
+
+function plan(i: number, service?: string): HostPlan {
+  const zone = i % kZones;
+  return { id: `d${i}`, zone: `zone-${zone}`, region: zone < 4 ? 'one' : 'two', service, behaviour: { workMs: 1, slots: 200 } };
+}
+
+async function startFleet(size: number, service?: string): Promise<Fleet> {
+  const fleet = await Fleet.start([plan(0, service)], kQuiet);
+  for (let i = 1; i < size; i += kStartAtOnce) {
+    const group = Array.from({ length: Math.min(kStartAtOnce, size - i) }, (_, j) => fleet.startHost(plan(i + j, service), kQuiet));
+    await Promise.all(group);
+  }
+  const applied = await fleet.client(['apply', 'FILE', '--base', '0', '--wait'], kSampleConfig);
+  if (applied.code !== 0) {
+    throw new Error(applied.err);
+  }
+  await pause(kSettleMs);
+  return fleet;
+}
+
+async function statuses(fleet: Fleet): Promise<Status[]> {
+  return Promise.all(
+    [...fleet.hosts.values()].map(async ({ address }) => (await (await fetch(`http://${address}/-/status`)).json()) as Status),
+  );
+}
+
+/** Measures all daemons while `load` runs. */
+async function measure(fleet: Fleet, load: () => Promise<unknown> = () => pause(kMeasureMs)): Promise<Point> {
+  const before = await statuses(fleet);
+  await load();
+  const after = await statuses(fleet);
+  const mean = (of: (b: Status, a: Status) => number): number => after.reduce((sum, a, i) => sum + of(before[i] ?? a, a), 0) / after.length;
+  const rate = (of: (s: Status) => number): number => mean((b, a) => ((of(a) - of(b)) * 1_000) / (a.control.uptimeMs - b.control.uptimeMs));
+  return {
+    cpuShare: rate((s) => s.cpuMs) / 1_000,
+    bytesPerSecond: rate((s) => s.control.bytes),
+    appendsPerSecond: rate((s) => s.control.appends),
+    readsPerSecond: rate((s) => s.control.reads),
+    rssMb: mean((_, a) => a.memoryBytes) / 1_048_576,
+    heapMb: mean((_, a) => a.heapBytes) / 1_048_576,
+  };
+}
+
+async function byMembers(): Promise<[number, Point][]> {
+  const points: [number, Point][] = [];
+  for (const size of kMembers) {
+    const fleet = await startFleet(size);
+    try {
+      points.push([size, await measure(fleet)]);
+      show(`${size} members, at rest`, points.at(-1)?.[1]);
+    } finally {
+      fleet.stop();
+    }
+  }
+  return points;
+}
+
+async function byChanges(fleet: Fleet): Promise<{ points: [number, Point][]; inForceMs: number[] }> {
+  const points: [number, Point][] = [];
+  const inForceMs: number[] = [];
+  let version = (await fleet.status('d0')).version;
+  for (const perSecond of kChangesPerSecond) {
+    const load = async (): Promise<void> => {
+      const end = performance.now() + kMeasureMs;
+      while (performance.now() < end) {
+        if (perSecond === 0) {
+          await pause(kMeasureMs);
+        } else {
+          const startedAt = performance.now();
+          version = await change(fleet, version);
+          await fleet.untilVersion(version);
+          inForceMs.push(performance.now() - startedAt);
+          await pause(1_000 / perSecond - (performance.now() - startedAt));
+        }
+      }
+    };
+    points.push([perSecond, await measure(fleet, load)]);
+    show(`${perSecond} changes/s, ${kSmall} members`, points.at(-1)?.[1]);
+  }
+  return { points, inForceMs };
+}
+
+async function change(fleet: Fleet, base: number): Promise<number> {
+  const body = JSON.stringify({ patchId: `bench-${base}-${Date.now()}`, base, author: 'bench', patch: { retryRatio: (base % 50) / 100 } });
+  const res = await fetch(`http://${fleet.host('d0').address}/-/patches`, { method: 'POST', body });
+  return ((await res.json()) as { version: number }).version;
+}
+
+async function byCalls(
+  fleet: Fleet,
+  rates: number[],
+  headers: (i: number) => Record<string, string>,
+  what: string,
+): Promise<[number, Point][]> {
+  const points: [number, Point][] = [];
+  const pools = [...fleet.hosts.values()].map(({ address }) => new Pool(`http://${address}`, { connections: 16 }));
+  let calls = 0;
+  for (const perSecond of rates) {
+    const load = async (): Promise<void> => {
+      const pending: Promise<unknown>[] = [];
+      const startedAt = performance.now();
+      for (let i = 0; i < (perSecond * kMeasureMs) / 1_000; i++) {
+        await pause(startedAt + (i * 1_000) / perSecond - performance.now());
+        const pool = pools[calls % pools.length];
+        const req = pool?.request({ method: 'POST', path: '/beta/holds', headers: headers(calls++) });
+        pending.push(req?.then((res) => res.body.dump()).catch(() => undefined) ?? Promise.resolve());
+      }
+      await Promise.all(pending);
+      await pause(kMeasureMs - (performance.now() - startedAt));
+    };
+    points.push([perSecond, await measure(fleet, load)]);
+    show(`${perSecond} ${what}/s over ${kSmall} members`, points.at(-1)?.[1]);
+  }
+  await Promise.all(pools.map((pool) => pool.destroy()));
+  return points;
+}
+
+function slope(points: [number, Point][], of: (point: Point) => number): Line {
+  return fitLine(points.map(([x, point]) => [x, of(point)]));
+}
+
+function show(what: string, point: Point | undefined): void {
+  if (point) {
+    const { cpuShare, bytesPerSecond, appendsPerSecond, readsPerSecond, rssMb, heapMb } = point;
+    const text = [`cpu ${(cpuShare * 100).toFixed(2)} %`, `${bytesPerSecond.toFixed(0)} B/s`, `${appendsPerSecond.toFixed(2)} appends/s`];
+    const more = [`${readsPerSecond.toFixed(2)} reads/s`, `rss ${rssMb.toFixed(1)} MB`, `heap ${heapMb.toFixed(1)} MB`];
+    console.log(`${what}: a daemon spends ${[...text, ...more].join(', ')}`);
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return ms > 0 ? new Promise((resolve) => setTimeout(resolve, ms)) : Promise.resolve();
+}
+
+function lines(points: [number, Point][]): Record<string, Line> {
+  return {
+    cpuShare: slope(points, (p) => p.cpuShare),
+    bytesPerSecond: slope(points, (p) => p.bytesPerSecond),
+    appendsPerSecond: slope(points, (p) => p.appendsPerSecond),
+    readsPerSecond: slope(points, (p) => p.readsPerSecond),
+    rssMb: slope(points, (p) => p.rssMb),
+    heapMb: slope(points, (p) => p.heapMb),
+  };
+}
+
+const members = await byMembers();
+const fleet = await startFleet(kSmall, 'beta');
+try {
+  const { points: changes, inForceMs } = await byChanges(fleet);
+  const calls = await byCalls(fleet, kCallsPerSecond, () => ({}), 'calls');
+  const claims = await byCalls(fleet, kClaimsPerSecond, (i) => ({ 'idempotency-key': `bench-${i}` }), 'claimed calls');
+  const sorted = [...inForceMs].sort((a, b) => a - b);
+  const inForce = { changes: sorted.length, median: sorted[Math.floor(sorted.length / 2)], worst: sorted.at(-1) };
+  console.log(
+    JSON.stringify({ members: lines(members), changes: lines(changes), calls: lines(calls), claims: lines(claims), inForceMs: inForce }),
+  );
+} finally {
+  fleet.stop();
+}
+process.exit(0);
--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -15,6 +15,8 @@
 import { kScenarios } from './scenarios.js';
 
 const kSeed = 20_261_202;
+/** Longest time for one run; a policy that amplifies without bound is reported as not finished. */
+const kJobLimitMs = 150_000;
 
 interface Job {
   index: number;
@@ -33,14 +35,20 @@
   await compare(wanted ?? '');
 }
 
-function runJob(job: Job): Promise<Measures> {
+/** Runs a job in a process of its own; undefined when it takes too long. */
+function runJob(job: Job): Promise<Measures | undefined> {
   return new Promise((resolve, reject) => {
     const child = fork(fileURLToPath(import.meta.url), ['--job', JSON.stringify(job)]);
     child.once('message', (measures) => {
       resolve(measures as Measures);
     });
+    const timer = setTimeout(() => {
+      child.kill('SIGKILL');
+      resolve(undefined);
+    }, kJobLimitMs);
     child.once('exit', (code) => {
-      if (code !== 0) {
+      clearTimeout(timer);
+      if (code !== null && code !== 0) {
         reject(new Error(`expected job ${JSON.stringify(job)} to end with 0, got ${code}`));
       }
     });
@@ -51,13 +59,15 @@
   const jobs = kScenarios.flatMap((scenario, index) =>
     `${scenario.deployment.name}/${scenario.name}`.includes(part) ? kPolicies.map((policy) => ({ index, policy })) : [],
   );
-  const results = new Map<Job, Measures>();
+  const results = new Map<Job, Measures | undefined>();
   const queue = [...jobs].reverse();
   const worker = async (): Promise<void> => {
     for (let job = queue.pop(); job; job = queue.pop()) {
       const measures = await runJob(job);
       results.set(job, measures);
-      process.stderr.write(`${JSON.stringify({ scenario: nameOf(job.index), policy: job.policy, ...measures })}\n`);
+      process.stderr.write(
+        `${JSON.stringify({ scenario: nameOf(job.index), policy: job.policy, ...(measures ?? { finished: false }) })}\n`,
+      );
     }
   };
   await Promise.all(Array.from({ length: Math.max(1, Math.floor(availableParallelism() * 0.75)) }, worker));
@@ -69,7 +79,7 @@
   return scenario ? `${scenario.deployment.name}/${scenario.name}` : '';
 }
 
-function print(jobs: Job[], results: Map<Job, Measures>): void {
+function print(jobs: Job[], results: Map<Job, Measures | undefined>): void {
   const all: Record<string, Record<string, Measures | undefined>> = {};
   kScenarios.forEach((scenario, index) => {
     const ofScenario = jobs.filter((job) => job.index === index);
--- a/packages/daemon/src/app/controlMeter.ts
+++ b/packages/daemon/src/app/controlMeter.ts
@@ -25,6 +25,11 @@
     return this._log.appends;
   }
 
+  /** Reads of the log since the start. */
+  get reads(): number {
+    return this._log.reads;
+  }
+
   /** Takes the total that a peer's connection has carried so far, both ways, with its headers. */
   addConnectionBytes(socket: Socket, total: number): void {
     this._peerBytes += total - (this._counted.get(socket) ?? 0);
--- a/packages/daemon/src/app/decisionLog.ts
+++ b/packages/daemon/src/app/decisionLog.ts
@@ -37,7 +37,11 @@
   add(decision: LoggedDecision): void {
     const { step, reason, target, cls } = decision;
     const part = step === 'gate' ? 'gate' : 'route';
-    this._logger.info(part, textOf(decision), { ...decision });
+    if (step === 'end') {
+      this._logger.debug(part, textOf(decision), { ...decision });
+    } else {
+      this._logger.info(part, textOf(decision), { ...decision });
+    }
     this._metrics.count('decision', { step, reason, class: cls, target: target ?? 'none' });
     this._keep({ ...decision, at: wallMs() });
   }
--- a/packages/daemon/src/server/controlController.ts
+++ b/packages/daemon/src/server/controlController.ts
@@ -11,6 +11,8 @@
 import type { LoggedDecision } from '../app/decisionLog.js';
 import { Daemon } from '../app/daemon.js';
 
+const kMicrosPerMs = 1_000;
+
 /** Status of a daemon and what it knows of the others. */
 export interface StatusReport {
   daemon: string;
@@ -21,7 +23,11 @@
   gate?: { inFlight: number; queued: number; limit: number; level: number; closed?: string };
   openLevel: number;
   memoryBytes: number;
-  control: { bytes: number; appends: number; uptimeMs: number };
+  /** Memory of the JavaScript heap that is in use. */
+  heapBytes: number;
+  /** Processor time of the whole process since its start, in milliseconds. */
+  cpuMs: number;
+  control: { bytes: number; appends: number; reads: number; uptimeMs: number };
 }
 
 /** Controls of one daemon. */
@@ -100,7 +106,9 @@
       gate: gate && { inFlight: gate.inFlight, queued: gate.queued, limit: gate.limit, level: gate.level, closed: gate.closed },
       openLevel: kOpenLevel,
       memoryBytes: process.memoryUsage.rss(),
-      control: { bytes: meter.bytes, appends: meter.appends, uptimeMs: wallMs() - this._startedAt },
+      heapBytes: process.memoryUsage().heapUsed,
+      cpuMs: cpuMs(),
+      control: { bytes: meter.bytes, appends: meter.appends, reads: meter.reads, uptimeMs: wallMs() - this._startedAt },
     };
   }
 
@@ -119,6 +127,11 @@
   }
 }
 
+function cpuMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / kMicrosPerMs;
+}
+
 function parseBody(body: Buffer | undefined): unknown {
   try {
     return JSON.parse(Buffer.isBuffer(body) ? body.toString('utf8') : '');
