--- /dev/null
+++ b/bench/control/crowd.ts
@@ -0,0 +1,117 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * A crowd of members that do nothing but take part in membership: they answer pings, ping the real daemons as often as so
+ * many members would, and change their records at a given rate. So a daemon's control cost is measured at full size.
+ */
+
+import type { AddressInfo } from 'node:net';
+import { clone, create } from '@bufbuild/protobuf';
+import { type Client, type ConnectRouter, createClient } from '@connectrpc/connect';
+import { fastifyConnectPlugin } from '@connectrpc/connect-fastify';
+import { kOpenLevel } from '@gentiandrum/core';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { type Member, MemberSchema, MemberState, PeerService, TargetState } from '@gentiandrum/protocol/peers';
+import { fastify } from 'fastify';
+
+const kServices = 26;
+const kZones = 7;
+const kPeriodMs = 1_000;
+const kLearnAtOnce = 100;
+const kLevelStep = 64;
+
+/** The crowd. */
+export class Crowd {
+  private readonly _members: Member[] = [];
+  private readonly _clients: Client<typeof PeerService>[];
+  private readonly _app = fastify();
+  private readonly _timers: NodeJS.Timeout[] = [];
+  private _next = 0;
+
+  /** @param _daemons addresses of the real daemons */
+  constructor(
+    private readonly _daemons: string[],
+    private readonly _size: number,
+  ) {
+    this._clients = _daemons.map((address) =>
+      createClient(PeerService, createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '1.1', useBinaryFormat: true })),
+    );
+  }
+
+  /** Makes the crowd known to every daemon. */
+  async join(): Promise<void> {
+    const routes = (router: ConnectRouter): void => {
+      router.service(PeerService, {
+        ping: ({ configVersion }) => ({ configVersion, changes: [] }),
+        fetchMembers: () => ({ members: this._members }),
+      });
+    };
+    await this._app.register(fastifyConnectPlugin, { routes, acceptCompression: [] });
+    await this._app.listen({ host: '127.0.0.1', port: 0 });
+    const { port } = this._app.server.address() as AddressInfo;
+    for (let i = 0; i < this._size; i++) {
+      this._members.push(makeMember(i, `127.0.0.1:${port}`));
+    }
+    for (const client of this._clients) {
+      for (let i = 0; i < this._size; i += kLearnAtOnce) {
+        await client.ping({ from: 'crowd0', changes: this._members.slice(i, i + kLearnAtOnce) });
+      }
+    }
+  }
+
+  /** Begins to ping each daemon once a period; each ping carries `changes` changed records. */
+  start(changes: number): void {
+    for (const client of this._clients) {
+      this._timers.push(
+        setInterval(() => {
+          void client.ping({ from: `crowd${this._next % this._size}`, changes: this._change(changes) }).catch(() => undefined);
+        }, kPeriodMs),
+      );
+    }
+  }
+
+  /** Stops pinging. */
+  pause(): void {
+    this._timers.splice(0).forEach((timer) => {
+      clearInterval(timer);
+    });
+  }
+
+  /** Leaves. */
+  async close(): Promise<void> {
+    this.pause();
+    await this._app.close();
+  }
+
+  private _change(count: number): Member[] {
+    return Array.from({ length: count }, () => {
+      const index = this._next++ % this._size;
+      const changed = clone(MemberSchema, this._members[index] ?? makeMember(index, ''));
+      changed.revision++;
+      changed.level = kOpenLevel - ((this._next * kLevelStep) % kOpenLevel);
+      this._members[index] = changed;
+      return changed;
+    });
+  }
+}
+
+function makeMember(i: number, address: string): Member {
+  const zone = i % kZones;
+  return create(MemberSchema, {
+    id: `crowd${i}`,
+    incarnation: 1n,
+    revision: 1,
+    address,
+    zone: `zone-${zone}`,
+    region: zone < 4 ? 'one' : 'two',
+    state: MemberState.ALIVE,
+    service: `service-${i % kServices}`,
+    target: `crowd${i}-target`,
+    targetState: TargetState.SERVING,
+    slots: 100,
+    level: kOpenLevel,
+  });
+}
--- a/bench/control/main.ts
+++ b/bench/control/main.ts
@@ -8,9 +8,11 @@
  * and calls. Real daemon processes on the loopback; their host names spread over seven zones in two regions.
  */
 
+import { readFileSync } from 'node:fs';
 import { Pool } from 'undici';
 import { Fleet, type HostPlan } from '../../tests/support/fleet.js';
 import { kSampleConfig } from '../../tests/support/sampleConfig.js';
+import { Crowd } from './crowd.js';
 import { fitLine, type Line } from './fit.js';
 
 const kMembers = (process.argv[2] ?? '4,8,16,32,64').split(',').map(Number);
@@ -22,6 +24,8 @@
 const kClaimsPerSecond = [0, 20, 40, 80];
 const kCallsPerSecond = [0, 50, 100, 200];
 const kStartAtOnce = 8;
+const kFullSize = 490;
+const kCrowdChanges = [0, 2, 10];
 
 interface Status {
   memoryBytes: number;
@@ -38,6 +42,8 @@
   readsPerSecond: number;
   rssMb: number;
   heapMb: number;
+  /** Memory that the process does not share with others, such as its program. */
+  ownMb: number;
 }
 
 const kQuiet = { logLevel: 'warn' as const };
@@ -81,9 +87,19 @@
     readsPerSecond: rate((s) => s.control.reads),
     rssMb: mean((_, a) => a.memoryBytes) / 1_048_576,
     heapMb: mean((_, a) => a.heapBytes) / 1_048_576,
+    ownMb: meanOwnMb(fleet),
   };
 }
 
+/** Anonymous memory of the daemons, from the kernel's own count. */
+function meanOwnMb(fleet: Fleet): number {
+  const sizes = [...fleet.hosts.values()].map(({ daemon }) => {
+    const text = readFileSync(`/proc/${daemon.pid ?? 0}/status`, 'utf8');
+    return Number(/^RssAnon:\s+(\d+) kB/m.exec(text)?.[1] ?? 0) / 1_024;
+  });
+  return sizes.reduce((a, b) => a + b, 0) / sizes.length;
+}
+
 async function byMembers(): Promise<[number, Point][]> {
   const points: [number, Point][] = [];
   for (const size of kMembers) {
@@ -98,6 +114,25 @@
   return points;
 }
 
+/** A few real daemons in a crowd of 490 members, at rest and with records changing. */
+async function inCrowd(fleet: Fleet): Promise<[number, Point][]> {
+  const points: [number, Point][] = [];
+  const crowd = new Crowd(
+    [...fleet.hosts.values()].map(({ address }) => address),
+    kFullSize - kSmall,
+  );
+  await crowd.join();
+  for (const changes of kCrowdChanges) {
+    crowd.start(changes);
+    await pause(kSettleMs);
+    points.push([changes, await measure(fleet)]);
+    show(`${kFullSize} members of which ${kSmall} are real, ${changes} records changed a second`, points.at(-1)?.[1]);
+    crowd.pause();
+  }
+  await crowd.close();
+  return points;
+}
+
 async function byChanges(fleet: Fleet): Promise<{ points: [number, Point][]; inForceMs: number[] }> {
   const points: [number, Point][] = [];
   const inForceMs: number[] = [];
@@ -164,9 +199,14 @@
 
 function show(what: string, point: Point | undefined): void {
   if (point) {
-    const { cpuShare, bytesPerSecond, appendsPerSecond, readsPerSecond, rssMb, heapMb } = point;
+    const { cpuShare, bytesPerSecond, appendsPerSecond, readsPerSecond, rssMb, heapMb, ownMb } = point;
     const text = [`cpu ${(cpuShare * 100).toFixed(2)} %`, `${bytesPerSecond.toFixed(0)} B/s`, `${appendsPerSecond.toFixed(2)} appends/s`];
-    const more = [`${readsPerSecond.toFixed(2)} reads/s`, `rss ${rssMb.toFixed(1)} MB`, `heap ${heapMb.toFixed(1)} MB`];
+    const more = [
+      `${readsPerSecond.toFixed(2)} reads/s`,
+      `rss ${rssMb.toFixed(1)} MB`,
+      `own ${ownMb.toFixed(1)} MB`,
+      `heap ${heapMb.toFixed(1)} MB`,
+    ];
     console.log(`${what}: a daemon spends ${[...text, ...more].join(', ')}`);
   }
 }
@@ -181,6 +221,7 @@
     bytesPerSecond: slope(points, (p) => p.bytesPerSecond),
     appendsPerSecond: slope(points, (p) => p.appendsPerSecond),
     readsPerSecond: slope(points, (p) => p.readsPerSecond),
+    ownMb: slope(points, (p) => p.ownMb),
     rssMb: slope(points, (p) => p.rssMb),
     heapMb: slope(points, (p) => p.heapMb),
   };
@@ -192,10 +233,18 @@
   const { points: changes, inForceMs } = await byChanges(fleet);
   const calls = await byCalls(fleet, kCallsPerSecond, () => ({}), 'calls');
   const claims = await byCalls(fleet, kClaimsPerSecond, (i) => ({ 'idempotency-key': `bench-${i}` }), 'claimed calls');
+  const crowd = await inCrowd(fleet);
   const sorted = [...inForceMs].sort((a, b) => a - b);
   const inForce = { changes: sorted.length, median: sorted[Math.floor(sorted.length / 2)], worst: sorted.at(-1) };
   console.log(
-    JSON.stringify({ members: lines(members), changes: lines(changes), calls: lines(calls), claims: lines(claims), inForceMs: inForce }),
+    JSON.stringify({
+      members: lines(members),
+      changes: lines(changes),
+      calls: lines(calls),
+      claims: lines(claims),
+      crowd: lines(crowd),
+      inForceMs: inForce,
+    }),
   );
 } finally {
   fleet.stop();
--- a/bench/policy/layerPolicy.ts
+++ b/bench/policy/layerPolicy.ts
@@ -394,6 +394,7 @@
         rootAddress: '',
         rootIncarnation: 1,
         repeatable: false,
+        path: '',
       },
       key: { kind: 'none' },
       bodyDigest: '',
--- a/packages/core/src/chain/retryLedger.ts
+++ b/packages/core/src/chain/retryLedger.ts
@@ -12,6 +12,9 @@
 
 import { kAllOpen, type LevelReport, tighter } from '../admission/levelReport.js';
 
+/** Share of an entry that one onward call takes along. */
+const kLentShare = 2 / 3;
+
 interface LedgerEntry {
   remaining: number;
   level: LevelReport;
@@ -62,15 +65,15 @@
   }
 
   /**
-   * Takes a share for an onward call: half of what remains, rounded up, so that one unit reaches any depth and
-   * parallel siblings find something left. An unknown entry gives zero.
+   * Takes a share for an onward call: two thirds of what remains, rounded up, so that two units reach any depth of a
+   * plain chain, and parallel siblings of a larger allowance find something left. An unknown entry gives zero.
    */
   reserve(id: string): number {
     const entry = this._entries.get(id);
     if (!entry) {
       return 0;
     }
-    const share = Math.ceil(entry.remaining / 2);
+    const share = Math.ceil(entry.remaining * kLentShare);
     entry.remaining -= share;
     return share;
   }
--- a/packages/core/src/errors/errorKind.ts
+++ b/packages/core/src/errors/errorKind.ts
@@ -55,6 +55,7 @@
   answer_truncated: { status: 502, outcome: 'unknown', repeat: true, retryAfter: true, title: 'Answer incomplete' },
   answer_too_large: { status: 502, outcome: 'ran', repeat: false, retryAfter: false, title: 'Answer over the limit' },
   target_failed: { status: 502, outcome: 'unknown', repeat: true, retryAfter: true, title: 'Target failed' },
+  internal_error: { status: 500, outcome: 'unknown', repeat: false, retryAfter: false, title: 'Fault of the daemon' },
   outcome_unknown: { status: 502, outcome: 'unknown', repeat: false, retryAfter: false, title: 'Outcome of an earlier run unknown' },
   patch_conflict: { status: 409, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Patch lost to another' },
   patch_invalid: { status: 422, outcome: 'not_run', repeat: false, retryAfter: false, title: 'Patch gives an invalid configuration' },
--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -42,6 +42,8 @@
   rootIncarnation: number;
   /** Whether an ancestor may be sent more than once. */
   repeatable: boolean;
+  /** Which call of the chain this is, the same for each attempt at it; empty for the root. */
+  path: string;
 }
 
 /** A call to be served at this daemon. */
@@ -103,6 +105,7 @@
     remainingMs: call.deadline - now,
     idempotent: cls.idempotent,
     repeatable: chain.repeatable || (cls.idempotent && (cls.retries > 0 || allowance > 0)),
+    path: chain.path,
     rootDaemon: chain.rootDaemon,
     rootAddress: chain.rootAddress,
     rootIncarnation: chain.rootIncarnation,
--- a/packages/daemon/src/app/callService.ts
+++ b/packages/daemon/src/app/callService.ts
@@ -40,7 +40,7 @@
 import { CallSession, type SessionDeps } from './callSession.js';
 import type { ClaimService } from './claimService.js';
 import type { DecisionLog } from './decisionLog.js';
-import { digestOf, spreadHash } from './digests.js';
+import { digestOf, spreadHash, spreadHashOf, wideHash } from './digests.js';
 import { Ids } from './ids.js';
 import type { Metrics } from './metrics.js';
 import { type KeyText, parseKey } from './keyText.js';
@@ -188,7 +188,7 @@
     if (this._bytes + payload.body.byteLength > this._deps.inFlightBytes) {
       return 'overloaded';
     }
-    const chain = this._placeInChain(id, cls, req.chain);
+    const chain = this._placeInChain(id, cls, req);
     if (chain.depth > kMaxChainDepth) {
       return 'chain_too_deep';
     }
@@ -197,7 +197,7 @@
       return 'bad_key';
     }
     const bodyDigest = parsed.kind !== 'none' || !cls.idempotent ? digestOf(payload.method, service, payload.path, payload.body) : '';
-    const key = this._keyOf(parsed, cls, chain, bodyDigest);
+    const key = this._keyOf(parsed, cls, chain);
     return { id, cls, chain, key, bodyDigest, payload, deadline: this._deadline(cls, req) };
   }
 
@@ -206,7 +206,7 @@
     return monotonicMs() + Math.min(cls.deadlineMs, req.timeoutMs ?? Infinity, byChain);
   }
 
-  private _placeInChain(id: string, cls: NamedClass, token: ChainToken | undefined): ChainPlace {
+  private _placeInChain(id: string, cls: NamedClass, { chain: token, payload }: IncomingRequest): ChainPlace {
     const { daemon } = this._deps;
     if (!token) {
       return {
@@ -218,14 +218,16 @@
         rootAddress: daemon.address,
         rootIncarnation: daemon.incarnation,
         repeatable: false,
+        path: '',
       };
     }
     const { root, importance, cohort, depth, rootDaemon, rootAddress, repeatable, entry } = token;
     const rootIncarnation = Number(token.rootIncarnation);
-    return { root, parent: entry, importance, cohort, depth: depth + 1, rootDaemon, rootAddress, rootIncarnation, repeatable };
+    const path = repeatable ? this._pathOf(token, cls, payload) : '';
+    return { root, parent: entry, importance, cohort, depth: depth + 1, rootDaemon, rootAddress, rootIncarnation, repeatable, path };
   }
 
-  private _keyOf(parsed: KeyText, cls: NamedClass, chain: ChainPlace, bodyDigest: string): CallKey {
+  private _keyOf(parsed: KeyText, cls: NamedClass, chain: ChainPlace): CallKey {
     switch (parsed.kind) {
       case 'own':
         return { kind: 'own', key: digestOf('own', cls.service, parsed.text) };
@@ -240,8 +242,13 @@
     if (cls.idempotent || !chain.repeatable || chain.parent === undefined) {
       return { kind: 'none' };
     }
-    const ordinal = this._nextOrdinal(chain.parent, `${cls.name}/${bodyDigest}`);
-    return { kind: 'derived', key: digestOf('derived', chain.root, String(chain.depth), cls.name, bodyDigest, String(ordinal)) };
+    return { kind: 'derived', key: digestOf('derived', chain.root, chain.path) };
+  }
+
+  /** Names a call within its chain by its parent, its own content, and its number among equal calls of that parent. */
+  private _pathOf(token: ChainToken, cls: NamedClass, payload: Payload): string {
+    const call = `${cls.name} ${payload.method} ${payload.path} ${spreadHashOf(payload.body)}`;
+    return wideHash(`${token.path}/${call}/${this._nextOrdinal(token.entry, call)}`);
   }
 
   /** Numbers equal calls of one parent: the second of two equal holds is meant, a retried parent's first is not. */
--- a/packages/daemon/src/app/configService.ts
+++ b/packages/daemon/src/app/configService.ts
@@ -147,8 +147,11 @@
       return;
     }
     this._fetching = true;
-    await this.fetchFrom(address);
-    this._fetching = false;
+    try {
+      await this.fetchFrom(address);
+    } finally {
+      this._fetching = false;
+    }
   }
 
   /** What a peer lacks from an offset on: records while they are kept, else a snapshot. */
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -85,6 +85,7 @@
     this.offers = new OfferService({
       incarnation: this.incarnation,
       maxBodyBytes: settings.limits.bodyBytes,
+      inFlightBytes: settings.limits.inFlightBytes,
       ledger: this._ledger,
       pools: this._pools,
       tokens: this.tokens,
@@ -290,7 +291,10 @@
     if (Math.abs(level - this.members.view.self.level) >= kLevelStep) {
       this.members.view.update({ level }, monotonicMs());
     }
-    this._picker.retain([...this._candidates.values()].flat());
+    const candidates = [...this._candidates.values()].flat();
+    this._picker.retain(candidates);
+    const inUse = candidates.map(({ address }) => `http://${address}`);
+    this._pools.retain(new Set([...inUse, this.target.announcement?.url ?? '']));
     this._gauges();
   }
 
--- a/packages/daemon/src/app/digests.ts
+++ b/packages/daemon/src/app/digests.ts
@@ -30,3 +30,13 @@
 export function spreadHash(text: string): number {
   return kXxhash.h32(text);
 }
+
+/** 64-bit hash of bytes, as text. */
+export function spreadHashOf(bytes: Uint8Array): string {
+  return bytes.byteLength === 0 ? '' : kXxhash.h64Raw(bytes).toString(36);
+}
+
+/** 64-bit hash of a text, as text. */
+export function wideHash(text: string): string {
+  return kXxhash.h64(text).toString(36);
+}
--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -11,6 +11,7 @@
   type ForwardEnd,
   type GateCall,
   gateCall,
+  kAllOpen,
   kOpeningOnTheWay,
   type GateEvents,
   monotonicMs,
@@ -39,6 +40,7 @@
 export interface OfferDeps {
   incarnation: number;
   maxBodyBytes: number;
+  inFlightBytes: number;
   ledger: RetryLedger;
   pools: Pools;
   tokens: ChainTokens;
@@ -54,6 +56,7 @@
   private readonly _terms = new Map<string, OfferTerms>();
   private readonly _seen = new Set<string>();
   private readonly _below: RootFilter;
+  private _bytes = 0;
 
   constructor(private readonly _deps: OfferDeps) {
     this._below = new RootFilter(_deps.favour, kOpeningOnTheWay);
@@ -84,6 +87,18 @@
       seen: { add: (attempt: string) => this._markSeen(attempt) },
       decide: decisions.add.bind(decisions),
     };
+    const size = payload.body.byteLength;
+    if (this._bytes + size > this._deps.inFlightBytes) {
+      decisions.add({
+        request: terms.request,
+        attempt: terms.attempt,
+        step: 'gate',
+        cls: terms.className,
+        reason: 'bodies over the limit',
+      });
+      return { kind: 'refused', reason: 'overloaded', unspent: terms.allowance, level: kAllOpen };
+    }
+    this._bytes += size;
     this._terms.set(terms.attempt, terms);
     try {
       return await runProcedure(gateCall(terms, payload, ctx), {
@@ -91,6 +106,7 @@
         forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline),
       });
     } finally {
+      this._bytes -= size;
       this._terms.delete(terms.attempt);
     }
   }
@@ -177,6 +193,7 @@
       rootAddress: terms.rootAddress,
       rootIncarnation: BigInt(terms.rootIncarnation),
       repeatable: terms.repeatable,
+      path: terms.path,
     });
     const baggage = payload.headers.baggage;
     return {
--- a/packages/daemon/src/server/callRoutes.ts
+++ b/packages/daemon/src/server/callRoutes.ts
@@ -6,7 +6,7 @@
 /** Routes that carry calls: from callers and targets to any service, and offers between daemons. */
 
 import { offerHeadSchema, kOfferHeader, kVerdictHeader } from '@gentiandrum/protocol';
-import { failedWith } from '@gentiandrum/core';
+import { answerOf, failedWith } from '@gentiandrum/core';
 import type { IncomingMessage } from 'node:http';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { verdictHeader } from '../app/callSession.js';
@@ -16,6 +16,7 @@
 
 const kNoId = 'none';
 const kTooLarge = 413;
+const kServerError = 500;
 /** Longest time for which the rest of a request that is too large is read off, in milliseconds. */
 const kReadOffMs = 2_000;
 const kNoBody = Buffer.alloc(0);
@@ -34,15 +35,26 @@
   });
   app.all('/*', (req, reply) => takeCall(daemon, req, reply));
   app.setErrorHandler(async (err: { statusCode?: number; code?: string; message: string }, req, reply) => {
-    const tooLarge = err.statusCode === kTooLarge;
-    if (tooLarge) {
+    const kind = kindOfStatus(err.statusCode);
+    if (kind === 'body_too_large') {
       await readOff(req.raw);
     }
-    sendServed(reply, kNoId, failedWith(tooLarge ? 'body_too_large' : 'bad_request', 'not_run', err.message));
+    if (kind === 'internal_error') {
+      daemon.logger.error('http', 'A request failed by a fault of the daemon.', { err: err.message });
+    }
+    sendServed(reply, kNoId, failedWith(kind, answerOf(kind).outcome, err.message));
     return reply;
   });
 }
 
+/** Kind of an error that the server raised itself. One without a status of the caller's is the daemon's own. */
+function kindOfStatus(status: number | undefined): 'body_too_large' | 'bad_request' | 'internal_error' {
+  if (status === kTooLarge) {
+    return 'body_too_large';
+  }
+  return status !== undefined && status < kServerError ? 'bad_request' : 'internal_error';
+}
+
 /** Reads off the rest of a request for a while: a caller that is still sending would be cut before it saw the answer. */
 function readOff(req: IncomingMessage): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/daemon/src/server/controlController.ts
+++ b/packages/daemon/src/server/controlController.ts
@@ -7,7 +7,7 @@
 
 import { Body, Controller, Get, Header, HttpCode, HttpException, Inject, Param, Post, Query } from '@nestjs/common';
 import { answerOf, type ErrorKind, kOpenLevel, type Member, type Submitted, wallMs } from '@gentiandrum/core';
-import { announcementSchema, kProblemType, patchRequestSchema } from '@gentiandrum/protocol';
+import { announcementSchema, patchRequestSchema } from '@gentiandrum/protocol';
 import type { LoggedDecision } from '../app/decisionLog.js';
 import { Daemon } from '../app/daemon.js';
 
@@ -146,8 +146,5 @@
 
 function problem(kind: ErrorKind, detail: string, more: object = {}): HttpException {
   const { status, title, outcome } = answerOf(kind);
-  return new HttpException(
-    { type: `urn:gentiandrum:error:${kind}`, title, status, detail, kind, outcome, contentType: kProblemType, ...more },
-    status,
-  );
+  return new HttpException({ type: `urn:gentiandrum:error:${kind}`, title, status, detail, kind, outcome, ...more }, status);
 }
--- a/packages/daemon/src/server/main.ts
+++ b/packages/daemon/src/server/main.ts
@@ -61,6 +61,9 @@
     }
     void stop(daemon, server);
   };
+  process.on('unhandledRejection', (err) => {
+    daemon.logger.error('start', 'A fault of the daemon was not handled.', { err: err instanceof Error ? err.stack : String(err) });
+  });
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
   await daemon.start();
--- /dev/null
+++ b/packages/daemon/src/server/problemFilter.ts
@@ -0,0 +1,36 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Errors of control requests as problem+json. */
+
+import { type ArgumentsHost, Catch, type ExceptionFilter, HttpException } from '@nestjs/common';
+import { answerOf } from '@gentiandrum/core';
+import { kProblemType } from '@gentiandrum/protocol';
+import type { FastifyReply } from 'fastify';
+
+const kServerError = 500;
+
+/** Answers every error of a control request. */
+@Catch()
+export class ProblemFilter implements ExceptionFilter {
+  catch(err: unknown, host: ArgumentsHost): void {
+    const reply = host.switchToHttp().getResponse<FastifyReply>();
+    const status = err instanceof HttpException ? err.getStatus() : kServerError;
+    void reply
+      .header('content-type', kProblemType)
+      .code(status)
+      .send(Buffer.from(JSON.stringify(bodyOf(err, status))));
+  }
+}
+
+function bodyOf(err: unknown, status: number): unknown {
+  const told = err instanceof HttpException ? err.getResponse() : undefined;
+  if (typeof told === 'object' && 'kind' in told) {
+    return told;
+  }
+  const kind = status < kServerError ? 'bad_request' : 'internal_error';
+  const { title } = answerOf(kind);
+  return { type: `urn:gentiandrum:error:${kind}`, title, status, kind, detail: err instanceof Error ? err.message : String(err) };
+}
--- a/packages/daemon/src/server/startServer.ts
+++ b/packages/daemon/src/server/startServer.ts
@@ -15,6 +15,7 @@
 import { AppModule } from './appModule.js';
 import { callRoutes } from './callRoutes.js';
 import { peerRoutes } from './peerRoutes.js';
+import { ProblemFilter } from './problemFilter.js';
 
 const kMaxHeaderBytes = 65_536;
 const kKeepAliveMs = 75_000;
@@ -39,6 +40,7 @@
   // Nest declares its options as a class and documents them as a literal.
   // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
   const app: NestFastifyApplication = await NestFactory.create(AppModule.for(daemon), adapter, { bodyParser: false, logger: false });
+  app.useGlobalFilters(new ProblemFilter());
   const fastify = adapter.getInstance<FastifyInstance>();
   meterPeers(fastify, daemon);
   closeWhileStopping(fastify, daemon);
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -63,6 +63,8 @@
   remainingMs: z.number(),
   idempotent: z.boolean(),
   repeatable: z.boolean(),
+  /** Which call of the chain this is, the same for each attempt at it. */
+  path: z.string(),
   rootDaemon: z.string(),
   rootAddress: z.string(),
   rootIncarnation: z.number(),
--- a/tests/matrix/matrixWorld.ts
+++ b/tests/matrix/matrixWorld.ts
@@ -31,7 +31,7 @@
 import { MatrixDaemon } from './matrixDaemon.js';
 import { digest, kClaimStream, MatrixLog } from './matrixLog.js';
 import { MatrixPeers } from './matrixPeers.js';
-import type { Request } from './request.js';
+import { onwardCall, type Request } from './request.js';
 import { type Resume, Session } from './session.js';
 
 const kHopMs = 1;
@@ -216,6 +216,7 @@
         rootAddress: daemon.plan.id,
         rootIncarnation: daemon.incarnation,
         repeatable: false,
+        path: '',
       },
       key: this._keyOf(req),
       bodyDigest: req.body,
@@ -523,7 +524,7 @@
       for (const next of onward) {
         const id = `q${this._ids++}`;
         this._requests.set(id, next);
-        this._serve(daemon, this._onwardCall(id, next, terms), undefined, (served) => {
+        this._serve(daemon, onwardCall(id, next, terms, this.time.now), undefined, (served) => {
           ok &&= served?.kind === 'answer' && served.answer.status === 200;
           open--;
           if (open === 0) {
@@ -533,19 +534,4 @@
       }
     });
   }
-
-  private _onwardCall(id: string, req: Request, terms: OfferTerms): Call {
-    const { root, rootDaemon, rootAddress, rootIncarnation, repeatable, importance, cohort } = terms;
-    const depth = terms.depth + 1;
-    const derived = !req.cls.idempotent && repeatable;
-    return {
-      id,
-      cls: req.cls,
-      chain: { root, parent: terms.attempt, importance, cohort, depth, rootDaemon, rootAddress, rootIncarnation, repeatable },
-      key: derived ? { kind: 'derived', key: `${root}/${depth}/${req.body}` } : { kind: 'none' },
-      bodyDigest: req.body,
-      payload: { method: 'POST', path: '/', headers: {}, body: Buffer.from(req.body) },
-      deadline: this.time.now + req.cls.deadlineMs,
-    };
-  }
 }
--- a/tests/matrix/request.ts
+++ b/tests/matrix/request.ts
@@ -5,7 +5,8 @@
 
 /** Requests that the scenarios send. */
 
-import type { NamedClass } from '@gentiandrum/core';
+import type { Call, NamedClass } from '@gentiandrum/core';
+import type { OfferTerms } from '@gentiandrum/protocol';
 
 /** A request of the matrix: what it is, and what its target calls onward. */
 export interface Request {
@@ -19,3 +20,20 @@
   /** Its targets always fail. */
   fails?: boolean;
 }
+
+/** The onward call that a target makes for a call it serves. */
+export function onwardCall(id: string, req: Request, terms: OfferTerms, now: number): Call {
+  const { root, rootDaemon, rootAddress, rootIncarnation, repeatable, importance, cohort } = terms;
+  const depth = terms.depth + 1;
+  const derived = !req.cls.idempotent && repeatable;
+  const path = `${terms.path}/${req.body}`;
+  return {
+    id,
+    cls: req.cls,
+    chain: { root, parent: terms.attempt, importance, cohort, depth, rootDaemon, rootAddress, rootIncarnation, repeatable, path },
+    key: derived ? { kind: 'derived', key: `${root}${path}` } : { kind: 'none' },
+    bodyDigest: req.body,
+    payload: { method: 'POST', path: '/', headers: {}, body: Buffer.from(req.body) },
+    deadline: now + req.cls.deadlineMs,
+  };
+}
