A fleet ends its processes also when its start fails

Cause: a control bench that failed while it started left eight daemons running; they were ended by id. Change: the fleet kills what it started when its process exits, however that comes about.

--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -58,6 +58,10 @@
   /** Starts the log and the hosts, and waits until the daemons answer. */
   static async start(plans: HostPlan[], settings: Partial<Settings> = {}): Promise<Fleet> {
     const fleet = new Fleet();
+    // Also when the start fails: nothing that was started may outlive this process.
+    process.once('exit', () => {
+      fleet.stop();
+    });
     fleet.logUrl = await fleet._spawnStandin(['log']).line;
     await Promise.all(plans.map((plan) => fleet.startHost(plan, settings)));
     return fleet;
