A new gate takes over the target's state; dead code and a constant written twice removed

Found by reading the whole change: a target that came back at another address got a new gate, which was open whatever state the old one was in. A target that the operator lets leave would have taken offers of daemons that had not heard. A changed name or service is now told to the others also when the slots stay the same. No behaviour beside the mend changes.

--- a/packages/core/src/procedures/serveCall.ts
+++ b/packages/core/src/procedures/serveCall.ts
@@ -5,6 +5,7 @@
 
 /** Serves a call at the daemon where it came in: from a caller, or from the target on this host. */
 
+import { kMaxDepth } from '@gentiandrum/protocol';
 import { kAllOpen } from '../admission/levelReport.js';
 import { rankOf } from '../admission/rank.js';
 import { answerOf, type ErrorKind } from '../errors/errorKind.js';
@@ -15,9 +16,6 @@
 import { failedWith, type Served } from './served.js';
 import { joinKnown, settleCall } from './settleCall.js';
 
-/** Deepest call of a chain that is served. */
-export const kMaxChainDepth = 64;
-
 /** Serves a call. */
 export function* serveCall(call: Call, ctx: ServeContext): Procedure<Served> {
   const { parent, root } = call.chain;
@@ -59,7 +57,7 @@
 function refuseEarly(call: Call, ctx: ServeContext): ErrorKind | undefined {
   const now = monotonicMs();
   const { chain, cls } = call;
-  if (chain.depth > kMaxChainDepth) {
+  if (chain.depth > kMaxDepth) {
     return 'chain_too_deep';
   }
   if (now >= call.deadline) {
--- a/packages/daemon/src/app/callService.ts
+++ b/packages/daemon/src/app/callService.ts
@@ -16,7 +16,6 @@
   type ErrorKind,
   importanceIndex,
   KeySettler,
-  kMaxChainDepth,
   monotonicMs,
   type NamedClass,
   type Payload,
@@ -34,7 +33,7 @@
   answerOf,
   wallMs,
 } from '@gentiandrum/core';
-import type { Config } from '@gentiandrum/protocol';
+import { type Config, kMaxDepth } from '@gentiandrum/protocol';
 import type { ChainToken } from '@gentiandrum/protocol/peers';
 import type { PeerClient } from '../client/peerClient.js';
 import { CallSession, type SessionDeps } from './callSession.js';
@@ -189,7 +188,7 @@
       return 'overloaded';
     }
     const chain = this._placeInChain(id, cls, req);
-    if (chain.depth > kMaxChainDepth) {
+    if (chain.depth > kMaxDepth) {
       return 'chain_too_deep';
     }
     const parsed = parseKey(req.key);
--- a/packages/daemon/src/app/ids.ts
+++ b/packages/daemon/src/app/ids.ts
@@ -20,8 +20,3 @@
     return this._prefix + this._sequence.toString(36);
   }
 }
-
-/** Name of the daemon that gave an id. */
-export function daemonOfId(id: string): string {
-  return id.split('~')[0] ?? '';
-}
--- a/packages/daemon/src/app/localTarget.ts
+++ b/packages/daemon/src/app/localTarget.ts
@@ -57,6 +57,7 @@
     if (!same || !this._gate) {
       this._gate?.close('no_target');
       this._gate = new Gate(announcement.slots, this._favour, this._gateEvents, now);
+      this._applyToGate(this._state);
       this._logger.info('target', `${announcement.target} announced itself.`, { ...announcement });
     }
     this._announcement = announcement;
@@ -64,7 +65,7 @@
     this._gate.announce(announcement.slots);
     this._words.accepting = announcement.accepting;
     this._settle();
-    if (known?.slots !== announcement.slots) {
+    if (!same || known.slots !== announcement.slots) {
       this._onState();
     }
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,6 +6,8 @@
 /** Parts of the daemon for tests, benches and examples. */
 
 export { Daemon } from './app/daemon.js';
+export { LocalTarget } from './app/localTarget.js';
+export { Logger } from './app/logger.js';
 export { ChainTokens } from './app/chainToken.js';
 export { loadSettings } from './app/loadSettings.js';
 export { exchange, HttpExchange } from './client/httpExchange.js';
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -103,5 +103,3 @@
 export type PatchRequest = z.infer<typeof patchRequestSchema>;
 /** Checked terms of an offer. */
 export type OfferTerms = z.infer<typeof offerTermsSchema>;
-/** Checked verdict on an offer. */
-export type OfferVerdict = z.infer<typeof offerVerdictSchema>;
--- a/packages/protocol/src/recordSchemas.ts
+++ b/packages/protocol/src/recordSchemas.ts
@@ -78,8 +78,6 @@
 export type PatchRecord = z.infer<typeof patchRecordSchema>;
 /** Checked snapshot record. */
 export type SnapshotRecord = z.infer<typeof snapshotRecordSchema>;
-/** Checked member record. */
-export type MemberRecord = z.infer<typeof memberRecordSchema>;
 /** Checked claim record. */
 export type ClaimRecord = z.infer<typeof claimRecordSchema>;
 /** Checked answer of the log to a read. */
--- a/tests/admission/gate.spec.ts
+++ b/tests/admission/gate.spec.ts
@@ -208,9 +208,6 @@
       gate.offer(call(id, importance));
       slotTimes.set(id, performance.now());
     }
-    for (const id of [...slotTimes.keys()]) {
-      slotTimes.set(id, slotTimes.get(id) ?? 0);
-    }
   }
   for (const id of slotTimes.keys()) {
     gate.ended(id, { kind: 'completed', totalMs: 40, ownMs: 40 });
--- a/tests/matrix/matrixWorld.ts
+++ b/tests/matrix/matrixWorld.ts
@@ -15,8 +15,6 @@
   type ConfigFold,
   type Effect,
   gateCall,
-  type Gate,
-  type GateCall,
   type OfferEnd,
   type Procedure,
   rankOf,
@@ -447,7 +445,7 @@
   private _forward(daemon: MatrixDaemon, effect: EffectOf<'forward'>, resume: Resume, fault: Fault | undefined): void {
     const { attempt, payload, deadline } = effect;
     const call = daemon.gateContext.ledger.has(attempt);
-    const terms = this._termsOf(daemon.gate, attempt);
+    const terms = daemon.gate.started(attempt)?.terms;
     if (fault === 'lost_before' || !call || !terms) {
       this.time.after(kHopMs, () => {
         resume({ kind: 'lost', written: false });
@@ -499,10 +497,6 @@
     }
   }
 
-  private _termsOf(gate: Gate<GateCall>, attempt: string): OfferTerms | undefined {
-    return gate.started(attempt)?.terms;
-  }
-
   private _startRun(daemon: MatrixDaemon, terms: OfferTerms, body: Uint8Array): void {
     const req = this._requests.get(terms.request);
     const meaning = req?.key ?? `${terms.root}/${terms.depth}/${Buffer.from(body).toString()}`;
--- a/tests/matrix/scenarios.ts
+++ b/tests/matrix/scenarios.ts
@@ -5,7 +5,7 @@
 
 /** What the matrix plays: each procedure of the core at work, alone and together with others. */
 
-import { coldStart, type NamedClass, plannedStop, refreshSnapshot, type Served, submitPatch } from '@gentiandrum/core';
+import { coldStart, type NamedClass, plannedStop, refreshSnapshot, submitPatch } from '@gentiandrum/core';
 import { kConfigStream, type PatchRecord } from '@gentiandrum/protocol';
 import { digest } from './matrixLog.js';
 import { MatrixWorld } from './matrixWorld.js';
@@ -241,11 +241,3 @@
     throw err;
   }
 }
-
-/** How a try ended, for people. */
-export function endOf(served: Served | undefined): string {
-  if (!served) {
-    return 'no answer';
-  }
-  return served.kind === 'answer' ? `status ${served.answer.status}` : `${served.error}/${served.outcome}`;
-}
