--- /dev/null
+++ b/packages/core/src/admission/slotGate.ts
@@ -0,0 +1,200 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Gate of one target with a known number of slots: the only way to it. Decides at once whether a call starts, waits or is
+ * refused, and never lets more calls run than the target has slots for.
+ *
+ * Without I/O: `onStart` and `onRefuse` tell the surroundings what became of a waiting call.
+ */
+
+import { monotonicMs } from '../util/clock.js';
+
+/** Share of the slots that is used: some targets slow down when they are nearly full. */
+const kUsedSlots = 0.95;
+/** Weight of the newest run in the mean time per run. */
+const kMeanWeight = 0.05;
+/** Longest queue as a multiple of the slots; beyond it waiting can't help. */
+const kQueuePerSlot = 8;
+/** Shares of the slots that a target gets at first after its start, and after each second up to all. */
+const kColdShares = [0.5, 0.75] as const;
+
+/** Why a gate refuses a call. None of these has run. */
+export type GateRefusal = 'not_accepting' | 'overloaded' | 'repeat_budget' | 'wait_too_long';
+
+/** A call that asks to be let in. */
+export interface GatedCall {
+  id: number;
+  /** Smaller is more urgent. */
+  rank: number;
+  /** Time up to which it may wait, on the monotonic clock. */
+  waitUntil: number;
+}
+
+/** What a gate tells its surroundings. */
+export interface SlotGateEvents<T extends GatedCall> {
+  onStart(call: T): void;
+  onRefuse(call: T, reason: GateRefusal): void;
+}
+
+/** Gate of one target. */
+export class SlotGate<T extends GatedCall> {
+  private readonly _queues: T[][] = [];
+  private readonly _running = new Set<number>();
+  private _queued = 0;
+  private _slots = 0;
+  private _accepting = false;
+  private _meanMs = 0;
+  private _warmFrom = 0;
+  /** Time at which a call last had to wait or was refused for want of slots. */
+  private _fullAt = -Infinity;
+
+  constructor(private readonly _events: SlotGateEvents<T>) {}
+
+  /** Calls at the target. */
+  get inFlight(): number {
+    return this._running.size;
+  }
+
+  /** Calls that wait. */
+  get queued(): number {
+    return this._queued;
+  }
+
+  /** Calls that may run at once. */
+  get limit(): number {
+    return Math.max(1, Math.floor(this._slots * kUsedSlots * this._coldShare()));
+  }
+
+  /** Mean time of a run, in milliseconds; 0 until one ended. */
+  get meanMs(): number {
+    return this._meanMs;
+  }
+
+  /** Whether new calls are taken. */
+  get accepting(): boolean {
+    return this._accepting;
+  }
+
+  /** Time at which calls last had to wait or were refused, on the monotonic clock. */
+  get fullAt(): number {
+    return this._fullAt;
+  }
+
+  /** Takes calls from now on; `coldMs` is how much longer the target stays slow after its start. */
+  open(slots: number, coldMs: number): void {
+    this._slots = slots;
+    this._warmFrom = monotonicMs() + coldMs;
+    this._accepting = true;
+    this._startWaiting();
+  }
+
+  /** Takes no new calls, and refuses those that wait. What runs is left to end. */
+  close(): void {
+    this._accepting = false;
+    for (const queue of this._queues) {
+      queue.splice(0).forEach((call) => {
+        this._queued--;
+        this._events.onRefuse(call, 'not_accepting');
+      });
+    }
+  }
+
+  /** Decides on a call; `started` and `refused` are final, a queued call is reported later. */
+  offer(call: T): { kind: 'started' } | { kind: 'queued' } | { kind: 'refused'; reason: GateRefusal } {
+    if (!this._accepting) {
+      return { kind: 'refused', reason: 'not_accepting' };
+    }
+    if (this._queued === 0 && this._running.size < this.limit) {
+      this._running.add(call.id);
+      return { kind: 'started' };
+    }
+    const now = monotonicMs();
+    this._fullAt = now;
+    if (now + this._waitMs(call.rank) > call.waitUntil || this._queued >= this.limit * kQueuePerSlot) {
+      return { kind: 'refused', reason: 'overloaded' };
+    }
+    (this._queues[call.rank] ??= []).push(call);
+    this._queued++;
+    return { kind: 'queued' };
+  }
+
+  /** Notes that a started call ended; `ranMs` is its time at the target, undefined when that tells nothing. */
+  ended(id: number, ranMs?: number): void {
+    if (!this._running.delete(id)) {
+      return;
+    }
+    if (ranMs !== undefined) {
+      this._meanMs = this._meanMs === 0 ? ranMs : this._meanMs + (ranMs - this._meanMs) * kMeanWeight;
+    }
+    this._startWaiting();
+  }
+
+  /** Takes back a call that waits; false when it has started. */
+  withdraw(call: T): boolean {
+    const queue = this._queues[call.rank];
+    const at = queue?.indexOf(call) ?? -1;
+    if (!queue || at < 0) {
+      return false;
+    }
+    queue.splice(at, 1);
+    this._queued--;
+    return true;
+  }
+
+  /** Refuses calls whose wait is over; called a few times a second or more. */
+  expire(): void {
+    const now = monotonicMs();
+    for (const queue of this._queues) {
+      for (const call of queue?.filter(({ waitUntil }) => waitUntil <= now) ?? []) {
+        this.withdraw(call);
+        this._events.onRefuse(call, 'wait_too_long');
+      }
+    }
+  }
+
+  private _waitMs(rank: number): number {
+    let ahead = 1;
+    for (let i = 0; i <= rank; i++) {
+      ahead += this._queues[i]?.length ?? 0;
+    }
+    return (ahead * this._meanMs) / this.limit;
+  }
+
+  private _coldShare(): number {
+    const coldMs = this._warmFrom - monotonicMs();
+    if (coldMs <= 0) {
+      return 1;
+    }
+    return coldMs > 1_000 ? kColdShares[0] : kColdShares[1];
+  }
+
+  private _startWaiting(): void {
+    const now = monotonicMs();
+    while (this._queued > 0 && this._running.size < this.limit) {
+      const call = this._takeFirst();
+      if (!call) {
+        return;
+      }
+      if (call.waitUntil <= now) {
+        this._events.onRefuse(call, 'wait_too_long');
+        continue;
+      }
+      this._running.add(call.id);
+      this._events.onStart(call);
+    }
+  }
+
+  private _takeFirst(): T | undefined {
+    for (const queue of this._queues) {
+      const call = queue?.shift();
+      if (call) {
+        this._queued--;
+        return call;
+      }
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/targetRecord.ts
@@ -0,0 +1,33 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What daemons tell each other, and the log, of the target on their host. */
+
+/** Intake of a target: `gone` is final for its instance, `unknown` holds until the target has spoken. */
+export type TargetIntakeState = 'ready' | 'draining' | 'gone' | 'unknown';
+
+/** The record of one host. Only the daemon on that host changes it. */
+export interface TargetRecord {
+  /** Name of the host. */
+  host: string;
+  zone: string;
+  /** Address at which the host's daemon takes calls of other daemons. */
+  peers: string;
+  service: string;
+  /** Id of the target's incarnation; empty until it has spoken. */
+  instance: string;
+  state: TargetIntakeState;
+  /** Calls that the target works on at once. */
+  slots: number;
+  /** Start of the daemon that wrote the record, in milliseconds of the wall clock. */
+  epoch: number;
+  /** Number of the change within the epoch. */
+  revision: number;
+}
+
+/** Whether `a` is a later word of its host than `b`. */
+export function isLaterRecord(a: TargetRecord, b: TargetRecord): boolean {
+  return a.epoch !== b.epoch ? a.epoch > b.epoch : a.revision > b.revision;
+}
--- /dev/null
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -0,0 +1,113 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * How one request of a caller is carried to targets until it has its final answer: which target is tried, what may be sent
+ * once more, and what the caller is told. A generator of offers; whoever drives it ends it early at the deadline or when the
+ * caller is gone.
+ */
+
+import type { Route } from '@gentiandrum/protocol';
+import type { TargetRecord } from '../membership/targetRecord.js';
+import type { GateRefusal } from '../admission/slotGate.js';
+
+/** Most offers of one request, refusals included: refusals cost little, but not nothing. */
+const kMaxOffers = 4;
+
+/** A whole answer of a target. */
+export interface WholeAnswer {
+  status: number;
+  /** Names and values in turn. */
+  headers: string[];
+  body: Buffer;
+}
+
+/** Why a call is known not to have run. */
+export type NotRunReason = GateRefusal | 'target_refused' | 'unreachable' | 'wrong_instance' | 'cancelled';
+
+/** How one offer ended. */
+export type CallEnd =
+  | { kind: 'answered'; answer: WholeAnswer }
+  /** The target has not begun, and never will. */
+  | { kind: 'not_run'; reason: NotRunReason; retryAfterMs: number }
+  /** It may have run. */
+  | { kind: 'lost'; reason: string };
+
+/** One offer of the request to a target. */
+export interface Offer {
+  target: TargetRecord;
+  /** Whether the request may have reached a target before. */
+  repeat: boolean;
+}
+
+/** Final answer to the caller. */
+export type RouteEnd =
+  | { kind: 'answered'; answer: WholeAnswer }
+  | { kind: 'not_run'; reason: NotRunReason | 'no_target'; retryAfterMs: number }
+  | { kind: 'lost'; reason: string };
+
+/** What the procedure asks of its surroundings while it runs. */
+export interface RouteSurroundings {
+  choose(excluded: ReadonlySet<string>): TargetRecord | undefined;
+  /** Time until the caller stops waiting, in milliseconds. */
+  remainingMs(): number;
+  /** Time that a further offer needs to be worth it, in milliseconds. */
+  usefulMs(): number;
+}
+
+/** Carries one request. */
+export function* routeRequest(
+  route: Pick<Route, 'idempotent' | 'maxAttempts'>,
+  around: RouteSurroundings,
+): Generator<Offer, RouteEnd, CallEnd> {
+  const excluded = new Set<string>();
+  let last: RouteEnd = { kind: 'not_run', reason: 'no_target', retryAfterMs: 0 };
+  let arrivals = 0;
+  for (let offers = 0; offers < kMaxOffers; offers++) {
+    const target = around.choose(excluded);
+    if (!target || (offers > 0 && around.remainingMs() < around.usefulMs())) {
+      return last;
+    }
+    const end = yield { target, repeat: arrivals > 0 };
+    excluded.add(target.host);
+    if (reachedTarget(end)) {
+      arrivals++;
+    }
+    last = arrivals > 0 ? worse(last, end) : end;
+    if (isFinal(end, route, arrivals)) {
+      return last;
+    }
+  }
+  return last;
+}
+
+function reachedTarget(end: CallEnd): boolean {
+  switch (end.kind) {
+    case 'answered':
+    case 'lost':
+      return true;
+    case 'not_run':
+      return end.reason === 'target_refused' || end.reason === 'wrong_instance';
+  }
+}
+
+function isFinal(end: CallEnd, route: Pick<Route, 'idempotent' | 'maxAttempts'>, arrivals: number): boolean {
+  switch (end.kind) {
+    case 'answered':
+      return end.answer.status < 500 || !route.idempotent || arrivals >= route.maxAttempts;
+    case 'lost':
+      return !route.idempotent || arrivals >= route.maxAttempts;
+    case 'not_run':
+      return end.reason === 'cancelled' || end.reason === 'repeat_budget' || arrivals >= route.maxAttempts;
+  }
+}
+
+/** What an earlier offer may have done stays true: a later refusal doesn't make the request "not run". */
+function worse(last: RouteEnd, end: CallEnd): RouteEnd {
+  if (end.kind === 'not_run' && (last.kind === 'lost' || last.kind === 'answered')) {
+    return last;
+  }
+  return end;
+}
--- /dev/null
+++ b/packages/core/src/retries/repeatBudget.ts
@@ -0,0 +1,60 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Bounds the repeats that one target gets, so that the sum over all targets of a service stays within the service's bound
+ * without any daemon asking another.
+ */
+
+import { monotonicMs } from '../util/clock.js';
+
+/**
+ * Share of the service's bound that its targets use up themselves. The calls of a run that was a repeat are repeats too, one
+ * level down, so in a chain of five levels each may add a fifth of the bound.
+ */
+const kUsedShare = 0.2;
+
+/** Bound on repeats of a whole service. */
+export interface RepeatBound {
+  /** Repeats per first arrival. */
+  ratio: number;
+  /** Repeats beyond that in one window. */
+  extra: number;
+  /** Length of a window, in seconds. */
+  windowSeconds: number;
+}
+
+/** Repeat budget of one target. A new one starts empty: what its predecessor spent in the same window is not known. */
+export class RepeatBudget {
+  private _tokens = 0;
+  private _filledAt = monotonicMs();
+
+  constructor(private readonly _bound: RepeatBound) {}
+
+  /** Notes the first arrival of a request. */
+  earn(): void {
+    this._tokens += this._bound.ratio * kUsedShare;
+  }
+
+  /** Takes the right to one repeat; `targets` is the number of targets of the service. */
+  spend(targets: number): boolean {
+    this._fill(Math.max(1, targets));
+    if (this._tokens < 1) {
+      return false;
+    }
+    this._tokens--;
+    return true;
+  }
+
+  /** Tokens grow with time by this target's share of the extra repeats; at most one window's share is kept for later. */
+  private _fill(targets: number): void {
+    const now = monotonicMs();
+    const share = (this._bound.extra * kUsedShare) / targets;
+    const windowMs = this._bound.windowSeconds * 1_000;
+    const elapsed = Math.min(now - this._filledAt, windowMs);
+    this._filledAt = now;
+    this._tokens = Math.min(Math.max(share, 1), this._tokens + (share * elapsed) / windowMs);
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/app/callExchange.ts
@@ -0,0 +1,187 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * One request of a caller, from its last byte to its final answer: drives the routing procedure, and ends it at the deadline
+ * or when the caller is gone.
+ */
+
+import {
+  type LoadReport,
+  monotonicMs,
+  type Offer,
+  type CallEnd,
+  type RouteEnd,
+  routeRequest,
+  type TargetRecord,
+} from '@gentiandrum/core';
+import type { Route } from '@gentiandrum/protocol';
+import type { PeerCall } from '../client/peerMessages.js';
+import type { OfferDone, OfferHandle } from './targetGate.js';
+
+/** Time that an answer needs on its way back, in milliseconds; an offer with less left is not made. */
+const kUsefulMs = 5;
+/** Deadlines are rounded up to this, so that timers share their lists, in milliseconds. */
+const kTimerStepMs = 20;
+/** Share of the latency target that a caller's own request may wait at a gate before it is refused instead. */
+const kWaitShare = 0.2;
+
+/** What an exchange uses of its daemon. */
+export interface ExchangeDeps {
+  candidates(service: string): readonly TargetRecord[];
+  choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, latencyTargetMs: number): TargetRecord | undefined;
+  offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
+  sent(host: string): void;
+  ended(host: string, end: { load?: LoadReport; tookMs?: number; failed: boolean }): void;
+}
+
+/** A request as the server hands it over. */
+export interface RoutedRequest {
+  route: Route;
+  service: string;
+  callerService: string;
+  requestId: string;
+  method: string;
+  path: string;
+  headers: string[];
+  body: Buffer;
+  /** Time at which nobody waits any more, on the monotonic clock. */
+  deadline: number;
+}
+
+/** Final answer, or that time ran out before one came. */
+export type ExchangeEnd = RouteEnd | { kind: 'timed_out'; mayHaveRun: boolean };
+
+/** One request under way. */
+export class CallExchange {
+  private readonly _procedure: Generator<Offer, RouteEnd, CallEnd>;
+  private readonly _timer: NodeJS.Timeout;
+  private readonly _takenAt = monotonicMs();
+  private _handle: OfferHandle | undefined;
+  private _offers = 0;
+  private _ended = false;
+
+  constructor(
+    private readonly _req: RoutedRequest,
+    private readonly _deps: ExchangeDeps,
+    private readonly _done: (end: ExchangeEnd) => void,
+  ) {
+    const { route, service } = _req;
+    this._procedure = routeRequest(route, {
+      choose: (excluded) => _deps.choose(_deps.candidates(service), excluded, route.latencyTargetMs),
+      remainingMs: () => this._remainingMs(),
+      usefulMs: () => kUsefulMs,
+    });
+    const ms = Math.max(1, this._remainingMs());
+    this._timer = setTimeout(
+      () => {
+        this._timeOut();
+      },
+      Math.ceil(ms / kTimerStepMs) * kTimerStepMs,
+    );
+  }
+
+  /** Offers made so far. */
+  get offers(): number {
+    return this._offers;
+  }
+
+  /** Time since the request was taken, in milliseconds. */
+  get ageMs(): number {
+    return monotonicMs() - this._takenAt;
+  }
+
+  /** Begins. */
+  start(): void {
+    this._advance(this._procedure.next());
+  }
+
+  /** The caller is gone: nobody wants the answer. */
+  abandon(): void {
+    this._end();
+    this._handle?.cancel();
+  }
+
+  private _remainingMs(): number {
+    return this._req.deadline - monotonicMs();
+  }
+
+  private _advance(step: IteratorResult<Offer, RouteEnd>): void {
+    if (this._ended) {
+      return;
+    }
+    if (step.done === true) {
+      this._end();
+      this._done(step.value);
+      return;
+    }
+    this._make(step.value);
+  }
+
+  private _make({ target, repeat }: Offer): void {
+    const sentAt = monotonicMs();
+    this._offers++;
+    this._deps.sent(target.host);
+    let settled = false;
+    const handle = this._deps.offer(target, this._callFor(target, repeat), (end, load) => {
+      settled = true;
+      this._note(target, end, load, monotonicMs() - sentAt);
+      if (!this._ended) {
+        this._advance(this._procedure.next(end));
+      }
+    });
+    if (!settled) {
+      this._handle = handle;
+    }
+  }
+
+  private _note(target: TargetRecord, end: CallEnd, load: LoadReport, tookMs: number): void {
+    const answered = end.kind === 'answered';
+    const failed = end.kind === 'lost' ? end.reason !== 'cancelled' : answered && end.answer.status >= 500;
+    const report = load.limit > 0 ? load : undefined;
+    this._deps.ended(target.host, { load: report, tookMs: answered && !failed ? tookMs : undefined, failed });
+  }
+
+  private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
+    const { route, callerService, requestId, method, path, headers, body } = this._req;
+    const remainingMs = Math.max(1, this._remainingMs());
+    return {
+      route: route.name,
+      service: target.service,
+      rank: route.priority,
+      waitMs: Math.max(0, route.latencyTargetMs * kWaitShare - this.ageMs),
+      remainingMs: Math.floor(remainingMs),
+      repeat,
+      idempotent: route.idempotent,
+      instance: target.instance,
+      callerService,
+      requestId,
+      method,
+      path,
+      headers,
+      body,
+    };
+  }
+
+  /** The target ends its work by itself at its deadline; only what has not started is withdrawn. */
+  private _timeOut(): void {
+    const handle = this._handle;
+    this._end();
+    let mayHaveRun = this._offers > 0;
+    if (!handle) {
+      mayHaveRun = false;
+    }
+    if (this._req.route.idempotent) {
+      handle?.cancel();
+    }
+    this._done({ kind: 'timed_out', mayHaveRun });
+  }
+
+  private _end(): void {
+    this._ended = true;
+    clearTimeout(this._timer);
+    this._procedure.return({ kind: 'lost', reason: 'ended early' });
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/app/eventLog.ts
@@ -0,0 +1,83 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Structured log lines on standard output, bounded: ordinary lines take from a budget a second, and what was left out is
+ * counted in the next line. Changes of belief and failures have a budget of their own, so that the ordinary can't displace
+ * them.
+ */
+
+import { createLogger, format, type Logger as WinstonLogger, transports } from 'winston';
+
+/** Parts of the daemon, the fixed prefixes of its log lines. */
+export type EventPart = 'calls' | 'config' | 'gate' | 'log' | 'peers' | 'start' | 'stop' | 'target';
+
+/** Values that go with a line. */
+export type EventFields = Record<string, unknown>;
+
+/** Lines about failures and changes of belief that may be written in one second. */
+const kNotableLinesPerSecond = 50;
+/** Bytes that may wait for a slow reader of standard output; beyond them lines are left out. */
+const kMaxPendingBytes = 256 * 1024;
+
+interface Budget {
+  perSecond: number;
+  left: number;
+  omitted: number;
+}
+
+/** Writes the log lines of one daemon. */
+export class EventLog {
+  private readonly _winston: WinstonLogger;
+  private readonly _ordinary: Budget;
+  private readonly _notable: Budget;
+  private _second = 0;
+
+  constructor(
+    private readonly _host: string,
+    ordinaryLinesPerSecond: number,
+  ) {
+    this._ordinary = { perSecond: ordinaryLinesPerSecond, left: ordinaryLinesPerSecond, omitted: 0 };
+    this._notable = { perSecond: kNotableLinesPerSecond, left: kNotableLinesPerSecond, omitted: 0 };
+    this._winston = createLogger({
+      format: format.combine(format.timestamp(), format.json()),
+      // The rule takes winston's own subclass for a stranger: its types come from two copies of one declaration.
+      // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+      transports: [new transports.Stream({ stream: process.stdout })],
+    });
+  }
+
+  /** One of many alike, such as the end of a request that went well. */
+  ordinary(part: EventPart, text: string, fields: EventFields = {}): void {
+    this._write(this._ordinary, 'info', part, text, fields);
+  }
+
+  /** A change of what the daemon believes, or a failed request. */
+  notable(part: EventPart, text: string, fields: EventFields = {}): void {
+    this._write(this._notable, 'info', part, text, fields);
+  }
+
+  /** Something that an operator may have to look at. */
+  warn(part: EventPart, text: string, fields: EventFields = {}): void {
+    this._write(this._notable, 'warn', part, text, fields);
+  }
+
+  private _write(budget: Budget, level: 'info' | 'warn', part: EventPart, text: string, fields: EventFields): void {
+    const second = Math.floor(performance.now() / 1_000);
+    if (second !== this._second) {
+      this._second = second;
+      this._ordinary.left = this._ordinary.perSecond;
+      this._notable.left = this._notable.perSecond;
+    }
+    if (budget.left <= 0 || process.stdout.writableLength > kMaxPendingBytes) {
+      budget.omitted++;
+      return;
+    }
+    budget.left--;
+    const omitted = budget.omitted;
+    budget.omitted = 0;
+    this._winston.log(level, `${part}: ${text}`, { host: this._host, ...fields, ...(omitted > 0 ? { omitted } : {}) });
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/app/targetGate.ts
@@ -0,0 +1,291 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * The target on this host: follows what it announces, and is the only way to it for all daemons.
+ */
+
+import {
+  type GatedCall,
+  type GateRefusal,
+  type LoadReport,
+  monotonicMs,
+  type CallEnd,
+  type RepeatBound,
+  RepeatBudget,
+  SlotGate,
+  type TargetRecord,
+} from '@gentiandrum/core';
+import type { PeerCall } from '../client/peerMessages.js';
+import { type Run, type RunEnd, TargetClient } from '../client/targetClient.js';
+import type { Announcement, HeaderNames } from '../ports.js';
+import type { EventLog } from './eventLog.js';
+
+/** How often calls that waited too long are looked for, in milliseconds: a tenth of the tightest latency targets seen. */
+const kExpireMs = 10;
+/** Longest time after which a refused caller may come back, in milliseconds. */
+const kMaxRetryAfterMs = 2_000;
+
+/** Called once with the end of an offered call. */
+export type OfferDone = (end: CallEnd, load: LoadReport) => void;
+
+/** An offered call that has not ended. */
+export interface OfferHandle {
+  /** Nobody waits for the call any more. It is withdrawn when it has not started, and broken off when it may run again. */
+  cancel(): void;
+}
+
+/** What the gate uses of its daemon. */
+export interface TargetGateDeps {
+  names: HeaderNames;
+  bound: RepeatBound;
+  maxConnections(service: string): number;
+  /** Targets of the service, this one included. */
+  targets(service: string): number;
+  /** Called after each change of the target's state. */
+  onChange(): void;
+  events: EventLog;
+}
+
+interface Waiting extends GatedCall {
+  call: PeerCall;
+  expiresAt: number;
+  run: Run | undefined;
+  startedAt: number;
+  done: OfferDone;
+}
+
+/** Gate of the target on this host. */
+export class TargetGate {
+  private readonly _gate: SlotGate<Waiting>;
+  private readonly _budget: RepeatBudget;
+  private _client: TargetClient | undefined;
+  private _instance = '';
+  private _service = '';
+  private _address = '';
+  private _slots = 0;
+  private _state: TargetRecord['state'] = 'unknown';
+  private _sequence = -1;
+  private _coldMs = 0;
+  private _held = true;
+  private _stopping = false;
+  private _nextId = 1;
+  private readonly _timer: NodeJS.Timeout;
+
+  constructor(private readonly _deps: TargetGateDeps) {
+    this._budget = new RepeatBudget(_deps.bound);
+    this._gate = new SlotGate<Waiting>({
+      onStart: (waiting) => {
+        this._start(waiting);
+      },
+      onRefuse: (waiting, reason) => {
+        waiting.done(this._refusal(reason), this.load);
+      },
+    });
+    this._timer = setInterval(() => {
+      if (this._gate.queued > 0) {
+        this._gate.expire();
+      }
+    }, kExpireMs);
+  }
+
+  /** State of the target as other daemons should see it. */
+  get view(): Pick<TargetRecord, 'instance' | 'service' | 'state' | 'slots'> {
+    const state = this._state === 'ready' && (this._held || this._stopping) ? 'unknown' : this._state;
+    return { instance: this._instance, service: this._service, state, slots: this._slots };
+  }
+
+  /** Load as of now. */
+  get load(): LoadReport {
+    return { inFlight: this._gate.inFlight, queued: this._gate.queued, limit: this._gate.limit, meanMs: this._gate.meanMs };
+  }
+
+  /** Calls that run or wait. */
+  get pending(): number {
+    return this._gate.inFlight + this._gate.queued;
+  }
+
+  /** Takes an announcement of the target; true when it changed anything. */
+  announce(word: Announcement): boolean {
+    if (word.instance === this._instance && word.sequence <= this._sequence && word.state !== 'gone') {
+      return false;
+    }
+    if (word.instance !== this._instance && word.state === 'gone') {
+      return false;
+    }
+    const before = `${this._instance} ${this._state} ${this._slots}`;
+    if (word.instance !== this._instance) {
+      this._replace(word);
+    }
+    this._sequence = Math.max(this._sequence, word.sequence);
+    if (word.details) {
+      this._slots = word.details.slots;
+      this._coldMs = word.details.coldMs;
+    }
+    if (rankOf(word.state) > rankOf(this._state)) {
+      this._state = word.state;
+    }
+    if (before === `${this._instance} ${this._state} ${this._slots}`) {
+      return false;
+    }
+    this._deps.events.notable('target', `The target is ${this._state}.`, { instance: this._instance, state: this._state, slots: this._slots });
+    this._apply();
+    return true;
+  }
+
+  /** Takes what others remember of this host's target: a leaving one stays leaving, whoever acknowledged it. */
+  remember(record: TargetRecord): void {
+    const leaving = record.state === 'draining' || record.state === 'gone';
+    if (!leaving || record.instance === '' || (this._instance !== '' && record.instance !== this._instance)) {
+      return;
+    }
+    if (this._instance === '') {
+      this._instance = record.instance;
+      this._service = record.service;
+    }
+    if (rankOf(record.state) > rankOf(this._state)) {
+      this._state = record.state;
+      this._deps.events.notable('target', `Others remember that the target is ${this._state}.`, { instance: this._instance });
+      this._apply();
+    }
+  }
+
+  /** Lets calls in once this daemon has heard what others remember of its target. */
+  release(): void {
+    if (this._held) {
+      this._held = false;
+      this._apply();
+    }
+  }
+
+  /** The daemon stops: takes no new calls. What runs is left to end. */
+  stop(): void {
+    this._stopping = true;
+    this._apply();
+  }
+
+  /** Ends timers and connections. */
+  async close(): Promise<void> {
+    clearInterval(this._timer);
+    await this._client?.close();
+  }
+
+  /** Takes a call of this or another daemon. */
+  offer(call: PeerCall, done: OfferDone): OfferHandle {
+    const now = monotonicMs();
+    const waiting: Waiting = {
+      id: this._nextId++,
+      rank: call.rank,
+      waitUntil: now + Math.min(call.waitMs, call.remainingMs),
+      call,
+      expiresAt: now + call.remainingMs,
+      run: undefined,
+      startedAt: 0,
+      done,
+    };
+    const refusal = this._refusalAtOnce(call);
+    if (refusal) {
+      done(this._refusal(refusal), this.load);
+      return { cancel: () => undefined };
+    }
+    const decision = this._gate.offer(waiting);
+    switch (decision.kind) {
+      case 'started':
+        this._start(waiting);
+        break;
+      case 'refused':
+        done(this._refusal(decision.reason), this.load);
+        break;
+      case 'queued':
+        break;
+    }
+    return {
+      cancel: () => {
+        this._cancel(waiting);
+      },
+    };
+  }
+
+  private _refusalAtOnce(call: PeerCall): GateRefusal | undefined {
+    if (call.service !== this._service || call.instance !== this._instance) {
+      return 'not_accepting';
+    }
+    if (!call.repeat) {
+      this._budget.earn();
+      return undefined;
+    }
+    return this._budget.spend(this._deps.targets(this._service)) ? undefined : 'repeat_budget';
+  }
+
+  private _replace(word: Announcement): void {
+    this._instance = word.instance;
+    this._state = 'unknown';
+    this._sequence = -1;
+    this._service = word.details?.service ?? this._service;
+    this._address = word.details?.address ?? this._address;
+    void this._client?.close();
+    this._client = undefined;
+  }
+
+  private _apply(): void {
+    if (this._state === 'ready' && !this._held && !this._stopping) {
+      this._client ??= new TargetClient(this._address, this._instance, this._deps.maxConnections(this._service), this._deps.names);
+      this._gate.open(this._slots, this._coldMs);
+    } else {
+      this._gate.close();
+    }
+    this._deps.onChange();
+  }
+
+  private _start(waiting: Waiting): void {
+    const now = monotonicMs();
+    waiting.startedAt = now;
+    const remaining = waiting.expiresAt - now;
+    const client = this._client;
+    if (!client || remaining <= 0) {
+      this._gate.ended(waiting.id);
+      waiting.done(this._refusal('wait_too_long'), this.load);
+      return;
+    }
+    waiting.run = client.run(waiting.call, remaining, (end) => {
+      this._ended(waiting, end);
+    });
+  }
+
+  private _ended(waiting: Waiting, { end, answered }: RunEnd): void {
+    const ran = answered && end.kind === 'answered' && end.answer.status < 400;
+    this._gate.ended(waiting.id, ran ? monotonicMs() - waiting.startedAt : undefined);
+    waiting.done(end, this.load);
+  }
+
+  private _cancel(waiting: Waiting): void {
+    if (this._gate.withdraw(waiting)) {
+      waiting.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.load);
+    } else if (waiting.call.idempotent) {
+      waiting.run?.abort();
+    }
+  }
+
+  /** Refused callers come back when what waits and runs now will have ended. */
+  private _refusal(reason: GateRefusal): CallEnd {
+    const { inFlight, queued, limit, meanMs } = this.load;
+    const drainMs = reason === 'not_accepting' ? 0 : ((inFlight + queued) / limit) * meanMs;
+    return { kind: 'not_run', reason, retryAfterMs: Math.min(kMaxRetryAfterMs, drainMs) };
+  }
+}
+
+/** A target's states only go forward. */
+function rankOf(state: TargetRecord['state']): number {
+  switch (state) {
+    case 'unknown':
+      return 0;
+    case 'ready':
+      return 1;
+    case 'draining':
+      return 2;
+    case 'gone':
+      return 3;
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/client/peerLink.ts
@@ -0,0 +1,123 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** One connection between two routing daemons: messages both ways, written once per turn of the loop, with a watch on silence. */
+
+import type { Socket } from 'node:net';
+import { monotonicMs } from '@gentiandrum/core';
+import { encodeMessage, MessageReader, type PeerMessage } from './peerMessages.js';
+
+/** Silence after which a peer that owes an answer is asked for a sign of life, in milliseconds: far above a round trip. */
+const kPingAfterMs = 400;
+/** Silence after which a peer counts as lost, in milliseconds. */
+const kLostAfterMs = 1_200;
+/** Silence on an idle link after which it is probed, in milliseconds: a dead one should be known before it is needed. */
+const kIdlePingMs = 2_000;
+
+/** What a link tells its owner. */
+export interface PeerLinkEvents {
+  onMessage(link: PeerLink, message: PeerMessage): void;
+  onClose(link: PeerLink, reason: string): void;
+}
+
+/** A connection to another daemon. */
+export class PeerLink {
+  /** Name of the host at the other end; empty until its hello came. */
+  host = '';
+  /** Answers that the other end owes. */
+  owed = 0;
+  private readonly _reader = new MessageReader();
+  private _outbox: Buffer[] = [];
+  private _flushing = false;
+  private _heardAt = monotonicMs();
+  private _pingedAt = 0;
+  private _closed = false;
+
+  constructor(
+    private readonly _socket: Socket,
+    private readonly _events: PeerLinkEvents,
+  ) {
+    _socket.setNoDelay(true);
+    _socket.on('data', (chunk: Buffer) => {
+      this._take(chunk);
+    });
+    _socket.on('error', (err) => {
+      this.close(err.message);
+    });
+    _socket.on('close', () => {
+      this.close('closed by the other end');
+    });
+  }
+
+  /** Whether messages can be sent. */
+  get open(): boolean {
+    return !this._closed;
+  }
+
+  /** Sends a message, together with all others of this turn of the loop. */
+  send(message: PeerMessage): void {
+    if (this._closed) {
+      return;
+    }
+    this._outbox.push(encodeMessage(message));
+    if (!this._flushing) {
+      this._flushing = true;
+      setImmediate(() => {
+        this._flush();
+      });
+    }
+  }
+
+  /** Looks for silence; called a few times a second. */
+  check(): void {
+    const now = monotonicMs();
+    const silence = now - this._heardAt;
+    const pinged = this._pingedAt > this._heardAt;
+    if (pinged && now - this._pingedAt > kLostAfterMs - kPingAfterMs) {
+      this.close('no sign of life');
+    } else if (!pinged && silence > (this.owed > 0 ? kPingAfterMs : kIdlePingMs)) {
+      this._pingedAt = now;
+      this.send({ type: 'ping' });
+    }
+  }
+
+  /** Ends the link. */
+  close(reason: string): void {
+    if (this._closed) {
+      return;
+    }
+    this._closed = true;
+    this._socket.destroy();
+    this._events.onClose(this, reason);
+  }
+
+  private _flush(): void {
+    this._flushing = false;
+    const frames = this._outbox;
+    this._outbox = [];
+    if (!this._closed) {
+      this._socket.write(frames.length === 1 && frames[0] ? frames[0] : Buffer.concat(frames));
+    }
+  }
+
+  private _take(chunk: Buffer): void {
+    this._heardAt = monotonicMs();
+    try {
+      for (const message of this._reader.push(chunk)) {
+        this._takeMessage(message);
+      }
+    } catch (err) {
+      this.close(err instanceof Error ? err.message : String(err));
+    }
+  }
+
+  private _takeMessage(message: PeerMessage): void {
+    if (message.type === 'ping') {
+      this.send({ type: 'pong' });
+    } else if (message.type !== 'pong') {
+      this._events.onMessage(this, message);
+    }
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -0,0 +1,233 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Messages between routing daemons, and their form on the wire: MessagePack arrays behind a length of four bytes. */
+
+import type { LoadReport, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
+import type { MeshConfig } from '@gentiandrum/protocol';
+import { Packr, Unpackr } from 'msgpackr';
+
+/** A call that one daemon hands to the daemon beside the target. */
+export interface PeerCall {
+  /** Name of the route, for logs and statistics. */
+  route: string;
+  service: string;
+  /** Urgency at the gate; smaller is first. */
+  rank: number;
+  /** Time that it may wait at the gate, in milliseconds. */
+  waitMs: number;
+  /** Time until nobody waits for the answer, in milliseconds. */
+  remainingMs: number;
+  /** Whether the request may have reached a target before. */
+  repeat: boolean;
+  /** Whether it may run more than once; such a call is cancelled when nobody waits for it. */
+  idempotent: boolean;
+  /** Instance that it is meant for. */
+  instance: string;
+  /** Service on whose host it began. */
+  callerService: string;
+  /** The caller's own id of this attempt. */
+  requestId: string;
+  method: string;
+  path: string;
+  /** Names and values in turn. */
+  headers: string[];
+  body: Buffer;
+}
+
+/** What one daemon says to another. */
+export type PeerMessage =
+  | { type: 'hello'; host: string; version: number; records: TargetRecord[] }
+  | { type: 'call'; id: number; call: PeerCall }
+  | { type: 'cancel'; id: number }
+  | { type: 'answer'; id: number; answer: WholeAnswer; load: LoadReport }
+  | { type: 'not_run'; id: number; reason: NotRunReason; retryAfterMs: number; load: LoadReport }
+  | { type: 'lost'; id: number; reason: string; load: LoadReport }
+  | { type: 'records'; records: TargetRecord[] }
+  | { type: 'version'; version: number }
+  | { type: 'config_wanted' }
+  | { type: 'config'; config: MeshConfig }
+  | { type: 'ping' }
+  | { type: 'pong' };
+
+/** Order of the types on the wire; new ones go to the end. */
+const kTypes = [
+  'hello',
+  'call',
+  'cancel',
+  'answer',
+  'not_run',
+  'lost',
+  'records',
+  'version',
+  'config_wanted',
+  'config',
+  'ping',
+  'pong',
+] as const satisfies PeerMessage['type'][];
+
+const kLengthBytes = 4;
+/** Longest message, in bytes: a request body of the largest size, and room for its head. */
+const kMaxMessageBytes = 80 * 1024 * 1024;
+
+const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true });
+const unpackr = new Unpackr({ useRecords: false });
+
+/** Encodes a message with its length in front. */
+export function encodeMessage(message: PeerMessage): Buffer {
+  const body = packr.pack(fieldsOf(message));
+  const frame = Buffer.allocUnsafe(kLengthBytes + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, kLengthBytes);
+  return frame;
+}
+
+/** Cuts a stream of bytes into messages. */
+export class MessageReader {
+  private _pending: Buffer[] = [];
+  private _bytes = 0;
+
+  /** Takes bytes and returns the messages that are complete; throws when they are no messages. */
+  push(chunk: Buffer): PeerMessage[] {
+    this._pending.push(chunk);
+    this._bytes += chunk.length;
+    const messages: PeerMessage[] = [];
+    while (this._bytes >= kLengthBytes) {
+      const first = this._joined(kLengthBytes);
+      const length = first.readUInt32BE(0);
+      if (length > kMaxMessageBytes) {
+        throw new Error(`expected a message of at most ${kMaxMessageBytes} bytes, got one of ${length}`);
+      }
+      if (this._bytes < kLengthBytes + length) {
+        return messages;
+      }
+      const whole = this._joined(kLengthBytes + length);
+      messages.push(decodeFields(unpackr.unpack(whole.subarray(kLengthBytes, kLengthBytes + length)) as unknown[]));
+      this._pending = [whole.subarray(kLengthBytes + length)];
+      this._bytes -= kLengthBytes + length;
+    }
+    return messages;
+  }
+
+  /** The first pending buffer, joined with the next ones until it has `bytes`. */
+  private _joined(bytes: number): Buffer {
+    const [first] = this._pending;
+    if (first && first.length >= bytes) {
+      return first;
+    }
+    const joined = Buffer.concat(this._pending);
+    this._pending = [joined];
+    return joined;
+  }
+}
+
+function fieldsOf(message: PeerMessage): unknown[] {
+  const type = kTypes.indexOf(message.type);
+  switch (message.type) {
+    case 'hello':
+      return [type, message.host, message.version, message.records];
+    case 'call': {
+      const { call } = message;
+      return [
+        type,
+        message.id,
+        call.route,
+        call.service,
+        call.rank,
+        call.waitMs,
+        call.remainingMs,
+        call.repeat,
+        call.idempotent,
+        call.instance,
+        call.callerService,
+        call.requestId,
+        call.method,
+        call.path,
+        call.headers,
+        call.body,
+      ];
+    }
+    case 'cancel':
+      return [type, message.id];
+    case 'answer':
+      return [type, message.id, message.answer.status, message.answer.headers, message.answer.body, ...loadFields(message.load)];
+    case 'not_run':
+      return [type, message.id, message.reason, message.retryAfterMs, ...loadFields(message.load)];
+    case 'lost':
+      return [type, message.id, message.reason, ...loadFields(message.load)];
+    case 'records':
+      return [type, message.records];
+    case 'version':
+      return [type, message.version];
+    case 'config':
+      return [type, message.config];
+    case 'config_wanted':
+    case 'ping':
+    case 'pong':
+      return [type];
+  }
+}
+
+function loadFields({ inFlight, queued, limit, meanMs }: LoadReport): number[] {
+  return [inFlight, queued, limit, Math.round(meanMs)];
+}
+
+function loadFrom(fields: unknown[], at: number): LoadReport {
+  const [inFlight = 0, queued = 0, limit = 0, meanMs = 0] = fields.slice(at) as number[];
+  return { inFlight, queued, limit, meanMs };
+}
+
+/** Daemons of one deployment run one program, so the fields are taken as they are. */
+function decodeFields(fields: unknown[]): PeerMessage {
+  const type = kTypes[fields[0] as number];
+  const id = fields[1] as number;
+  switch (type) {
+    case 'hello':
+      return { type, host: fields[1] as string, version: fields[2] as number, records: fields[3] as TargetRecord[] };
+    case 'call':
+      return { type, id, call: callFrom(fields) };
+    case 'cancel':
+      return { type, id };
+    case 'answer': {
+      const answer = { status: fields[2] as number, headers: fields[3] as string[], body: fields[4] as Buffer };
+      return { type, id, answer, load: loadFrom(fields, 5) };
+    }
+    case 'not_run':
+      return { type, id, reason: fields[2] as NotRunReason, retryAfterMs: fields[3] as number, load: loadFrom(fields, 4) };
+    case 'lost':
+      return { type, id, reason: fields[2] as string, load: loadFrom(fields, 3) };
+    case 'records':
+      return { type, records: fields[1] as TargetRecord[] };
+    case 'version':
+      return { type, version: fields[1] as number };
+    case 'config':
+      return { type, config: fields[1] as MeshConfig };
+    case 'config_wanted':
+    case 'ping':
+    case 'pong':
+      return { type };
+    default:
+      throw new Error(`expected a type of message between 0 and ${kTypes.length - 1}, got ${String(fields[0])}`);
+  }
+}
+
+function callFrom(fields: unknown[]): PeerCall {
+  return {
+    route: fields[2] as string,
+    service: fields[3] as string,
+    rank: fields[4] as number,
+    waitMs: fields[5] as number,
+    remainingMs: fields[6] as number,
+    repeat: fields[7] as boolean,
+    idempotent: fields[8] as boolean,
+    instance: fields[9] as string,
+    callerService: fields[10] as string,
+    requestId: fields[11] as string,
+    method: fields[12] as string,
+    path: fields[13] as string,
+    headers: fields[14] as string[],
+    body: fields[15] as Buffer,
+  };
+}
--- /dev/null
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -0,0 +1,356 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Links to all other daemons: carries calls to them, and spreads records and configurations among them.
+ */
+
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import type { LoadReport, CallEnd, TargetDirectory, TargetRecord } from '@gentiandrum/core';
+import type { MeshConfig } from '@gentiandrum/protocol';
+import type { EventLog } from '../app/eventLog.js';
+import type { OfferDone, OfferHandle } from '../app/targetGate.js';
+import { PeerLink } from './peerLink.js';
+import type { PeerCall, PeerMessage } from './peerMessages.js';
+
+/** Time for a connection to another host, in milliseconds: far above a round trip within a region. */
+const kConnectMs = 700;
+/** How often links are checked for silence, in milliseconds. */
+const kCheckMs = 200;
+/** Pause before a lost link is opened again, in milliseconds, at first and at most. */
+const kRedialMs = 100;
+const kMaxRedialMs = 1_600;
+/** Daemons to which links are kept without need; enough for news to reach everybody in a few hops. */
+const kKeptLinks = 16;
+
+/** What the network tells, and asks of, its daemon. */
+export interface PeerNetworkEvents {
+  /** A call for the target on this host. */
+  onCall(call: PeerCall, done: OfferDone): OfferHandle;
+  onRecords(records: TargetRecord[]): void;
+  /** Another daemon has this version. */
+  onVersion(version: number, link: PeerLink): void;
+  onConfig(cfg: MeshConfig): void;
+  /** A link to a host was opened or lost. */
+  onReach(host: string, reached: boolean): void;
+  /** What this daemon tells first on each link. */
+  hello(): Extract<PeerMessage, { type: 'hello' }>;
+  config(): MeshConfig | undefined;
+}
+
+interface Outgoing {
+  link: PeerLink;
+  done: OfferDone;
+}
+
+interface Dial {
+  socket: Socket | undefined;
+  notBefore: number;
+  pauseMs: number;
+  /** Messages that wait for the link. */
+  waiting: ((link: PeerLink | undefined) => void)[];
+}
+
+const kNoLoad: LoadReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0 };
+
+/** The links of one daemon. */
+export class PeerNetwork {
+  private readonly _links = new Map<string, PeerLink>();
+  private readonly _all = new Set<PeerLink>();
+  private readonly _dials = new Map<string, Dial>();
+  private readonly _outgoing = new Map<number, Outgoing>();
+  private readonly _incoming = new Map<PeerLink, Map<number, OfferHandle>>();
+  private readonly _server: Server;
+  private _timer: NodeJS.Timeout | undefined;
+  private _nextId = 1;
+
+  constructor(
+    private readonly _self: string,
+    private readonly _directory: TargetDirectory,
+    private readonly _events: PeerNetworkEvents,
+    private readonly _log: EventLog,
+  ) {
+    this._server = createServer((socket) => {
+      this._adopt(socket);
+    });
+  }
+
+  /** Hosts that a link is open to. */
+  get reachable(): number {
+    return this._links.size;
+  }
+
+  /** Takes links of other daemons, and opens some. */
+  async listen(address: string): Promise<void> {
+    const [host = '', port = ''] = address.split(':');
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject).listen(Number(port), host, resolve);
+    });
+    this._timer = setInterval(() => {
+      this._check();
+    }, kCheckMs);
+  }
+
+  /** Offers a call to the daemon on another host. */
+  offer(record: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle {
+    const id = this._nextId++;
+    let cancelled = false;
+    this._withLink(record, (link) => {
+      if (cancelled) {
+        return;
+      }
+      if (!link) {
+        done({ kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 }, kNoLoad);
+        return;
+      }
+      link.owed++;
+      this._outgoing.set(id, { link, done });
+      link.send({ type: 'call', id, call });
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        const outgoing = this._outgoing.get(id);
+        if (outgoing) {
+          outgoing.link.send({ type: 'cancel', id });
+          this._settle(id);
+        } else {
+          done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, kNoLoad);
+        }
+      },
+    };
+  }
+
+  /** Tells every linked daemon. */
+  broadcast(message: PeerMessage): void {
+    for (const link of this._links.values()) {
+      link.send(message);
+    }
+  }
+
+  /** Ends all links. */
+  close(): void {
+    clearInterval(this._timer);
+    this._server.close();
+    for (const dial of this._dials.values()) {
+      dial.socket?.destroy();
+    }
+    for (const link of this._all) {
+      link.close('this daemon stops');
+    }
+  }
+
+  private _withLink(record: TargetRecord, use: (link: PeerLink | undefined) => void): void {
+    const link = this._links.get(record.host);
+    if (link) {
+      use(link);
+      return;
+    }
+    const dial = this._dial(record);
+    if (dial.socket) {
+      dial.waiting.push(use);
+    } else {
+      use(undefined);
+    }
+  }
+
+  /** Begins to open a link, unless that failed a moment ago. */
+  private _dial(record: TargetRecord): Dial {
+    let dial = this._dials.get(record.host);
+    if (!dial) {
+      dial = { socket: undefined, notBefore: 0, pauseMs: kRedialMs, waiting: [] };
+      this._dials.set(record.host, dial);
+    }
+    if (dial.socket || performance.now() < dial.notBefore) {
+      return dial;
+    }
+    const current = dial;
+    const [host = '', port = ''] = record.peers.split(':');
+    const socket = connect({ host, port: Number(port) });
+    dial.socket = socket;
+    const timer = setTimeout(() => {
+      fail(`no connection within ${kConnectMs} ms`);
+    }, kConnectMs);
+    const fail = (reason: string): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      this._dialFailed(record, current, reason);
+    };
+    const onError = (err: Error): void => {
+      fail(err.message);
+    };
+    socket.once('error', onError);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', onError);
+      this._dialed(record, current, socket);
+    });
+    return dial;
+  }
+
+  private _dialed(record: TargetRecord, dial: Dial, socket: Socket): void {
+    dial.socket = undefined;
+    dial.pauseMs = kRedialMs;
+    const link = this._adopt(socket);
+    link.host = record.host;
+    this._register(link);
+    dial.waiting.splice(0).forEach((use) => {
+      use(link);
+    });
+  }
+
+  private _dialFailed(record: TargetRecord, dial: Dial, reason: string): void {
+    if (!dial.socket) {
+      return;
+    }
+    dial.socket = undefined;
+    dial.notBefore = performance.now() + dial.pauseMs * (0.75 + Math.random() / 2);
+    dial.pauseMs = Math.min(kMaxRedialMs, dial.pauseMs * 2);
+    this._log.notable('peers', `No link to ${record.host}: ${reason}.`, { peer: record.host });
+    this._events.onReach(record.host, false);
+    dial.waiting.splice(0).forEach((use) => {
+      use(this._links.get(record.host));
+    });
+  }
+
+  private _adopt(socket: Socket): PeerLink {
+    const link = new PeerLink(socket, {
+      onMessage: (from, message) => {
+        this._take(from, message);
+      },
+      onClose: (closed, reason) => {
+        this._lost(closed, reason);
+      },
+    });
+    this._all.add(link);
+    this._incoming.set(link, new Map());
+    link.send(this._events.hello());
+    return link;
+  }
+
+  private _register(link: PeerLink): void {
+    if (!this._links.get(link.host)?.open) {
+      this._links.set(link.host, link);
+      this._events.onReach(link.host, true);
+    }
+  }
+
+  private _take(link: PeerLink, message: PeerMessage): void {
+    switch (message.type) {
+      case 'hello':
+        link.host = message.host;
+        this._register(link);
+        this._events.onRecords(message.records);
+        this._events.onVersion(message.version, link);
+        return;
+      case 'call':
+        this._takeCall(link, message.id, message.call);
+        return;
+      case 'cancel':
+        this._incoming.get(link)?.get(message.id)?.cancel();
+        return;
+      case 'answer':
+        this._settle(message.id, { kind: 'answered', answer: message.answer }, message.load);
+        return;
+      case 'not_run':
+        this._settle(message.id, { kind: 'not_run', reason: message.reason, retryAfterMs: message.retryAfterMs }, message.load);
+        return;
+      case 'lost':
+        this._settle(message.id, { kind: 'lost', reason: message.reason }, message.load);
+        return;
+      case 'records':
+        this._events.onRecords(message.records);
+        return;
+      case 'version':
+        this._events.onVersion(message.version, link);
+        return;
+      case 'config_wanted':
+        this._sendConfig(link);
+        return;
+      case 'config':
+        this._events.onConfig(message.config);
+        return;
+      case 'ping':
+      case 'pong':
+        return;
+    }
+  }
+
+  private _sendConfig(link: PeerLink): void {
+    const config = this._events.config();
+    if (config) {
+      link.send({ type: 'config', config });
+    }
+  }
+
+  private _takeCall(link: PeerLink, id: number, call: PeerCall): void {
+    const calls = this._incoming.get(link);
+    let ended = false;
+    const handle = this._events.onCall(call, (end, load) => {
+      ended = true;
+      calls?.delete(id);
+      link.send(replyOf(id, end, load));
+    });
+    if (!ended) {
+      calls?.set(id, handle);
+    }
+  }
+
+  private _settle(id: number, end?: CallEnd, load: LoadReport = kNoLoad): void {
+    const outgoing = this._outgoing.get(id);
+    if (!outgoing) {
+      return;
+    }
+    this._outgoing.delete(id);
+    outgoing.link.owed--;
+    outgoing.done(end ?? { kind: 'lost', reason: 'cancelled' }, load);
+  }
+
+  private _lost(link: PeerLink, reason: string): void {
+    this._all.delete(link);
+    if (this._links.get(link.host) === link) {
+      this._links.delete(link.host);
+      this._log.notable('peers', `Lost the link to ${link.host}: ${reason}.`, { peer: link.host, owed: link.owed });
+      this._events.onReach(link.host, false);
+    }
+    const handles = this._incoming.get(link);
+    this._incoming.delete(link);
+    handles?.forEach((handle) => {
+      handle.cancel();
+    });
+    for (const [id, outgoing] of this._outgoing) {
+      if (outgoing.link === link) {
+        this._settle(id, { kind: 'lost', reason: `link lost: ${reason}` });
+      }
+    }
+  }
+
+  private _check(): void {
+    for (const link of this._all) {
+      link.check();
+    }
+    let kept = this._links.size;
+    for (const record of this._directory.all()) {
+      if (kept >= kKeptLinks) {
+        return;
+      }
+      if (record.host !== this._self && record.state !== 'gone' && !this._links.has(record.host)) {
+        this._dial(record);
+        kept++;
+      }
+    }
+  }
+}
+
+function replyOf(id: number, end: CallEnd, load: LoadReport): PeerMessage {
+  switch (end.kind) {
+    case 'answered':
+      return { type: 'answer', id, answer: end.answer, load };
+    case 'not_run':
+      return { type: 'not_run', id, reason: end.reason, retryAfterMs: Math.round(end.retryAfterMs), load };
+    case 'lost':
+      return { type: 'lost', id, reason: end.reason, load };
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The routing daemon, for callers that speak plain HTTP. */
+
+export * from './app/eventLog.js';
+export * from './app/meshDaemon.js';
+export * from './app/runMesh.js';
+export * from './client/peerMessages.js';
+export * from './ports.js';
--- /dev/null
+++ b/packages/mesh/src/ports.ts
@@ -0,0 +1,72 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What a routing daemon needs of the platform that it runs on. Adapters implement these; nothing here knows one. */
+
+import type { TargetRecord } from '@gentiandrum/core';
+import type { MeshConfig } from '@gentiandrum/protocol';
+
+/** Names of the HTTP headers by which callers, daemons and targets speak, all in lower case. */
+export interface HeaderNames {
+  /** Id of one attempt of a caller; targets echo it. */
+  requestId: string;
+  /** Time for which the sender will wait, in milliseconds. */
+  remainingMs: string;
+  /** Mark of a target on its answers; without it an answer is not the target's. */
+  seal: string;
+  /** Instance that the request is meant for. */
+  expectedInstance: string;
+  /** Set on answers that say: not run. */
+  notRun: string;
+  /** Service on whose host the request began. */
+  callerService: string;
+}
+
+/** One word of a target to the daemon on its host. */
+export interface Announcement {
+  instance: string;
+  state: 'ready' | 'draining' | 'gone';
+  /** Grows with each word of the instance; a late one is smaller. */
+  sequence: number;
+  /** What a `gone` leaves out. */
+  details?: { service: string; address: string; slots: number; coldMs: number };
+}
+
+/** How the platform's HTTP requests are read and written. */
+export interface Dialect {
+  headers: HeaderNames;
+  /** Path of the readiness check. */
+  readyPath: string;
+  /** Reads a target's announcement; undefined when it is none. */
+  readAnnouncement(method: string, path: string, body: Buffer): Announcement | undefined;
+}
+
+/** Where the operators' configuration comes from. */
+export interface ConfigSource {
+  /** Calls back with each configuration found, in any order, also twice. */
+  watch(onConfig: (cfg: MeshConfig) => void): void;
+  stop(): void;
+}
+
+/** A change in the shared records. */
+export type RecordChange = { kind: 'record'; record: TargetRecord } | { kind: 'erased'; host: string };
+
+/** The hosts' records in the platform's log. */
+export interface RecordLog {
+  /** Calls back with what is there, and then with changes; `onRead` after each complete reading. */
+  watch(onChange: (change: RecordChange) => void, onRead: () => void): void;
+  /** Writes the record of this host; resolves once it is durable, and gives up when a newer one is published. */
+  publish(record: TargetRecord): Promise<boolean>;
+  /** Removes the record of this host for good. */
+  erase(host: string): Promise<boolean>;
+  stop(): void;
+}
+
+/** The platform as a whole. */
+export interface Platform {
+  dialect: Dialect;
+  configs: ConfigSource;
+  records: RecordLog;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,5 +7,7 @@
 
 export * from './apiSchemas.js';
 export * from './configSchema.js';
+export * from './meshConfigSchema.js';
+export * from './meshSettingsSchema.js';
 export * from './recordSchemas.js';
 export * from './settingsSchema.js';
