--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/', 'out/', '**/gen/', 'node_modules/', '**/*.mjs', '**/*.js'] },
+  { ignores: ['**/dist/', 'out/', 'target/', 'journal/', '**/gen/', 'node_modules/', '**/*.mjs', '**/*.js'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -41,7 +41,8 @@
 
 /** Gate of one target. */
 export class SlotGate<T extends GatedCall> {
-  private readonly _queues: T[][] = [];
+  /** Waiting calls by rank; ranks that never came leave holes. */
+  private readonly _queues: (T[] | undefined)[] = [];
   private readonly _running = new Set<number>();
   private _queued = 0;
   private _slots = 0;
@@ -95,10 +96,10 @@
   close(): void {
     this._accepting = false;
     for (const queue of this._queues) {
-      queue.splice(0).forEach((call) => {
+      for (const call of queue?.splice(0) ?? []) {
         this._queued--;
         this._events.onRefuse(call, 'not_accepting');
-      });
+      }
     }
   }
 
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -8,15 +8,7 @@
  * or when the caller is gone.
  */
 
-import {
-  type LoadReport,
-  monotonicMs,
-  type Offer,
-  type CallEnd,
-  type RouteEnd,
-  routeRequest,
-  type TargetRecord,
-} from '@gentiandrum/core';
+import { type LoadReport, monotonicMs, type Offer, type CallEnd, type RouteEnd, routeRequest, type TargetRecord } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
@@ -52,7 +44,7 @@
 }
 
 /** Final answer, or that time ran out before one came. */
-export type ExchangeEnd = RouteEnd | { kind: 'timed_out'; mayHaveRun: boolean };
+export type ExchangeEnd = RouteEnd | { kind: 'timed_out' };
 
 /** One request under way. */
 export class CallExchange {
@@ -124,15 +116,15 @@
     const sentAt = monotonicMs();
     this._offers++;
     this._deps.sent(target.host);
-    let settled = false;
+    const progress = { settled: false };
     const handle = this._deps.offer(target, this._callFor(target, repeat), (end, load) => {
-      settled = true;
+      progress.settled = true;
       this._note(target, end, load, monotonicMs() - sentAt);
       if (!this._ended) {
         this._advance(this._procedure.next(end));
       }
     });
-    if (!settled) {
+    if (!progress.settled) {
       this._handle = handle;
     }
   }
@@ -169,14 +161,10 @@
   private _timeOut(): void {
     const handle = this._handle;
     this._end();
-    let mayHaveRun = this._offers > 0;
-    if (!handle) {
-      mayHaveRun = false;
-    }
     if (this._req.route.idempotent) {
       handle?.cancel();
     }
-    this._done({ kind: 'timed_out', mayHaveRun });
+    this._done({ kind: 'timed_out' });
   }
 
   private _end(): void {
--- a/packages/mesh/src/app/eventLog.ts
+++ b/packages/mesh/src/app/eventLog.ts
@@ -18,7 +18,7 @@
 export type EventFields = Record<string, unknown>;
 
 /** Lines about failures and changes of belief that may be written in one second. */
-const kNotableLinesPerSecond = 50;
+const kNotableLinesPerSecond = 30;
 /** Bytes that may wait for a slow reader of standard output; beyond them lines are left out. */
 const kMaxPendingBytes = 256 * 1024;
 
@@ -38,9 +38,10 @@
   constructor(
     private readonly _host: string,
     ordinaryLinesPerSecond: number,
+    notableLinesPerSecond = kNotableLinesPerSecond,
   ) {
     this._ordinary = { perSecond: ordinaryLinesPerSecond, left: ordinaryLinesPerSecond, omitted: 0 };
-    this._notable = { perSecond: kNotableLinesPerSecond, left: kNotableLinesPerSecond, omitted: 0 };
+    this._notable = { perSecond: notableLinesPerSecond, left: notableLinesPerSecond, omitted: 0 };
     this._winston = createLogger({
       format: format.combine(format.timestamp(), format.json()),
       // The rule takes winston's own subclass for a stranger: its types come from two copies of one declaration.
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -5,13 +5,7 @@
 
 /** One routing daemon: puts its parts together, starts them, and stops them in order. */
 
-import {
-  monotonicMs,
-  Placement,
-  RouteTable,
-  TargetDirectory,
-  type TargetRecord,
-} from '@gentiandrum/core';
+import { monotonicMs, Placement, RouteTable, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import { type MeshConfig, meshConfigSchema, type MeshSettings } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
 import type { PeerLink } from '../client/peerLink.js';
@@ -315,7 +309,9 @@
     }
     const checked = meshConfigSchema.safeParse(cfg);
     if (!checked.success) {
-      this._events.warn('config', `Version ${cfg.version} is not valid and stays out of force.`, { issues: checked.error.issues.slice(0, 3) });
+      this._events.warn('config', `Version ${cfg.version} is not valid and stays out of force.`, {
+        issues: checked.error.issues.slice(0, 3),
+      });
       return;
     }
     this._config = checked.data;
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -130,7 +130,11 @@
     if (before === `${this._instance} ${this._state} ${this._slots}`) {
       return false;
     }
-    this._deps.events.notable('target', `The target is ${this._state}.`, { instance: this._instance, state: this._state, slots: this._slots });
+    this._deps.events.notable('target', `The target is ${this._state}.`, {
+      instance: this._instance,
+      state: this._state,
+      slots: this._slots,
+    });
     this._apply();
     return true;
   }
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -183,6 +183,9 @@
 function decodeFields(fields: unknown[]): PeerMessage {
   const type = kTypes[fields[0] as number];
   const id = fields[1] as number;
+  if (type === undefined) {
+    throw new Error(`expected a type of message between 0 and ${kTypes.length - 1}, got ${String(fields[0])}`);
+  }
   switch (type) {
     case 'hello':
       return { type, host: fields[1] as string, version: fields[2] as number, records: fields[3] as TargetRecord[] };
@@ -208,8 +211,6 @@
     case 'ping':
     case 'pong':
       return { type };
-    default:
-      throw new Error(`expected a type of message between 0 and ${kTypes.length - 1}, got ${String(fields[0])}`);
   }
 }
 
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -96,11 +96,12 @@
   /** Offers a call to the daemon on another host. */
   offer(record: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle {
     const id = this._nextId++;
-    let cancelled = false;
+    const wait = { over: false };
     this._withLink(record, (link) => {
-      if (cancelled) {
+      if (wait.over) {
         return;
       }
+      wait.over = true;
       if (!link) {
         done({ kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 }, kNoLoad);
         return;
@@ -111,14 +112,12 @@
     });
     return {
       cancel: () => {
-        cancelled = true;
-        const outgoing = this._outgoing.get(id);
-        if (outgoing) {
-          outgoing.link.send({ type: 'cancel', id });
-          this._settle(id);
-        } else {
+        if (!wait.over) {
+          wait.over = true;
           done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, kNoLoad);
         }
+        this._outgoing.get(id)?.link.send({ type: 'cancel', id });
+        this._settle(id);
       },
     };
   }
@@ -287,13 +286,13 @@
 
   private _takeCall(link: PeerLink, id: number, call: PeerCall): void {
     const calls = this._incoming.get(link);
-    let ended = false;
+    const progress = { ended: false };
     const handle = this._events.onCall(call, (end, load) => {
-      ended = true;
+      progress.ended = true;
       calls?.delete(id);
       link.send(replyOf(id, end, load));
     });
-    if (!ended) {
+    if (!progress.ended) {
       calls?.set(id, handle);
     }
   }
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -8,7 +8,7 @@
  * connection.
  */
 
-import { monotonicMs, type CallEnd } from '@gentiandrum/core';
+import type { CallEnd } from '@gentiandrum/core';
 import { type Dispatcher, Pool } from 'undici';
 import { HeaderFilter } from '../app/hopByHop.js';
 import type { HeaderNames } from '../ports.js';
@@ -69,7 +69,7 @@
     const own = [names.remainingMs, String(Math.max(1, Math.floor(remainingMs))), names.expectedInstance, this._instance];
     const headers = [...call.headers, ...own, names.callerService, call.callerService];
     const body = call.body.length > 0 ? call.body : null;
-    this._pool.dispatch({ method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body }, exchange);
+    this._pool.dispatch({ method: call.method, path: call.path, headers, body }, exchange);
     return exchange;
   }
 
@@ -117,7 +117,11 @@
     }
   }
 
-  onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
     this._status = status;
     this._headers = headers;
   }
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -53,12 +53,9 @@
 
   constructor(private readonly _deps: CallServerDeps) {
     this._filter = new HeaderFilter(_deps.names);
-    this._server = createServer(
-      { connectionsCheckingInterval: kCheckMs, maxHeaderSize: kFirstHeaderBytes, noDelay: true },
-      (req, res) => {
-        this._take(req, res);
-      },
-    );
+    this._server = createServer({ connectionsCheckingInterval: kCheckMs, maxHeaderSize: kFirstHeaderBytes, noDelay: true }, (req, res) => {
+      this._take(req, res);
+    });
     this._server.requestTimeout = 0;
     this._server.headersTimeout = kFirstHeaderMs;
     this._server.keepAliveTimeout = kFirstIdleMs;
--- /dev/null
+++ b/tests/mesh/meshFleet.ts
@@ -0,0 +1,185 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Routing daemons in one process, each with a target, over the stand-in of the platform's store. */
+
+import { EventLog, MeshDaemon } from '@gentiandrum/mesh';
+import { adaptPlatform } from '@gentiandrum/platform';
+import { meshSettingsSchema } from '@gentiandrum/protocol';
+import { createServer } from 'node:net';
+import { Agent, request } from 'undici';
+import { StoreStandin } from '../platform/storeStandin.js';
+import { UpstreamStandin } from '../platform/upstreamStandin.js';
+
+/** One route of a test's configuration, with what differs from the usual. */
+export interface TestRoute {
+  prefix: string;
+  service?: string;
+  split?: { service: string; weight: number }[];
+  idempotent?: boolean;
+  timeoutMs?: number;
+  maxAttempts?: number;
+  priority?: number;
+}
+
+/** An answer as a caller got it. */
+export interface CallerAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+}
+
+/** One host of the fleet. */
+export interface FleetHost {
+  id: string;
+  daemon: MeshDaemon;
+  target: UpstreamStandin;
+  calls: string;
+  ready: string;
+  control: string;
+  zone: string;
+}
+
+const kHostName = 'app.example';
+const kWaitMs = 10_000;
+const kLookMs = 10;
+
+/** Several daemons and their targets. */
+export class MeshFleet {
+  readonly store = new StoreStandin();
+  readonly hosts: FleetHost[] = [];
+  storeAddress = '';
+  private _version = 0;
+  private _nextId = 1;
+  private readonly _agent = new Agent({ keepAliveTimeout: 1_000 });
+
+  /** Starts the store. */
+  async start(): Promise<void> {
+    this.storeAddress = await this.store.start();
+  }
+
+  /** Writes a configuration; returns its version. */
+  configure(routes: TestRoute[], limits: Record<string, number> = {}): number {
+    this._version += 3;
+    const services = [...new Set(routes.flatMap((route) => [route.service ?? '', ...(route.split ?? []).map(({ service }) => service)]))];
+    this.store.put(
+      'keyed.op',
+      'config',
+      JSON.stringify({
+        version: this._version.toString(16).padStart(8, '0'),
+        routes: routes.map((route) => ({
+          name: `r${route.prefix}`,
+          host: kHostName,
+          path_prefix: route.prefix,
+          kind: route.idempotent === false ? 'non_idempotent' : 'idempotent',
+          timeout_ms: route.timeoutMs ?? 2_000,
+          target_latency_ms: 1_000,
+          max_attempts: route.maxAttempts ?? 2,
+          priority: route.priority ?? 1,
+          ...(route.split ? { traffic_split: route.split } : { service: route.service }),
+        })),
+        services: services.filter((name) => name !== '').map((name) => ({ name, health_path: '/health', max_connections: 50 })),
+        limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000, ...limits },
+      }),
+    );
+    return this._version;
+  }
+
+  /** Starts a daemon beside a target; `beat` lets the target announce itself. */
+  async add(id: string, service: string, options: { zone?: string; beat?: boolean; target?: UpstreamStandin } = {}): Promise<FleetHost> {
+    const target = options.target ?? new UpstreamStandin(`i-${id}`, service);
+    if (target.address === '') {
+      await target.start();
+    }
+    const [calls, peers, ready, control] = await freeAddresses(4);
+    const zone = options.zone ?? 'z1';
+    const settings = meshSettingsSchema.parse({
+      id,
+      zone,
+      listen: { calls, peers, ready, announcements: control },
+      target: { address: target.address, service },
+      log: { address: this.storeAddress },
+      retries: { ratio: 0.2, extra: 50, windowSeconds: 10 },
+      logLinesPerSecond: 0,
+    });
+    const events = new EventLog(id, 0, 0);
+    const daemon = new MeshDaemon(settings, adaptPlatform(settings, events), events);
+    await daemon.start();
+    const host = { id, daemon, target, calls: calls ?? '', ready: ready ?? '', control: control ?? '', zone };
+    this.hosts.push(host);
+    if (options.beat !== false) {
+      await target.beat(host.control);
+    }
+    return host;
+  }
+
+  /** Waits until a condition holds; fails the test by a throw when it never does. */
+  async until(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+    const end = performance.now() + kWaitMs;
+    while (!(await holds())) {
+      if (performance.now() > end) {
+        throw new Error(`expected ${what}`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, kLookMs));
+    }
+  }
+
+  /** Waits until every daemon is ready and answers on a path. */
+  async untilServing(path: string): Promise<void> {
+    for (const host of this.hosts) {
+      await this.until(`${host.id} to serve ${path}`, async () => (await this.call(host, path)).status === 200);
+    }
+  }
+
+  /** Sends one request through a host's daemon. */
+  async call(
+    host: FleetHost,
+    path: string,
+    options: { method?: 'GET' | 'POST'; body?: string; remainingMs?: number; headers?: Record<string, string> } = {},
+  ): Promise<CallerAnswer> {
+    const id = `a${this._nextId++}`;
+    const res = await request(`http://${host.calls}${path}`, {
+      dispatcher: this._agent,
+      method: options.method ?? 'GET',
+      body: options.body,
+      headers: { host: kHostName, 'x-attempt-id': id, 'x-deadline-remaining': String(options.remainingMs ?? 2_000), ...options.headers },
+    });
+    return { status: res.statusCode, headers: res.headers, body: await res.body.text() };
+  }
+
+  /** Status of a readiness check. */
+  async readiness(host: FleetHost): Promise<number> {
+    const res = await request(`http://${host.ready}/v1/readiness`);
+    await res.body.dump();
+    return res.statusCode;
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    await Promise.all(this.hosts.map(({ daemon }) => daemon.close()));
+    this.hosts.forEach(({ target }) => {
+      target.close();
+    });
+    this.store.close();
+    await this._agent.destroy();
+  }
+}
+
+/** Addresses on the loopback that are free at the moment. */
+async function freeAddresses(count: number): Promise<string[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, async () => {
+      const server = createServer();
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      return server;
+    }),
+  );
+  const addresses = servers.map((server) => {
+    const address = server.address();
+    return `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
+  });
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return addresses;
+}
--- /dev/null
+++ b/tests/platform/upstreamStandin.ts
@@ -0,0 +1,182 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Stand-in for a target of the platform: echoes ids, marks its answers, announces itself, and answers badly on demand. */
+
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { request } from 'undici';
+import { readBody } from '../standins/httpJson.js';
+
+/** What the next answers look like. */
+export type AnswerMode =
+  | 'whole'
+  | 'failing'
+  | 'shedding'
+  | 'unproved_shedding'
+  | 'unsealed'
+  | 'foreign_id'
+  | 'truncated'
+  | 'dropped'
+  | 'garbage'
+  | 'unframed'
+  | 'unframed_reset'
+  | 'surplus';
+
+/** One request as the target saw it. */
+export interface SeenRequest {
+  id: string;
+  method: string;
+  path: string;
+  caller: string;
+  remainingMs: number;
+  instance: string;
+  body: string;
+}
+
+/** A target. */
+export class UpstreamStandin {
+  mode: AnswerMode = 'whole';
+  /** Answers that the mode holds for; then they are whole again. */
+  modeLeft = Infinity;
+  workMs = 1;
+  readonly seen: SeenRequest[] = [];
+  /** Requests whose connection closed before the answer. */
+  left = 0;
+  running = 0;
+  address = '';
+  private _sequence = 0;
+  private readonly _server: Server;
+
+  constructor(
+    readonly instance: string,
+    readonly service: string,
+    readonly slots = 20,
+  ) {
+    this._server = createServer((req, res) => {
+      void this._serve(req, res);
+    });
+    this._server.keepAliveTimeout = 10_000;
+  }
+
+  /** Listens on the loopback. */
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve));
+    const address = this._server.address();
+    this.address = `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
+  }
+
+  /** Announces itself to a daemon; returns the status of the answer. */
+  async beat(control: string, state: 'ready' | 'draining' = 'ready', sequence = ++this._sequence): Promise<number> {
+    const body = JSON.stringify({
+      address: this.address,
+      info: { service: this.service, version: 'v1', zone: 'z', slots: this.slots },
+      status: { state, sequence, cold_remaining_ms: 0 },
+    });
+    const res = await request(`http://${control}/v1/instances/${this.instance}`, {
+      method: 'PUT',
+      body,
+      headers: { 'content-type': 'application/json' },
+    });
+    await res.body.dump();
+    return res.statusCode;
+  }
+
+  /** Says that it leaves for good. */
+  async leave(control: string): Promise<number> {
+    const res = await request(`http://${control}/v1/instances/${this.instance}`, { method: 'DELETE' });
+    await res.body.dump();
+    return res.statusCode;
+  }
+
+  /** Stops at once. */
+  close(): void {
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private async _serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req);
+    const header = (name: string): string => String(req.headers[name] ?? '');
+    this.seen.push({
+      id: header('x-attempt-id'),
+      method: req.method ?? '',
+      path: req.url ?? '',
+      caller: header('x-caller-service'),
+      remainingMs: Number(header('x-deadline-remaining')),
+      instance: header('x-target-instance'),
+      body: body.toString('utf8'),
+    });
+    if (header('x-target-instance') !== this.instance) {
+      res.writeHead(421, { 'x-attempt-id': header('x-attempt-id'), 'x-instance-id': this.instance }).end();
+      return;
+    }
+    this.running++;
+    await new Promise((resolve) => setTimeout(resolve, this.workMs));
+    this.running--;
+    if (res.destroyed) {
+      this.left++;
+      return;
+    }
+    const mode = this.modeLeft > 0 ? this.mode : 'whole';
+    this.modeLeft--;
+    this._answer(mode, header('x-attempt-id'), req, res);
+  }
+
+  private _answer(mode: AnswerMode, id: string, req: IncomingMessage, res: ServerResponse): void {
+    const text = `${this.instance} did ${id}`;
+    const sealed = { 'x-attempt-id': id, 'x-response-seal': `seal.${id}` };
+    switch (mode) {
+      case 'whole':
+        res.writeHead(200, { ...sealed, 'content-length': text.length }).end(text);
+        return;
+      case 'failing':
+        res.writeHead(500, sealed).end('failed');
+        return;
+      case 'shedding':
+        res.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end();
+        return;
+      case 'unproved_shedding':
+        res.writeHead(503, sealed).end('busy');
+        return;
+      case 'unsealed':
+        res.writeHead(200, { 'x-attempt-id': id }).end(text);
+        return;
+      case 'foreign_id':
+        res.writeHead(200, { ...sealed, 'x-attempt-id': `not-${id}` }).end(text);
+        return;
+      case 'truncated':
+        res.writeHead(200, { ...sealed, 'content-length': text.length + 100 });
+        res.write(text);
+        setTimeout(() => res.destroy(), 5);
+        return;
+      case 'dropped':
+        res.destroy();
+        return;
+      default:
+        this._answerRaw(mode, id, text, req);
+    }
+  }
+
+  private _answerRaw(mode: AnswerMode, id: string, text: string, req: IncomingMessage): void {
+    const head = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Response-Seal: seal.${id}\r\n`;
+    const { socket } = req;
+    switch (mode) {
+      case 'garbage':
+        socket.end('\u0000\u0001 this is no answer\r\n\r\n');
+        return;
+      case 'unframed':
+        socket.end(`${head}Connection: close\r\n\r\n${text}`);
+        return;
+      case 'unframed_reset':
+        socket.write(`${head}Connection: close\r\n\r\n${text.slice(0, 5)}`);
+        setTimeout(() => socket.resetAndDestroy(), 5);
+        return;
+      default: {
+        const whole = `${head}Content-Length: ${text.length}\r\n\r\n${text}`;
+        socket.write(whole + whole);
+      }
+    }
+  }
+}
