Routing daemon: tests over real daemons, targets and a store stand-in; a reset no longer ends an answer without length

The HTTP client ends an answer without a length when its connection is reset, so a cut answer looked whole. The connector marks resets, and the exchange calls such an answer lost. Test seen failing (200 in place of 502), passes now.

--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -117,6 +117,16 @@
     return this._config !== undefined && this._recalled && !this._stopping;
   }
 
+  /** The record of this host as other daemons should know it. */
+  get record(): TargetRecord {
+    return this._ownRecord();
+  }
+
+  /** Other daemons that a link is open to. */
+  get reachable(): number {
+    return this._network.reachable;
+  }
+
   /** Listens, and begins to learn. */
   async start(): Promise<void> {
     const { listen } = this._settings;
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -9,7 +9,8 @@
  */
 
 import type { CallEnd } from '@gentiandrum/core';
-import { type Dispatcher, Pool } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, type Dispatcher, Pool } from 'undici';
 import { HeaderFilter } from '../app/hopByHop.js';
 import type { HeaderNames } from '../ports.js';
 import type { PeerCall } from './peerMessages.js';
@@ -42,6 +43,7 @@
 export class TargetClient {
   private readonly _pool: Pool;
   private readonly _filter: HeaderFilter;
+  private readonly _resets: ResetWatch = { current: false };
 
   constructor(
     address: string,
@@ -57,13 +59,13 @@
       bodyTimeout: 0,
       keepAliveTimeout: kKeepAliveMs,
       keepAliveTimeoutThreshold: kKeepAliveMarginMs,
-      connect: { timeout: kConnectMs },
+      connect: watchedConnector(this._resets),
     });
   }
 
   /** Sends a call to the target. */
   run(call: PeerCall, remainingMs: number, done: (end: RunEnd) => void): Run {
-    const exchange = new Exchange(call, this._names, this._filter, done);
+    const exchange = new Exchange(call, this._names, this._filter, this._resets, done);
     exchange.limit(remainingMs + kOvertimeMs);
     const names = this._names;
     const own = [names.remainingMs, String(Math.max(1, Math.floor(remainingMs))), names.expectedInstance, this._instance];
@@ -79,6 +81,37 @@
   }
 }
 
+/** Whether the event that is being handled is the reset of a connection. */
+interface ResetWatch {
+  current: boolean;
+}
+
+/**
+ * A connector whose sockets mark their resets. The HTTP client takes a reset for the end of an answer without a length, and
+ * ends the answer within the socket's error event, before which the mark is set.
+ */
+function watchedConnector(resets: ResetWatch): buildConnector.connector {
+  const connect = buildConnector({ timeout: kConnectMs });
+  return (options, callback) => {
+    connect(options, (...args) => {
+      const [err, socket] = args;
+      if (!err) {
+        watchResets(socket, resets);
+      }
+      callback(...args);
+    });
+  };
+}
+
+function watchResets(socket: Socket, resets: ResetWatch): void {
+  socket.prependListener('error', () => {
+    resets.current = true;
+    queueMicrotask(() => {
+      resets.current = false;
+    });
+  });
+}
+
 /** One request on a connection to the target, and its answer. */
 class Exchange implements Dispatcher.DispatchHandler, Run {
   private _controller: Dispatcher.DispatchController | undefined;
@@ -93,6 +126,7 @@
     private readonly _call: PeerCall,
     private readonly _names: HeaderNames,
     private readonly _filter: HeaderFilter,
+    private readonly _resets: ResetWatch,
     private readonly _done: (end: RunEnd) => void,
   ) {}
 
@@ -131,7 +165,9 @@
   }
 
   onResponseEnd(): void {
-    if (this._status >= 200) {
+    if (this._resets.current) {
+      this._finish({ end: { kind: 'lost', reason: 'connection: reset within the answer' }, answered: false });
+    } else if (this._status >= 200) {
       this._finish(this._judge());
     }
   }
--- /dev/null
+++ b/tests/mesh/answers.spec.ts
@@ -0,0 +1,164 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Whole answers to the right caller, "not run" only when true, and nothing twice that must not be. */
+
+import { describe, itAlone } from '../support/describe.js';
+import type { AnswerMode } from '../platform/upstreamStandin.js';
+import { MeshFleet } from './meshFleet.js';
+
+async function withFleet(body: (fleet: MeshFleet) => Promise<void>): Promise<void> {
+  const fleet = new MeshFleet();
+  await fleet.start();
+  try {
+    await body(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+describe('answers of a target', () => {
+  const bad: { mode: AnswerMode; status: number }[] = [
+    { mode: 'unsealed', status: 502 },
+    { mode: 'foreign_id', status: 502 },
+    { mode: 'truncated', status: 502 },
+    { mode: 'dropped', status: 502 },
+    { mode: 'garbage', status: 502 },
+    { mode: 'unframed_reset', status: 502 },
+    { mode: 'unproved_shedding', status: 502 },
+    { mode: 'failing', status: 500 },
+    { mode: 'shedding', status: 503 },
+  ];
+  for (const { mode, status } of bad) {
+    itAlone(`should give a request that is not idempotent ${status} when the answer is ${mode}, and run it once`, (t) =>
+      withFleet(async (fleet) => {
+        fleet.configure([{ prefix: '/once/', service: 'holds', idempotent: false, maxAttempts: 3 }]);
+        const host = await fleet.add('h1', 'holds');
+        await fleet.untilServing('/once/warm');
+        host.target.mode = mode;
+        const before = host.target.seen.length;
+        const answer = await fleet.call(host, '/once/x', { method: 'POST', body: 'hold' });
+        t.is(answer.status, status);
+        t.is(host.target.seen.length, before + 1);
+        t.is('retry-after' in answer.headers, status === 503);
+        t.is('x-response-seal' in answer.headers, mode === 'failing');
+      }),
+    );
+  }
+
+  itAlone('should pass on an answer without a length that ended cleanly', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      host.target.mode = 'unframed';
+      const answer = await fleet.call(host, '/a/x');
+      t.is(answer.status, 200);
+      t.regex(answer.body, /^i-h1 did a\d+$/);
+    }),
+  );
+
+  itAlone('should never give a caller the surplus answer to somebody else', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      host.target.mode = 'surplus';
+      for (let i = 0; i < 10; i++) {
+        const answer = await fleet.call(host, '/a/x');
+        if (answer.status === 200) {
+          t.is(answer.body, `i-h1 did ${String(answer.headers['x-attempt-id'])}`);
+        }
+      }
+    }),
+  );
+
+  itAlone('should send an idempotent request on to another target when one loses the answer', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads', maxAttempts: 2 }]);
+      const first = await fleet.add('h1', 'reads');
+      const second = await fleet.add('h2', 'reads', { zone: 'z2' });
+      await fleet.untilServing('/a/warm');
+      // The budget for repeats grows with first arrivals.
+      await Promise.all(Array.from({ length: 60 }, () => fleet.call(second, '/a/x')));
+      first.target.mode = 'dropped';
+      const answer = await fleet.call(first, '/a/x');
+      t.is(answer.status, 200);
+      t.is(answer.body.split(' ')[0], 'i-h2');
+    }),
+  );
+});
+
+describe('requests on their way', () => {
+  itAlone('should reach a target on another host unchanged, with caller, instance and time left', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/once/', service: 'holds', idempotent: false }]);
+      const near = await fleet.add('h1', 'reads');
+      const far = await fleet.add('h2', 'holds');
+      await fleet.untilServing('/once/warm');
+      const headers = { 'x-caller-service': 'forged', 'x-target-instance': 'forged', 'x-own': 'kept' };
+      const answer = await fleet.call(near, '/once/a%20b?c=d', { method: 'POST', body: 'the body', remainingMs: 900, headers });
+      t.is(answer.status, 200);
+      const seen = far.target.seen.at(-1);
+      t.is(seen?.path, '/once/a%20b?c=d');
+      t.is(seen?.body, 'the body');
+      t.is(seen?.caller, 'reads');
+      t.is(seen?.instance, 'i-h2');
+      t.true((seen?.remainingMs ?? 0) <= 900 && (seen?.remainingMs ?? 0) > 0);
+    }),
+  );
+
+  itAlone('should be answered 404 without a route, 503 without a configuration and 413 over the limit', (t) =>
+    withFleet(async (fleet) => {
+      const host = await fleet.add('h1', 'reads');
+      t.is((await fleet.call(host, '/a/x')).status, 503);
+      t.is(await fleet.readiness(host), 503);
+      fleet.configure([{ prefix: '/a/', service: 'reads' }], { max_body_bytes: 10 });
+      await fleet.untilServing('/a/warm');
+      t.is(await fleet.readiness(host), 200);
+      t.is((await fleet.call(host, '/b/x')).status, 404);
+      t.is((await fleet.call(host, '/a/x', { method: 'POST', body: 'longer than ten bytes' })).status, 413);
+    }),
+  );
+
+  itAlone('should be answered 504 at the time limit of the route, and cancelled down to the target', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads', timeoutMs: 300 }]);
+      const near = await fleet.add('h1', 'other');
+      const far = await fleet.add('h2', 'reads');
+      await fleet.untilServing('/a/warm');
+      far.target.workMs = 1_500;
+      t.is((await fleet.call(near, '/a/x', { remainingMs: 5_000 })).status, 504);
+      await fleet.until('the target to see the caller leave', () => far.target.left === 1);
+    }),
+  );
+
+  itAlone('should be given to a new target within one version, and follow its split', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'old' }]);
+      const old = await fleet.add('h1', 'old');
+      const next = await fleet.add('h2', 'new');
+      await fleet.untilServing('/a/warm');
+      fleet.configure([
+        {
+          prefix: '/a/',
+          split: [
+            { service: 'old', weight: 30 },
+            { service: 'new', weight: 70 },
+          ],
+        },
+      ]);
+      await fleet.until('the new service to get requests', async () => {
+        await fleet.call(old, '/a/x');
+        return next.target.seen.length > 0;
+      });
+      const before = next.target.seen.length;
+      for (let i = 0; i < 100; i++) {
+        await fleet.call(old, '/a/x');
+      }
+      t.true(Math.abs(next.target.seen.length - before - 70) <= 1);
+    }),
+  );
+});
--- /dev/null
+++ b/tests/mesh/leaving.spec.ts
@@ -0,0 +1,178 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Targets that leave, daemons that come back, and a store that is away. */
+
+import { describe, itAlone } from '../support/describe.js';
+import { MeshFleet } from './meshFleet.js';
+
+const kTopic = 'keyed.gentiandrum-hosts';
+
+async function withFleet(body: (fleet: MeshFleet) => Promise<void>): Promise<void> {
+  const fleet = new MeshFleet();
+  await fleet.start();
+  try {
+    await body(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+describe('a leaving target', () => {
+  itAlone('should get nothing new once its word was acknowledged, at any daemon', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const stays = await fleet.add('h1', 'reads');
+      const leaves = await fleet.add('h2', 'reads', { zone: 'z2' });
+      await fleet.untilServing('/a/warm');
+      t.is(await leaves.target.beat(leaves.control, 'draining'), 200);
+      const before = leaves.target.seen.length;
+      const answers = await Promise.all([...Array.from({ length: 10 }, () => [stays, leaves]).flat()].map((host) => fleet.call(host, '/a/x')));
+      t.true(answers.every(({ status }) => status === 200));
+      t.is(leaves.target.seen.length, before);
+    }),
+  );
+
+  itAlone('should stay so when an older heartbeat comes late', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      await host.target.beat(host.control, 'draining', 9);
+      await host.target.beat(host.control, 'ready', 8);
+      t.is((await fleet.call(host, '/a/x')).status, 503);
+    }),
+  );
+
+  itAlone('should stay so for a daemon that started again, from the store alone', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      t.is(await host.target.leave(host.control), 200);
+      await fleet.until('the store to know', () => fleet.store.newest(kTopic).get('h1')?.includes('"gone"') === true);
+      await fleet.kill(host);
+      const again = await fleet.add('h1', 'reads', { target: host.target, beat: false });
+      await fleet.until('the new daemon to be ready', async () => (await fleet.readiness(again)) === 200);
+      const before = host.target.seen.length;
+      await again.target.beat(again.control, 'ready');
+      t.is((await fleet.call(again, '/a/x')).status, 503);
+      t.is(host.target.seen.length, before);
+    }),
+  );
+
+  itAlone('should stay so for a daemon that started again, from other daemons while the store is away', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      const other = await fleet.add('h2', 'other');
+      await fleet.untilServing('/a/warm');
+      fleet.store.mode = 'reset';
+      t.is(await host.target.beat(host.control, 'draining'), 200);
+      await fleet.kill(host);
+      const again = await fleet.add('h1', 'reads', { target: host.target, beat: false });
+      await again.target.beat(again.control, 'ready', 1);
+      const before = host.target.seen.length;
+      t.is((await fleet.call(again, '/a/x')).status, 503);
+      t.is((await fleet.call(other, '/a/x')).status, 503);
+      t.is(host.target.seen.length, before);
+    }),
+  );
+});
+
+describe('a store that is away', () => {
+  for (const mode of ['busy', 'limited', 'silent', 'reset', 'lost', 'full'] as const) {
+    itAlone(`should not keep a target that came meanwhile from being used (${mode})`, (t) =>
+      withFleet(async (fleet) => {
+        fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+        const near = await fleet.add('h1', 'other');
+        await fleet.until('the first daemon to be ready', async () => (await fleet.readiness(near)) === 200);
+        const far = await fleet.add('h2', 'reads', { beat: false });
+        await fleet.until('both to be ready', async () => (await fleet.readiness(far)) === 200);
+        await fleet.until('both to know each other', () => far.daemon.reachable === 1 && near.daemon.reachable === 1);
+        fleet.store.mode = mode;
+        await far.target.beat(far.control);
+        await fleet.until('the target to be used', async () => (await fleet.call(near, '/a/x')).status === 200);
+        fleet.store.mode = 'serving';
+        await fleet.until('the store to know it', () => fleet.store.newest(kTopic).get('h2')?.includes('"ready"') === true);
+        t.pass();
+      }),
+    );
+  }
+
+  itAlone('should not keep a version from a daemon that it turns away', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      const real = fleet.storeAddress;
+      fleet.storeAddress = '127.0.0.1:9';
+      const cutOff = await fleet.add('h2', 'other');
+      fleet.storeAddress = real;
+      fleet.store.put(kTopic, 'h2', recordOf(cutOff.daemon.record));
+      await fleet.until('the daemon that is cut off to serve', async () => (await fleet.call(cutOff, '/a/x')).status === 200);
+      fleet.configure([{ prefix: '/b/', service: 'reads' }]);
+      await fleet.until('the new version to be in force there', async () => (await fleet.call(cutOff, '/a/x')).status === 404);
+      t.is((await fleet.call(cutOff, '/b/x')).status, 200);
+      t.is((await fleet.call(host, '/b/x')).status, 200);
+    }),
+  );
+
+  itAlone('should not make a daemon miss what was written while its history went', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      fleet.configure([{ prefix: '/b/', service: 'reads' }]);
+      fleet.store.compact('keyed.op');
+      await fleet.until('the newest version to be in force', async () => (await fleet.call(host, '/b/x')).status === 200);
+      t.is((await fleet.call(host, '/a/x')).status, 404);
+    }),
+  );
+
+  itAlone('should not let an older version come back', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const old = fleet.store.newest('keyed.op').get('config') ?? '';
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      fleet.configure([{ prefix: '/b/', service: 'reads' }]);
+      await fleet.untilServing('/b/warm');
+      fleet.store.put('keyed.op', 'config', old);
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      t.is((await fleet.call(host, '/b/x')).status, 200);
+      t.is((await fleet.call(host, '/a/x')).status, 404);
+    }),
+  );
+});
+
+describe('a planned stop', () => {
+  itAlone('should end what runs, be unready at once, and send callers elsewhere', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads', timeoutMs: 4_000 }]);
+      const stops = await fleet.add('h1', 'reads');
+      const stays = await fleet.add('h2', 'reads');
+      await fleet.untilServing('/a/warm');
+      stops.target.workMs = 700;
+      stays.target.workMs = 700;
+      const running = [stops, stays, stops, stays].map((host) => fleet.call(host, '/a/x', { remainingMs: 4_000 }));
+      await fleet.until('the target to work', () => stops.target.running > 0);
+      const stopped = stops.daemon.stop();
+      t.is(await fleet.readiness(stops), 503);
+      const late = await fleet.call(stops, '/a/x');
+      t.is(late.status, 200);
+      t.is(late.headers.connection, 'close');
+      t.deepEqual(
+        (await Promise.all(running)).map(({ status }) => status),
+        [200, 200, 200, 200],
+      );
+      await stopped;
+    }),
+  );
+});
+
+function recordOf(record: unknown): string {
+  return JSON.stringify(record);
+}
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -129,6 +129,7 @@
   /** Waits until every daemon is ready and answers on a path. */
   async untilServing(path: string): Promise<void> {
     for (const host of this.hosts) {
+      await this.until(`${host.id} to be linked with all others`, () => host.daemon.reachable === this.hosts.length - 1);
       await this.until(`${host.id} to serve ${path}`, async () => (await this.call(host, path)).status === 200);
     }
   }
@@ -156,6 +157,12 @@
     return res.statusCode;
   }
 
+  /** Ends a daemon at once; its target goes on. */
+  async kill(host: FleetHost): Promise<void> {
+    this.hosts.splice(this.hosts.indexOf(host), 1);
+    await host.daemon.close();
+  }
+
   /** Ends everything. */
   async close(): Promise<void> {
     await Promise.all(this.hosts.map(({ daemon }) => daemon.close()));
@@ -163,7 +170,7 @@
       target.close();
     });
     this.store.close();
-    await this._agent.destroy();
+    await this._agent.close();
   }
 }
 
