Bundle: the store's client works in it; test of the built daemon

The lean bundle left out undici's request method, so every call of the store failed, and the client swallowed why. The new test builds the bundle and serves a call through it; it failed before (the daemon never knew a configuration).

--- a/tests/admission/slotGate.spec.ts
+++ b/tests/admission/slotGate.spec.ts
@@ -14,7 +14,7 @@
   gate: SlotGate<GatedCall>;
   started: number[];
   refused: [number, GateRefusal][];
-  offer(id: number, rank?: number, waitMs?: number): string;
+  offer: (id: number, rank?: number, waitMs?: number) => string;
 }
 
 function withGate(body: (world: World) => void): void {
--- /dev/null
+++ b/tests/mesh/bundle.spec.ts
@@ -0,0 +1,47 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The daemon as it is built for the platform: one bundle, started from its compiled code. */
+
+import { type ChildProcess, spawn, spawnSync } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { describe, itAlone } from '../support/describe.js';
+import { MeshFleet } from './meshFleet.js';
+
+const kRoot = fileURLToPath(new URL('../../..', import.meta.url));
+const kBundle = 'target/gentiandrumd.cjs';
+
+describe('the bundled daemon', () => {
+  itAlone('should start from its settings, serve a call from another host, and stop when told to', async (t) => {
+    const built = spawnSync(process.execPath, ['utils/bundle.mjs'], { cwd: kRoot, encoding: 'utf8' });
+    t.is(built.status, 0, built.stderr);
+    const folder = mkdtempSync(join(tmpdir(), 'gentiandrum-'));
+    const fleet = new MeshFleet();
+    await fleet.start();
+    let child: ChildProcess | undefined;
+    try {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const near = await fleet.add('h1', 'other');
+      const { settings, target, host } = await fleet.prepare('h2', 'reads');
+      const file = join(folder, 'settings.yaml');
+      writeFileSync(file, JSON.stringify(settings));
+      child = spawn(process.execPath, [kBundle], { cwd: kRoot, env: { GENTIANDRUM_BOOT: file }, stdio: 'ignore' });
+      const ended = once(child, 'exit');
+      await fleet.until('the bundled daemon to listen', () => target.beat(host.control).then(Boolean, () => false));
+      await fleet.until('a call to be served by its target', async () => (await fleet.call(near, '/a/x')).status === 200);
+      child.kill('SIGTERM');
+      t.deepEqual(await ended, [0, null]);
+      target.close();
+    } finally {
+      child?.kill('SIGKILL');
+      await fleet.close();
+      rmSync(folder, { recursive: true, force: true });
+    }
+  });
+});
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -7,7 +7,7 @@
 
 import { EventLog, MeshDaemon } from '@gentiandrum/mesh';
 import { adaptPlatform } from '@gentiandrum/platform';
-import { meshSettingsSchema } from '@gentiandrum/protocol';
+import { type MeshSettings, meshSettingsSchema } from '@gentiandrum/protocol';
 import { createServer } from 'node:net';
 import { Agent, request } from 'undici';
 import { StoreStandin } from '../platform/storeStandin.js';
@@ -31,17 +31,28 @@
   body: string;
 }
 
-/** One host of the fleet. */
-export interface FleetHost {
+/** Where the daemon of a host is reached. */
+export interface HostPlace {
   id: string;
-  daemon: MeshDaemon;
-  target: UpstreamStandin;
   calls: string;
   ready: string;
   control: string;
   zone: string;
 }
 
+/** One host of the fleet. */
+export interface FleetHost extends HostPlace {
+  daemon: MeshDaemon;
+  target: UpstreamStandin;
+}
+
+/** A host without its daemon. */
+export interface PreparedHost {
+  settings: MeshSettings;
+  target: UpstreamStandin;
+  host: HostPlace;
+}
+
 const kHostName = 'app.example';
 const kWaitMs = 10_000;
 const kLookMs = 10;
@@ -87,13 +98,13 @@
     return this._version;
   }
 
-  /** Starts a daemon beside a target; `beat` lets the target announce itself. */
-  async add(id: string, service: string, options: { zone?: string; beat?: boolean; target?: UpstreamStandin } = {}): Promise<FleetHost> {
+  /** Addresses, settings and target of a host whose daemon is not started yet. */
+  async prepare(id: string, service: string, options: { zone?: string; target?: UpstreamStandin } = {}): Promise<PreparedHost> {
     const target = options.target ?? new UpstreamStandin(`i-${id}`, service);
     if (target.address === '') {
       await target.start();
     }
-    const [calls, peers, ready, control] = await freeAddresses(4);
+    const [calls = '', peers = '', ready = '', control = ''] = await freeAddresses(4);
     const zone = options.zone ?? 'z1';
     const settings = meshSettingsSchema.parse({
       id,
@@ -104,10 +115,16 @@
       retries: { ratio: 0.2, extra: 50, windowSeconds: 10 },
       logLinesPerSecond: 0,
     });
+    return { settings, target, host: { id, calls, ready, control, zone } };
+  }
+
+  /** Starts a daemon beside a target; `beat` lets the target announce itself. */
+  async add(id: string, service: string, options: { zone?: string; beat?: boolean; target?: UpstreamStandin } = {}): Promise<FleetHost> {
+    const { settings, target, host: place } = await this.prepare(id, service, options);
     const events = new EventLog(id, 0, 0);
     const daemon = new MeshDaemon(settings, adaptPlatform(settings, events), events);
     await daemon.start();
-    const host = { id, daemon, target, calls: calls ?? '', ready: ready ?? '', control: control ?? '', zone };
+    const host = { ...place, daemon, target };
     this.hosts.push(host);
     if (options.beat !== false) {
       await target.beat(host.control);
--- a/utils/leanUndici.cjs
+++ b/utils/leanUndici.cjs
@@ -5,6 +5,10 @@
 
 /** The parts of undici that the bundled daemon uses: its index would load fetch, caches, mocks and web sockets at each start. */
 
+const Dispatcher = require('../node_modules/undici/lib/dispatcher/dispatcher.js');
+
+Dispatcher.prototype.request = require('../node_modules/undici/lib/api/api-request.js');
+
 module.exports = {
   Pool: require('../node_modules/undici/lib/dispatcher/pool.js'),
   buildConnector: require('../node_modules/undici/lib/core/connect.js'),
