Shed at the root: levels travel up the chains with the answers, calls of targets go first

Calls carry nothing that names their root. Change: a gate tells inner routes by the services that never call them, daemons fit calls on runs to learn which route makes which call, each answer carries the level met on its chain, and the ingress turns people's requests away by priority. Repeats are spent by the height of the chain below.

--- /dev/null
+++ b/packages/core/src/admission/callRatios.ts
@@ -0,0 +1,115 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Learns which calls a target makes for which requests: a regression of the calls that begin on its host on the runs that
+ * started there, over short samples. Runs of different routes fluctuate independently, which is what tells them apart.
+ */
+
+/** Weight that older samples keep with each new one: evidence fades over some hundred samples. */
+const kKept = 0.995;
+/** Rounds of coordinate descent when the ratios are solved; more change nothing visible for a handful of routes. */
+const kRounds = 25;
+/** Ratio below which a route is taken not to make the call: noise of the fit, measured on streams of independent routes. */
+const kLeastRatio = 0.25;
+/** Runs of a route that must have been seen before its ratios count. */
+const kLeastRuns = 30;
+
+/** Calls that follow runs on one host. */
+export class CallRatios {
+  private _runs = new Map<string, number>();
+  private _calls = new Map<string, number>();
+  private readonly _seen = new Map<string, number>();
+  private readonly _runProducts = new Map<string, Map<string, number>>();
+  private readonly _callProducts = new Map<string, Map<string, number>>();
+  private _ratios = new Map<string, Map<string, number>>();
+
+  /** Notes that a run of a route started. */
+  ran(route: string): void {
+    add(this._runs, route, 1);
+    add(this._seen, route, 1);
+  }
+
+  /** Notes that a call on a route began on this host. */
+  called(route: string): void {
+    add(this._calls, route, 1);
+  }
+
+  /** Closes the current sample. */
+  sample(): void {
+    fade(this._runProducts);
+    fade(this._callProducts);
+    for (const [route, runs] of this._runs) {
+      const row = rowOf(this._runProducts, route);
+      for (const [other, otherRuns] of this._runs) {
+        add(row, other, runs * otherRuns);
+      }
+    }
+    for (const [call, calls] of this._calls) {
+      const row = rowOf(this._callProducts, call);
+      for (const [route, runs] of this._runs) {
+        add(row, route, runs * calls);
+      }
+    }
+    this._runs = new Map();
+    this._calls = new Map();
+  }
+
+  /** Solves the ratios anew from all samples. */
+  solve(): void {
+    this._ratios = new Map();
+    for (const [call, products] of this._callProducts) {
+      for (const [route, ratio] of this._solveFor(products)) {
+        if (ratio >= kLeastRatio && (this._seen.get(route) ?? 0) >= kLeastRuns) {
+          rowOf(this._ratios, route).set(call, ratio);
+        }
+      }
+    }
+  }
+
+  /** Calls for one run of a route, by the route of the call. */
+  callsOf(route: string): ReadonlyMap<string, number> {
+    return this._ratios.get(route) ?? kNoCalls;
+  }
+
+  /** Least squares without negative ratios, by coordinate descent. */
+  private _solveFor(products: ReadonlyMap<string, number>): Map<string, number> {
+    const ratios = new Map<string, number>();
+    for (let round = 0; round < kRounds; round++) {
+      for (const [route, row] of this._runProducts) {
+        const own = row.get(route) ?? 0;
+        let rest = products.get(route) ?? 0;
+        for (const [other, product] of row) {
+          rest -= other === route ? 0 : product * (ratios.get(other) ?? 0);
+        }
+        ratios.set(route, own > 0 ? Math.max(0, rest / own) : 0);
+      }
+    }
+    return ratios;
+  }
+}
+
+const kNoCalls: ReadonlyMap<string, number> = new Map();
+
+function add(counts: Map<string, number>, key: string, by: number): void {
+  counts.set(key, (counts.get(key) ?? 0) + by);
+}
+
+function rowOf(rows: Map<string, Map<string, number>>, key: string): Map<string, number> {
+  let row = rows.get(key);
+  if (!row) {
+    row = new Map();
+    rows.set(key, row);
+  }
+  return row;
+}
+
+function fade(rows: Map<string, Map<string, number>>): void {
+  for (const row of rows.values()) {
+    for (const [key, value] of row) {
+      row.set(key, value * kKept);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/admission/callerMix.ts
@@ -0,0 +1,65 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Tells the calls that targets make from the requests of people. Nothing in a call names its root, but people's requests begin
+ * on hosts of every service, and a target's calls only on hosts of the services whose work makes them.
+ */
+
+/** Arrivals on a route before it is judged: by then some request of a person would have come from any given service. */
+const kJudgedAfter = 60;
+/** Arrivals after which the counts are halved, so that a route whose use changes is judged anew. */
+const kHalveAt = 2_000;
+
+interface RouteCallers {
+  arrivals: number;
+  byService: Map<string, number>;
+}
+
+/** Who calls which route, as one gate sees it. */
+export class CallerMix {
+  private readonly _routes = new Map<string, RouteCallers>();
+  private readonly _everyone = new Map<string, number>();
+
+  /** Notes an arrival on a route from a host of a service. */
+  note(route: string, callerService: string): void {
+    let callers = this._routes.get(route);
+    if (!callers) {
+      callers = { arrivals: 0, byService: new Map() };
+      this._routes.set(route, callers);
+    }
+    callers.arrivals++;
+    add(callers.byService, callerService);
+    add(this._everyone, callerService);
+    if (callers.arrivals >= kHalveAt) {
+      callers.arrivals /= 2;
+      halve(callers.byService);
+      halve(this._everyone);
+    }
+  }
+
+  /** Whether only targets call the route; undefined while that isn't known. */
+  inner(route: string): boolean | undefined {
+    const callers = this._routes.get(route);
+    if (!callers || callers.arrivals < kJudgedAfter) {
+      return undefined;
+    }
+    return callers.byService.size < this._everyone.size;
+  }
+}
+
+function add(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+function halve(counts: Map<string, number>): void {
+  for (const [key, count] of counts) {
+    if (count < 1) {
+      counts.delete(key);
+    } else {
+      counts.set(key, count / 2);
+    }
+  }
+}
--- a/packages/core/src/retries/repeatBudget.ts
+++ b/packages/core/src/retries/repeatBudget.ts
@@ -11,10 +11,15 @@
 import { monotonicMs } from '../util/clock.js';
 
 /**
- * Share of the service's bound that its targets use up themselves. The calls of a run that was a repeat are repeats too, one
- * level down, so in a chain of five levels each may add a fifth of the bound.
+ * Shares of the service's bound that its targets use up themselves. The calls of a run that was a repeat are repeats too, one
+ * level down, so each level may add half of what the level below it may, and all together stay within the bound.
  */
-const kUsedShare = 0.2;
+const kShareOfLowest = 0.45;
+const kSharePerLevel = 0.5;
+/** Share while it isn't known how deep the chains below are. */
+const kShareUnknown = 0.05;
+/** Share of the repeats beyond the ratio. */
+const kExtraShare = 0.2;
 
 /** Bound on repeats of a whole service. */
 export interface RepeatBound {
@@ -33,9 +38,10 @@
 
   constructor(private readonly _bound: RepeatBound) {}
 
-  /** Notes the first arrival of a request. */
-  earn(): void {
-    this._tokens += this._bound.ratio * kUsedShare;
+  /** Notes the first arrival of a request; `height` is the length of the chain of calls below it, if that is known. */
+  earn(height: number | undefined): void {
+    const share = height === undefined ? kShareUnknown : kShareOfLowest * kSharePerLevel ** height;
+    this._tokens += this._bound.ratio * share;
   }
 
   /** Takes the right to one repeat; `targets` is the number of targets of the service. */
@@ -51,7 +57,7 @@
   /** Tokens grow with time by this target's share of the extra repeats; at most one window's share is kept for later. */
   private _fill(targets: number): void {
     const now = monotonicMs();
-    const share = (this._bound.extra * kUsedShare) / targets;
+    const share = (this._bound.extra * kExtraShare) / targets;
     const windowMs = this._bound.windowSeconds * 1_000;
     const elapsed = Math.min(now - this._filledAt, windowMs);
     this._filledAt = now;
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -7,6 +7,7 @@
  * Chooses the target of a call by the time that the caller would wait for it, with a charge for leaving the zone.
  */
 
+import type { RouteReport } from '../admission/chainModel.js';
 import type { TargetRecord } from '../membership/targetRecord.js';
 import { monotonicMs } from '../util/clock.js';
 
@@ -39,6 +40,9 @@
   meanMs: number;
 }
 
+/** What a gate says with each answer: its load, and what it knows of the route. */
+export type GateReport = LoadReport & RouteReport;
+
 interface Stats {
   load: LoadReport;
   reportedAt: number;
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -8,7 +8,16 @@
  * or when the caller is gone.
  */
 
-import { type LoadReport, monotonicMs, type Offer, type CallEnd, type RouteEnd, routeRequest, type TargetRecord } from '@gentiandrum/core';
+import {
+  type ChainModel,
+  type GateReport,
+  monotonicMs,
+  type Offer,
+  type CallEnd,
+  type RouteEnd,
+  routeRequest,
+  type TargetRecord,
+} from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
@@ -19,14 +28,19 @@
 const kTimerStepMs = 20;
 /** Share of the latency target that a caller's own request may wait at a gate before it is refused instead. */
 const kWaitShare = 0.2;
+/** The same for a call of a target: refused, it would cost the work above it, so it may wait longer. */
+const kInnerWaitShare = 0.5;
+/** Calls of targets go before people's requests, whatever their priority: work was spent on them. */
+const kInnerRank = 0;
 
 /** What an exchange uses of its daemon. */
 export interface ExchangeDeps {
   candidates(service: string): readonly TargetRecord[];
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, latencyTargetMs: number): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
+  chains: ChainModel;
   sent(host: string): void;
-  ended(host: string, end: { load?: LoadReport; tookMs?: number; failed: boolean }): void;
+  ended(host: string, end: { load?: GateReport; tookMs?: number; failed: boolean }): void;
 }
 
 /** A request as the server hands it over. */
@@ -117,9 +131,9 @@
     this._offers++;
     this._deps.sent(target.host);
     const progress = { settled: false };
-    const handle = this._deps.offer(target, this._callFor(target, repeat), (end, load) => {
+    const handle = this._deps.offer(target, this._callFor(target, repeat), (end, report) => {
       progress.settled = true;
-      this._note(target, end, load, monotonicMs() - sentAt);
+      this._note(target, end, report, monotonicMs() - sentAt);
       if (!this._ended) {
         this._advance(this._procedure.next(end));
       }
@@ -129,21 +143,25 @@
     }
   }
 
-  private _note(target: TargetRecord, end: CallEnd, load: LoadReport, tookMs: number): void {
+  private _note(target: TargetRecord, end: CallEnd, report: GateReport, tookMs: number): void {
     const answered = end.kind === 'answered';
     const failed = end.kind === 'lost' ? end.reason !== 'cancelled' : answered && end.answer.status >= 500;
-    const report = load.limit > 0 ? load : undefined;
-    this._deps.ended(target.host, { load: report, tookMs: answered && !failed ? tookMs : undefined, failed });
+    const load = report.limit > 0 ? report : undefined;
+    if (load) {
+      this._deps.chains.learn(this._req.route.name, load);
+    }
+    this._deps.ended(target.host, { load, tookMs: answered && !failed ? tookMs : undefined, failed });
   }
 
   private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
     const { route, callerService, requestId, method, path, headers, body } = this._req;
     const remainingMs = Math.max(1, this._remainingMs());
+    const inner = this._deps.chains.inner(route.name) === true;
     return {
       route: route.name,
       service: target.service,
-      rank: route.priority,
-      waitMs: Math.max(0, route.latencyTargetMs * kWaitShare - this.ageMs),
+      rank: inner ? kInnerRank : kInnerRank + 1 + route.priority,
+      waitMs: Math.max(0, route.latencyTargetMs * (inner ? kInnerWaitShare : kWaitShare) - this.ageMs),
       remainingMs: Math.floor(remainingMs),
       repeat,
       idempotent: route.idempotent,
--- a/packages/mesh/src/app/eventLog.ts
+++ b/packages/mesh/src/app/eventLog.ts
@@ -50,22 +50,28 @@
     });
   }
 
-  /** One of many alike, such as the end of a request that went well. */
-  ordinary(part: EventPart, text: string, fields: EventFields = {}): void {
-    this._write(this._ordinary, 'info', part, text, fields);
+  /** One of many alike, such as the end of a request that went well; its values are only made when the line is written. */
+  ordinary(part: EventPart, text: string, fields: () => EventFields): void {
+    if (this._takes(this._ordinary)) {
+      this._write(this._ordinary, 'info', part, text, fields());
+    }
   }
 
   /** A change of what the daemon believes, or a failed request. */
   notable(part: EventPart, text: string, fields: EventFields = {}): void {
-    this._write(this._notable, 'info', part, text, fields);
+    if (this._takes(this._notable)) {
+      this._write(this._notable, 'info', part, text, fields);
+    }
   }
 
   /** Something that an operator may have to look at. */
   warn(part: EventPart, text: string, fields: EventFields = {}): void {
-    this._write(this._notable, 'warn', part, text, fields);
+    if (this._takes(this._notable)) {
+      this._write(this._notable, 'warn', part, text, fields);
+    }
   }
 
-  private _write(budget: Budget, level: 'info' | 'warn', part: EventPart, text: string, fields: EventFields): void {
+  private _takes(budget: Budget): boolean {
     const second = Math.floor(performance.now() / 1_000);
     if (second !== this._second) {
       this._second = second;
@@ -74,9 +80,13 @@
     }
     if (budget.left <= 0 || process.stdout.writableLength > kMaxPendingBytes) {
       budget.omitted++;
-      return;
+      return false;
     }
     budget.left--;
+    return true;
+  }
+
+  private _write(budget: Budget, level: 'info' | 'warn', part: EventPart, text: string, fields: EventFields): void {
     const omitted = budget.omitted;
     budget.omitted = 0;
     this._winston.log(level, `${part}: ${text}`, { host: this._host, ...fields, ...(omitted > 0 ? { omitted } : {}) });
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -5,13 +5,13 @@
 
 /** One routing daemon: puts its parts together, starts them, and stops them in order. */
 
-import { monotonicMs, Placement, RouteTable, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import { ChainModel, monotonicMs, Placement, RouteTable, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import { type MeshConfig, meshConfigSchema, type MeshSettings } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
 import type { PeerLink } from '../client/peerLink.js';
-import { PeerNetwork } from '../client/peerNetwork.js';
+import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
 import type { Announcement, Platform, RecordChange } from '../ports.js';
-import { CallServer } from '../server/callServer.js';
+import { CallServer, type CallServerDeps } from '../server/callServer.js';
 import { HostServer, type HostReply, type HostRequest } from '../server/hostServer.js';
 import type { EventLog } from './eventLog.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
@@ -37,6 +37,7 @@
 export class MeshDaemon {
   private readonly _directory = new TargetDirectory();
   private readonly _placement: Placement;
+  private readonly _chains = new ChainModel();
   private readonly _gate: TargetGate;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
@@ -66,48 +67,11 @@
       onChange: () => {
         this._tellRecord();
       },
+      chains: this._chains,
       events: _events,
     });
-    this._network = new PeerNetwork(
-      _settings.id,
-      this._directory,
-      {
-        onCall: (call, done) => this._gate.offer(call, done),
-        onRecords: (records) => {
-          this._takeRecords(records);
-        },
-        onVersion: (version, link) => {
-          this._hearVersion(version, link);
-        },
-        onConfig: (cfg) => {
-          this._takeConfig(cfg, 'peer');
-        },
-        onReach: (host, reached) => {
-          this._hearReach(host, reached);
-        },
-        hello: () => ({ type: 'hello', host: _settings.id, version: this._config?.version ?? -1, records: this._directory.all() }),
-        config: () => this._config,
-      },
-      _events,
-    );
-    this._calls = new CallServer({
-      names: dialect.headers,
-      service: _settings.target.service,
-      memoryMb: _settings.memoryMb,
-      config: () => this._config,
-      routes: () => this._routes,
-      stopping: () => this._stopping,
-      events: _events,
-      candidates: (service) => this._directory.ready(service),
-      choose: (candidates, excluded, latencyTargetMs) => this._placement.choose(candidates, excluded, latencyTargetMs),
-      offer: (target, call, done) => this._offer(target, call, done),
-      sent: (host) => {
-        this._placement.sent(host);
-      },
-      ended: (host, end) => {
-        this._placement.ended(host, end);
-      },
-    });
+    this._network = new PeerNetwork(_settings.id, this._directory, this._networkEvents(), _events);
+    this._calls = new CallServer(this._callDeps());
     this._ready = new HostServer((req) => this._serveReady(req));
     this._announcements = new HostServer((req) => this._serveAnnouncement(req));
   }
@@ -188,6 +152,48 @@
     await this._gate.close();
   }
 
+  private _networkEvents(): PeerNetworkEvents {
+    return {
+      onCall: (call, done) => this._gate.offer(call, done),
+      onRecords: (records) => {
+        this._takeRecords(records);
+      },
+      onVersion: (version, link) => {
+        this._hearVersion(version, link);
+      },
+      onConfig: (cfg) => {
+        this._takeConfig(cfg, 'peer');
+      },
+      onReach: (host, reached) => {
+        this._hearReach(host, reached);
+      },
+      hello: () => ({ type: 'hello', host: this._settings.id, version: this._config?.version ?? -1, records: this._directory.all() }),
+      config: () => this._config,
+    };
+  }
+
+  private _callDeps(): CallServerDeps {
+    return {
+      names: this._platform.dialect.headers,
+      service: this._settings.target.service,
+      memoryMb: this._settings.memoryMb,
+      config: () => this._config,
+      routes: () => this._routes,
+      stopping: () => this._stopping,
+      chains: this._chains,
+      events: this._events,
+      candidates: (service) => this._directory.ready(service),
+      choose: (candidates, excluded, latencyTargetMs) => this._placement.choose(candidates, excluded, latencyTargetMs),
+      offer: (target, call, done) => this._offer(target, call, done),
+      sent: (host) => {
+        this._placement.sent(host);
+      },
+      ended: (host, end) => {
+        this._placement.ended(host, end);
+      },
+    };
+  }
+
   private _offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle {
     return target.host === this._settings.id ? this._gate.offer(call, done) : this._network.offer(target, call, done);
   }
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -9,8 +9,10 @@
 
 import {
   type GatedCall,
+  GateLevel,
   type GateRefusal,
-  type LoadReport,
+  type GateReport,
+  type ChainModel,
   monotonicMs,
   type CallEnd,
   type RepeatBound,
@@ -25,11 +27,15 @@
 
 /** How often calls that waited too long are looked for, in milliseconds: a tenth of the tightest latency targets seen. */
 const kExpireMs = 10;
+/** How often the level is steered, in milliseconds: a few times within the time that a change of it takes to show. */
+const kLevelMs = 100;
+/** Time after a start until the chains below count as known, in milliseconds. */
+const kChainsKnownMs = 20_000;
 /** Longest time after which a refused caller may come back, in milliseconds. */
 const kMaxRetryAfterMs = 2_000;
 
 /** Called once with the end of an offered call. */
-export type OfferDone = (end: CallEnd, load: LoadReport) => void;
+export type OfferDone = (end: CallEnd, report: GateReport) => void;
 
 /** An offered call that has not ended. */
 export interface OfferHandle {
@@ -46,6 +52,7 @@
   targets(service: string): number;
   /** Called after each change of the target's state. */
   onChange(): void;
+  chains: ChainModel;
   events: EventLog;
 }
 
@@ -72,7 +79,10 @@
   private _held = true;
   private _stopping = false;
   private _nextId = 1;
-  private readonly _timer: NodeJS.Timeout;
+  private readonly _level = new GateLevel();
+  private readonly _timers: NodeJS.Timeout[];
+  private readonly _startedAt = monotonicMs();
+  private _refused = 0;
 
   constructor(private readonly _deps: TargetGateDeps) {
     this._budget = new RepeatBudget(_deps.bound);
@@ -81,14 +91,22 @@
         this._start(waiting);
       },
       onRefuse: (waiting, reason) => {
-        waiting.done(this._refusal(reason), this.load);
+        this._refused++;
+        waiting.done(this._refusal(reason), this.report(waiting.call.route));
       },
     });
-    this._timer = setInterval(() => {
-      if (this._gate.queued > 0) {
-        this._gate.expire();
-      }
-    }, kExpireMs);
+    this._timers = [
+      setInterval(() => {
+        if (this._gate.queued > 0) {
+          this._gate.expire();
+        }
+      }, kExpireMs),
+      setInterval(() => {
+        this._level.step(this._gate, this._refused, kLevelMs);
+        this._refused = 0;
+        _deps.chains.step();
+      }, kLevelMs),
+    ];
   }
 
   /** State of the target as other daemons should see it. */
@@ -97,9 +115,11 @@
     return { instance: this._instance, service: this._service, state, slots: this._slots };
   }
 
-  /** Load as of now. */
-  get load(): LoadReport {
-    return { inFlight: this._gate.inFlight, queued: this._gate.queued, limit: this._gate.limit, meanMs: this._gate.meanMs };
+  /** What callers of a route should know as of now. */
+  report(route: string): GateReport {
+    const { inFlight, queued, limit, meanMs } = this._gate;
+    const { level, inner, height } = this._deps.chains.report(route, this._level.current);
+    return { inFlight, queued, limit, meanMs, level, inner, height };
   }
 
   /** Calls that run or wait. */
@@ -172,7 +192,9 @@
 
   /** Ends timers and connections. */
   async close(): Promise<void> {
-    clearInterval(this._timer);
+    this._timers.forEach((timer) => {
+      clearInterval(timer);
+    });
     await this._client?.close();
   }
 
@@ -189,9 +211,10 @@
       startedAt: 0,
       done,
     };
+    this._deps.chains.arrived(call.route, call.callerService);
     const refusal = this._refusalAtOnce(call);
     if (refusal) {
-      done(this._refusal(refusal), this.load);
+      done(this._refusal(refusal), this.report(call.route));
       return { cancel: () => undefined };
     }
     const decision = this._gate.offer(waiting);
@@ -200,7 +223,8 @@
         this._start(waiting);
         break;
       case 'refused':
-        done(this._refusal(decision.reason), this.load);
+        this._refused++;
+        done(this._refusal(decision.reason), this.report(call.route));
         break;
       case 'queued':
         break;
@@ -212,12 +236,16 @@
     };
   }
 
+  private _heightOf(route: string): number | undefined {
+    return monotonicMs() - this._startedAt < kChainsKnownMs ? undefined : this._deps.chains.report(route, 0).height;
+  }
+
   private _refusalAtOnce(call: PeerCall): GateRefusal | undefined {
     if (call.service !== this._service || call.instance !== this._instance) {
       return 'not_accepting';
     }
     if (!call.repeat) {
-      this._budget.earn();
+      this._budget.earn(this._heightOf(call.route));
       return undefined;
     }
     return this._budget.spend(this._deps.targets(this._service)) ? undefined : 'repeat_budget';
@@ -250,9 +278,10 @@
     const client = this._client;
     if (!client || remaining <= 0) {
       this._gate.ended(waiting.id);
-      waiting.done(this._refusal('wait_too_long'), this.load);
+      waiting.done(this._refusal('wait_too_long'), this.report(waiting.call.route));
       return;
     }
+    this._deps.chains.ran(waiting.call.route);
     waiting.run = client.run(waiting.call, remaining, (end) => {
       this._ended(waiting, end);
     });
@@ -261,12 +290,12 @@
   private _ended(waiting: Waiting, { end, answered }: RunEnd): void {
     const ran = answered && end.kind === 'answered' && end.answer.status < 400;
     this._gate.ended(waiting.id, ran ? monotonicMs() - waiting.startedAt : undefined);
-    waiting.done(end, this.load);
+    waiting.done(end, this.report(waiting.call.route));
   }
 
   private _cancel(waiting: Waiting): void {
     if (this._gate.withdraw(waiting)) {
-      waiting.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.load);
+      waiting.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.report(waiting.call.route));
     } else if (waiting.call.idempotent) {
       waiting.run?.abort();
     }
@@ -274,7 +303,7 @@
 
   /** Refused callers come back when what waits and runs now will have ended. */
   private _refusal(reason: GateRefusal): CallEnd {
-    const { inFlight, queued, limit, meanMs } = this.load;
+    const { inFlight, queued, limit, meanMs } = this._gate;
     const drainMs = reason === 'not_accepting' ? 0 : ((inFlight + queued) / limit) * meanMs;
     return { kind: 'not_run', reason, retryAfterMs: Math.min(kMaxRetryAfterMs, drainMs) };
   }
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -5,7 +5,7 @@
 
 /** Messages between routing daemons, and their form on the wire: MessagePack arrays behind a length of four bytes. */
 
-import type { LoadReport, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
+import type { GateReport, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { Packr, Unpackr } from 'msgpackr';
 
@@ -42,9 +42,9 @@
   | { type: 'hello'; host: string; version: number; records: TargetRecord[] }
   | { type: 'call'; id: number; call: PeerCall }
   | { type: 'cancel'; id: number }
-  | { type: 'answer'; id: number; answer: WholeAnswer; load: LoadReport }
-  | { type: 'not_run'; id: number; reason: NotRunReason; retryAfterMs: number; load: LoadReport }
-  | { type: 'lost'; id: number; reason: string; load: LoadReport }
+  | { type: 'answer'; id: number; answer: WholeAnswer; load: GateReport }
+  | { type: 'not_run'; id: number; reason: NotRunReason; retryAfterMs: number; load: GateReport }
+  | { type: 'lost'; id: number; reason: string; load: GateReport }
   | { type: 'records'; records: TargetRecord[] }
   | { type: 'version'; version: number }
   | { type: 'config_wanted' }
@@ -69,6 +69,10 @@
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
+/** Levels travel as whole thousandths. */
+const kLevelSteps = 1_000;
+/** Numbers at the head of a report. */
+const kLoadNumbers = 5;
 /** Longest message, in bytes: a request body of the largest size, and room for its head. */
 const kMaxMessageBytes = 80 * 1024 * 1024;
 
@@ -170,13 +174,15 @@
   }
 }
 
-function loadFields({ inFlight, queued, limit, meanMs }: LoadReport): number[] {
-  return [inFlight, queued, limit, Math.round(meanMs)];
+function loadFields({ inFlight, queued, limit, meanMs, level, inner, height }: GateReport): unknown[] {
+  return [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelSteps), inner, height];
 }
 
-function loadFrom(fields: unknown[], at: number): LoadReport {
-  const [inFlight = 0, queued = 0, limit = 0, meanMs = 0] = fields.slice(at) as number[];
-  return { inFlight, queued, limit, meanMs };
+function loadFrom(fields: unknown[], at: number): GateReport {
+  const [inFlight = 0, queued = 0, limit = 0, meanMs = 0, level = 0] = fields.slice(at, at + kLoadNumbers) as number[];
+  const inner = (fields[at + kLoadNumbers] ?? undefined) as boolean | undefined;
+  const height = fields[at + kLoadNumbers + 1] as number;
+  return { inFlight, queued, limit, meanMs, level: level / kLevelSteps, inner, height };
 }
 
 /** Daemons of one deployment run one program, so the fields are taken as they are. */
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -8,7 +8,7 @@
  */
 
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import type { LoadReport, CallEnd, TargetDirectory, TargetRecord } from '@gentiandrum/core';
+import type { GateReport, CallEnd, TargetDirectory, TargetRecord } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import type { EventLog } from '../app/eventLog.js';
 import type { OfferDone, OfferHandle } from '../app/targetGate.js';
@@ -53,7 +53,7 @@
   waiting: ((link: PeerLink | undefined) => void)[];
 }
 
-const kNoLoad: LoadReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0 };
+const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0 };
 
 /** The links of one daemon. */
 export class PeerNetwork {
@@ -297,7 +297,7 @@
     }
   }
 
-  private _settle(id: number, end?: CallEnd, load: LoadReport = kNoLoad): void {
+  private _settle(id: number, end?: CallEnd, load: GateReport = kNoLoad): void {
     const outgoing = this._outgoing.get(id);
     if (!outgoing) {
       return;
@@ -343,7 +343,7 @@
   }
 }
 
-function replyOf(id: number, end: CallEnd, load: LoadReport): PeerMessage {
+function replyOf(id: number, end: CallEnd, load: GateReport): PeerMessage {
   switch (end.kind) {
     case 'answered':
       return { type: 'answer', id, answer: end.answer, load };
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -7,10 +7,10 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { monotonicMs, type RouteTable } from '@gentiandrum/core';
+import { admitsRoot, monotonicMs, type RouteTable } from '@gentiandrum/core';
 import type { MeshConfig, Route } from '@gentiandrum/protocol';
 import { CallExchange, type ExchangeDeps, type ExchangeEnd } from '../app/callExchange.js';
-import type { EventLog } from '../app/eventLog.js';
+import type { EventFields, EventLog } from '../app/eventLog.js';
 import { HeaderFilter } from '../app/hopByHop.js';
 import type { HeaderNames } from '../ports.js';
 
@@ -24,6 +24,8 @@
 const kRetryAfterMs = 200;
 /** Retry-After is spread over this factor, so that callers don't return together. */
 const kRetrySpread = 1.0;
+/** Time after which a request that was turned away may come back, as a share of its latency target. */
+const kShedRetryShare = 0.3;
 /** Share of the process's memory that bodies of requests under way may take. */
 const kBodyMemoryShare = 0.3;
 /** Longest wait for a body that doesn't come, in milliseconds, when the caller names no time. */
@@ -50,6 +52,7 @@
   private _sockets = new Set<Socket>();
   private _inFlight = 0;
   private _bodyBytes = 0;
+  private _lowestPriority = 0;
 
   constructor(private readonly _deps: CallServerDeps) {
     this._filter = new HeaderFilter(_deps.names);
@@ -77,7 +80,8 @@
   }
 
   /** Follows the limits of a configuration. */
-  configure({ limits }: MeshConfig): void {
+  configure({ limits, routes }: MeshConfig): void {
+    this._lowestPriority = Math.max(0, ...routes.map(({ priority }) => priority));
     const server = this._server as Server & { maxHeaderSize?: number };
     server.maxHeaderSize = limits.headerBytes;
     server.headersTimeout = limits.headerTimeoutMs;
@@ -172,7 +176,7 @@
   /** The rest of the body is not read: the connection ends with the answer. */
   private _refuseBody(res: ServerResponse, status: number, detail: string): void {
     if (!res.headersSent) {
-      res.setHeader('connection', 'close');
+      res.shouldKeepAlive = false;
       this._refuse(res, status, detail, kRetryAfterMs);
     }
   }
@@ -195,9 +199,22 @@
       this._refuse(res, 404, 'no route matches');
       return;
     }
+    this._deps.chains.entered(route.name);
+    if (this._shed(route)) {
+      const fields = { req: req.headers[this._deps.names.requestId], route: route.name, level: this._deps.chains.level(route.name) };
+      this._deps.events.notable('calls', 'Turned away where it entered: there is too much work on its chain.', fields);
+      this._refuse(res, 503, 'not run: overloaded', route.latencyTargetMs * kShedRetryShare);
+      return;
+    }
     this._exchange(req, res, body, route, routes.nextService(route));
   }
 
+  /** Only what is known to come from people is turned away here. */
+  private _shed(route: Route): boolean {
+    const { chains } = this._deps;
+    return chains.inner(route.name) === false && !admitsRoot(route.priority, this._lowestPriority, chains.level(route.name), Math.random());
+  }
+
   private _exchange(req: IncomingMessage, res: ServerResponse, body: Buffer, route: Route, service: string): void {
     const { names } = this._deps;
     const requestId = req.headers[names.requestId];
@@ -240,9 +257,6 @@
     this._logEnd(exchange, route, end, requestId);
     switch (end.kind) {
       case 'answered':
-        if (this._deps.stopping()) {
-          res.setHeader('connection', 'close');
-        }
         this._send(res, end.answer.status, end.answer.headers, end.answer.body);
         return;
       case 'not_run':
@@ -258,13 +272,16 @@
   }
 
   private _logEnd(exchange: CallExchange, route: Route, end: ExchangeEnd, requestId: string): void {
-    const fields = { req: requestId, route: route.name, offers: exchange.offers, ms: Math.round(exchange.ageMs) };
-    if (end.kind === 'answered' && end.answer.status < 500) {
-      this._deps.events.ordinary('calls', 'Answered.', { ...fields, status: end.answer.status });
-    } else if (end.kind === 'answered') {
-      this._deps.events.notable('calls', 'The target failed.', { ...fields, status: end.answer.status });
+    const fields = (): EventFields => ({ req: requestId, route: route.name, offers: exchange.offers, ms: Math.round(exchange.ageMs) });
+    if (end.kind === 'answered') {
+      const { status } = end.answer;
+      if (status < 500) {
+        this._deps.events.ordinary('calls', 'Answered.', () => ({ ...fields(), status }));
+      } else {
+        this._deps.events.notable('calls', 'The target failed.', { ...fields(), status });
+      }
     } else {
-      this._deps.events.notable('calls', 'No answer of a target.', { ...fields, ...end });
+      this._deps.events.notable('calls', 'No answer of a target.', { ...fields(), ...end });
     }
   }
 
@@ -273,9 +290,6 @@
     if (retryAfterMs !== undefined) {
       headers.push('retry-after', ((retryAfterMs * (1 + Math.random() * kRetrySpread)) / 1_000).toFixed(3));
     }
-    if (this._deps.stopping()) {
-      res.setHeader('connection', 'close');
-    }
     this._send(res, status, headers, Buffer.from(JSON.stringify({ status, detail })));
   }
 
@@ -283,11 +297,8 @@
     if (res.destroyed || res.headersSent) {
       return;
     }
-    for (let i = 0; i + 1 < headers.length; i += 2) {
-      res.appendHeader(headers[i] ?? '', headers[i + 1] ?? '');
-    }
-    res.setHeader('content-length', body.length);
-    res.writeHead(status);
+    const closing = this._deps.stopping() ? ['connection', 'close'] : [];
+    res.writeHead(status, [...headers, ...closing, 'content-length', String(body.length)]);
     res.end(body);
   }
 }
