--- a/utils/checkDeps.mjs
+++ b/utils/checkDeps.mjs
@@ -16,7 +16,17 @@
 import { kHeader } from './licenseHeader.mjs';
 
 const kRoot = fileURLToPath(new URL('..', import.meta.url));
-const kFolders = ['packages/core/src', 'packages/protocol/src', 'packages/daemon/src', 'packages/cli/src', 'tests', 'bench', 'examples'];
+const kFolders = [
+  'packages/core/src',
+  'packages/protocol/src',
+  'packages/daemon/src',
+  'packages/mesh/src',
+  'packages/cli/src',
+  'platform/src',
+  'tests',
+  'bench',
+  'examples',
+];
 const kImport = /(?:from|import)\s+'([^']+)'/g;
 
 function filesBelow(folder) {
--- /dev/null
+++ b/utils/checkNames.mjs
@@ -0,0 +1,20 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Checks that nothing outside the adapter, its deployment and its stand-ins names the platform's headers, paths or keys. */
+
+import { spawnSync } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
+const kRoot = fileURLToPath(new URL('..', import.meta.url));
+const kNames =
+  'x-attempt-id|x-deadline-remaining|x-response-seal|x-target-instance|x-server-load|x-not-executed|x-caller-service|x-instance-id|/v1/instances|/v1/readiness|/v1/log-|log-append|log-newest|log-read|keyed\\.(op|servers|status)|traffic_split|path_prefix|cold_remaining_ms';
+const kSearched = ['packages', 'bench', 'examples', 'tests', ':!tests/platform', ':!tests/mesh'];
+
+const found = spawnSync('git', ['grep', '-nIiE', kNames, '--', ...kSearched], { cwd: kRoot, encoding: 'utf8' });
+if (found.status === 0) {
+  console.error(`expected the platform's names only in platform/, deploy/ and the tests of the adapter, got:\n${found.stdout}`);
+}
+process.exit(found.status === 1 ? 0 : 1);
