--- a/packages/core/src/admission/callRatios.ts
+++ b/packages/core/src/admission/callRatios.ts
@@ -16,12 +16,17 @@
 const kLeastRatio = 0.25;
 /** Runs of a route that must have been seen before its ratios count. */
 const kLeastRuns = 30;
+/** Runs and samples after which a route's ratios are taken as known, also that there are none. */
+const kSettledRuns = 100;
+const kSettledSamples = 25;
 
 /** Calls that follow runs on one host. */
 export class CallRatios {
   private _runs = new Map<string, number>();
   private _calls = new Map<string, number>();
   private readonly _seen = new Map<string, number>();
+  private readonly _firstSample = new Map<string, number>();
+  private _samples = 0;
   private readonly _runProducts = new Map<string, Map<string, number>>();
   private readonly _callProducts = new Map<string, Map<string, number>>();
   private _ratios = new Map<string, Map<string, number>>();
@@ -39,6 +44,12 @@
 
   /** Closes the current sample. */
   sample(): void {
+    this._samples++;
+    for (const route of this._runs.keys()) {
+      if (!this._firstSample.has(route)) {
+        this._firstSample.set(route, this._samples);
+      }
+    }
     fade(this._runProducts);
     fade(this._callProducts);
     for (const [route, runs] of this._runs) {
@@ -69,6 +80,11 @@
     }
   }
 
+  /** Whether enough runs of a route were seen, over enough samples, to know its calls. */
+  settled(route: string): boolean {
+    return (this._seen.get(route) ?? 0) >= kSettledRuns && this._samples - (this._firstSample.get(route) ?? this._samples) >= kSettledSamples;
+  }
+
   /** Calls for one run of a route, by the route of the call. */
   callsOf(route: string): ReadonlyMap<string, number> {
     return this._ratios.get(route) ?? kNoCalls;
--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -97,6 +97,11 @@
     return { level, inner: this._mix.inner(route), height };
   }
 
+  /** Whether enough runs of a route were seen to know the chain below it. */
+  settled(route: string): boolean {
+    return this._ratios.settled(route);
+  }
+
   /** Calls for one run of a route on this host. */
   callsOf(route: string): ReadonlyMap<string, number> {
     return this._ratios.callsOf(route);
--- a/packages/core/src/retries/repeatBudget.ts
+++ b/packages/core/src/retries/repeatBudget.ts
@@ -20,6 +20,8 @@
 const kShareUnknown = 0.05;
 /** Share of the repeats beyond the ratio. */
 const kExtraShare = 0.2;
+/** Part of the repeats in stock that calls of targets leave to people's requests. */
+const kKeptForPeople = 0.6;
 
 /** Bound on repeats of a whole service. */
 export interface RepeatBound {
@@ -44,10 +46,13 @@
     this._tokens += this._bound.ratio * share;
   }
 
-  /** Takes the right to one repeat; `targets` is the number of targets of the service. */
-  spend(targets: number): boolean {
-    this._fill(Math.max(1, targets));
-    if (this._tokens < 1) {
+  /**
+   * Takes the right to one repeat; `targets` is the number of targets of the service. A call of a target leaves the last part
+   * to people's requests: when most calls fail, a chain of many is lost anyway, and a single request can still be saved.
+   */
+  spend(targets: number, inner: boolean): boolean {
+    const most = this._fill(Math.max(1, targets));
+    if (this._tokens < 1 + (inner ? (most - 1) * kKeptForPeople : 0)) {
       return false;
     }
     this._tokens--;
@@ -55,12 +60,14 @@
   }
 
   /** Tokens grow with time by this target's share of the extra repeats; at most one window's share is kept for later. */
-  private _fill(targets: number): void {
+  private _fill(targets: number): number {
     const now = monotonicMs();
     const share = (this._bound.extra * kExtraShare) / targets;
     const windowMs = this._bound.windowSeconds * 1_000;
     const elapsed = Math.min(now - this._filledAt, windowMs);
     this._filledAt = now;
-    this._tokens = Math.min(Math.max(share, 1), this._tokens + (share * elapsed) / windowMs);
+    const most = Math.max(share, 1);
+    this._tokens = Math.min(most, this._tokens + (share * elapsed) / windowMs);
+    return most;
   }
 }
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -164,6 +164,7 @@
       waitMs: Math.max(0, route.latencyTargetMs * (inner ? kInnerWaitShare : kWaitShare) - this.ageMs),
       remainingMs: Math.floor(remainingMs),
       repeat,
+      inner,
       idempotent: route.idempotent,
       instance: target.instance,
       callerService,
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -29,8 +29,6 @@
 const kExpireMs = 10;
 /** How often the level is steered, in milliseconds: a few times within the time that a change of it takes to show. */
 const kLevelMs = 100;
-/** Time after a start until the chains below count as known, in milliseconds. */
-const kChainsKnownMs = 20_000;
 /** Longest time after which a refused caller may come back, in milliseconds. */
 const kMaxRetryAfterMs = 2_000;
 
@@ -81,7 +79,6 @@
   private _nextId = 1;
   private readonly _level = new GateLevel();
   private readonly _timers: NodeJS.Timeout[];
-  private readonly _startedAt = monotonicMs();
   private _refused = 0;
 
   constructor(private readonly _deps: TargetGateDeps) {
@@ -237,7 +234,8 @@
   }
 
   private _heightOf(route: string): number | undefined {
-    return monotonicMs() - this._startedAt < kChainsKnownMs ? undefined : this._deps.chains.report(route, 0).height;
+    const { chains } = this._deps;
+    return chains.settled(route) ? chains.report(route, 0).height : undefined;
   }
 
   private _refusalAtOnce(call: PeerCall): GateRefusal | undefined {
@@ -248,7 +246,7 @@
       this._budget.earn(this._heightOf(call.route));
       return undefined;
     }
-    return this._budget.spend(this._deps.targets(this._service)) ? undefined : 'repeat_budget';
+    return this._budget.spend(this._deps.targets(this._service), call.inner) ? undefined : 'repeat_budget';
   }
 
   private _replace(word: Announcement): void {
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -22,6 +22,8 @@
   remainingMs: number;
   /** Whether the request may have reached a target before. */
   repeat: boolean;
+  /** Whether only targets make calls on this route, as far as is known. */
+  inner: boolean;
   /** Whether it may run more than once; such a call is cancelled when nobody waits for it. */
   idempotent: boolean;
   /** Instance that it is meant for. */
@@ -143,6 +145,7 @@
         call.waitMs,
         call.remainingMs,
         call.repeat,
+        call.inner,
         call.idempotent,
         call.instance,
         call.callerService,
@@ -228,13 +231,14 @@
     waitMs: fields[5] as number,
     remainingMs: fields[6] as number,
     repeat: fields[7] as boolean,
-    idempotent: fields[8] as boolean,
-    instance: fields[9] as string,
-    callerService: fields[10] as string,
-    requestId: fields[11] as string,
-    method: fields[12] as string,
-    path: fields[13] as string,
-    headers: fields[14] as string[],
-    body: fields[15] as Buffer,
+    inner: fields[8] as boolean,
+    idempotent: fields[9] as boolean,
+    instance: fields[10] as string,
+    callerService: fields[11] as string,
+    requestId: fields[12] as string,
+    method: fields[13] as string,
+    path: fields[14] as string,
+    headers: fields[15] as string[],
+    body: fields[16] as Buffer,
   };
 }
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -9,8 +9,7 @@
  */
 
 import type { CallEnd } from '@gentiandrum/core';
-import type { Socket } from 'node:net';
-import { buildConnector, type Dispatcher, Pool } from 'undici';
+import { type Dispatcher, Pool } from 'undici';
 import { HeaderFilter } from '../app/hopByHop.js';
 import type { HeaderNames } from '../ports.js';
 import type { PeerCall } from './peerMessages.js';
@@ -43,7 +42,6 @@
 export class TargetClient {
   private readonly _pool: Pool;
   private readonly _filter: HeaderFilter;
-  private readonly _resets: ResetWatch = { current: false };
 
   constructor(
     address: string,
@@ -59,13 +57,13 @@
       bodyTimeout: 0,
       keepAliveTimeout: kKeepAliveMs,
       keepAliveTimeoutThreshold: kKeepAliveMarginMs,
-      connect: watchedConnector(this._resets),
+      connect: { timeout: kConnectMs },
     });
   }
 
   /** Sends a call to the target. */
   run(call: PeerCall, remainingMs: number, done: (end: RunEnd) => void): Run {
-    const exchange = new Exchange(call, this._names, this._filter, this._resets, done);
+    const exchange = new Exchange(call, this._names, this._filter, done);
     exchange.limit(remainingMs + kOvertimeMs);
     const names = this._names;
     const own = [names.remainingMs, String(Math.max(1, Math.floor(remainingMs))), names.expectedInstance, this._instance];
@@ -81,37 +79,6 @@
   }
 }
 
-/** Whether the event that is being handled is the reset of a connection. */
-interface ResetWatch {
-  current: boolean;
-}
-
-/**
- * A connector whose sockets mark their resets. The HTTP client takes a reset for the end of an answer without a length, and
- * ends the answer within the socket's error event, before which the mark is set.
- */
-function watchedConnector(resets: ResetWatch): buildConnector.connector {
-  const connect = buildConnector({ timeout: kConnectMs });
-  return (options, callback) => {
-    connect(options, (...args) => {
-      const [err, socket] = args;
-      if (!err) {
-        watchResets(socket, resets);
-      }
-      callback(...args);
-    });
-  };
-}
-
-function watchResets(socket: Socket, resets: ResetWatch): void {
-  socket.prependListener('error', () => {
-    resets.current = true;
-    queueMicrotask(() => {
-      resets.current = false;
-    });
-  });
-}
-
 /** One request on a connection to the target, and its answer. */
 class Exchange implements Dispatcher.DispatchHandler, Run {
   private _controller: Dispatcher.DispatchController | undefined;
@@ -126,7 +93,6 @@
     private readonly _call: PeerCall,
     private readonly _names: HeaderNames,
     private readonly _filter: HeaderFilter,
-    private readonly _resets: ResetWatch,
     private readonly _done: (end: RunEnd) => void,
   ) {}
 
@@ -165,9 +131,7 @@
   }
 
   onResponseEnd(): void {
-    if (this._resets.current) {
-      this._finish({ end: { kind: 'lost', reason: 'connection: reset within the answer' }, answered: false });
-    } else if (this._status >= 200) {
+    if (this._status >= 200) {
       this._finish(this._judge());
     }
   }
@@ -192,6 +156,12 @@
     this._done(end);
   }
 
+  /** An answer that only ends with its connection can't be told from one that was cut, by a target that crashed for example. */
+  private _framed(): boolean {
+    const { 'content-length': length, 'transfer-encoding': encoding } = this._headers;
+    return length !== undefined || encoding !== undefined || this._status === 204 || this._status === 304;
+  }
+
   private _judge(): RunEnd {
     const echoed = this._headers[this._names.requestId];
     if (echoed !== this._call.requestId && this._call.requestId !== '') {
@@ -203,6 +173,9 @@
       const reason = this._status === 421 ? 'wrong_instance' : 'target_refused';
       return { end: { kind: 'not_run', reason, retryAfterMs: 0 }, answered: true };
     }
+    if (!this._framed()) {
+      return { end: { kind: 'lost', reason: 'answer without a length' }, answered: false };
+    }
     if (kPromises.has(this._status)) {
       return { end: { kind: 'lost', reason: `status ${this._status} without proof` }, answered: true };
     }
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -99,7 +99,7 @@
   /** Connections that are idle already get the new limit too. */
   private _renewIdle(ms: number): void {
     for (const socket of this._sockets) {
-      if (!this._active.has(socket) && socket.timeout !== undefined && socket.timeout > 0) {
+      if ((this._active.get(socket)?.size ?? 0) === 0 && socket.timeout !== undefined && socket.timeout > 0) {
         socket.setTimeout(ms + 1_000);
       }
     }
--- a/utils/leanUndici.cjs
+++ b/utils/leanUndici.cjs
@@ -11,5 +11,4 @@
 
 module.exports = {
   Pool: require('../node_modules/undici/lib/dispatcher/pool.js'),
-  buildConnector: require('../node_modules/undici/lib/core/connect.js'),
 };
