--- a/packages/core/src/admission/callRatios.ts
+++ b/packages/core/src/admission/callRatios.ts
@@ -82,7 +82,9 @@
 
   /** Whether enough runs of a route were seen, over enough samples, to know its calls. */
   settled(route: string): boolean {
-    return (this._seen.get(route) ?? 0) >= kSettledRuns && this._samples - (this._firstSample.get(route) ?? this._samples) >= kSettledSamples;
+    return (
+      (this._seen.get(route) ?? 0) >= kSettledRuns && this._samples - (this._firstSample.get(route) ?? this._samples) >= kSettledSamples
+    );
   }
 
   /** Calls for one run of a route, by the route of the call. */
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -78,7 +78,9 @@
   private _stopping = false;
   private _nextId = 1;
   private readonly _level = new GateLevel();
-  private readonly _timers: NodeJS.Timeout[];
+  private readonly _levelTimer: NodeJS.Timeout;
+  /** Runs only while calls wait: an idle daemon should not wake up for nothing. */
+  private _expiryTimer: NodeJS.Timeout | undefined;
   private _refused = 0;
 
   constructor(private readonly _deps: TargetGateDeps) {
@@ -92,18 +94,11 @@
         waiting.done(this._refusal(reason), this.report(waiting.call.route));
       },
     });
-    this._timers = [
-      setInterval(() => {
-        if (this._gate.queued > 0) {
-          this._gate.expire();
-        }
-      }, kExpireMs),
-      setInterval(() => {
-        this._level.step(this._gate, this._refused, kLevelMs);
-        this._refused = 0;
-        _deps.chains.step();
-      }, kLevelMs),
-    ];
+    this._levelTimer = setInterval(() => {
+      this._level.step(this._gate, this._refused, kLevelMs);
+      this._refused = 0;
+      _deps.chains.step();
+    }, kLevelMs);
   }
 
   /** State of the target as other daemons should see it. */
@@ -189,9 +184,8 @@
 
   /** Ends timers and connections. */
   async close(): Promise<void> {
-    this._timers.forEach((timer) => {
-      clearInterval(timer);
-    });
+    clearInterval(this._levelTimer);
+    clearTimeout(this._expiryTimer);
     await this._client?.close();
   }
 
@@ -224,6 +218,7 @@
         done(this._refusal(decision.reason), this.report(call.route));
         break;
       case 'queued':
+        this._expireLater();
         break;
     }
     return {
@@ -233,6 +228,16 @@
     };
   }
 
+  private _expireLater(): void {
+    this._expiryTimer ??= setTimeout(() => {
+      this._expiryTimer = undefined;
+      this._gate.expire();
+      if (this._gate.queued > 0) {
+        this._expireLater();
+      }
+    }, kExpireMs);
+  }
+
   private _heightOf(route: string): number | undefined {
     const { chains } = this._deps;
     return chains.settled(route) ? chains.report(route, 0).height : undefined;
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -18,6 +18,8 @@
 const kPromises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time that a target gets to end its work itself once the caller's time is over, in milliseconds. */
 const kOvertimeMs = 300;
+/** The limit is rounded up to this, so that timers share their lists, in milliseconds. */
+const kTimerStepMs = 100;
 /** Time for a connection on the same host, in milliseconds. */
 const kConnectMs = 1_000;
 /** Time for which idle connections are kept when the target does not say, in milliseconds. */
@@ -98,9 +100,12 @@
 
   /** Breaks the exchange off after so long. */
   limit(ms: number): void {
-    this._timer = setTimeout(() => {
-      this.abort();
-    }, ms);
+    this._timer = setTimeout(
+      () => {
+        this.abort();
+      },
+      Math.ceil(ms / kTimerStepMs) * kTimerStepMs,
+    );
   }
 
   abort(): void {
