--- a/packages/mesh/src/app/eventLog.ts
+++ b/packages/mesh/src/app/eventLog.ts
@@ -34,6 +34,7 @@
   private readonly _ordinary: Budget;
   private readonly _notable: Budget;
   private _second = 0;
+  private _omitted = 0;
 
   constructor(
     private readonly _host: string,
@@ -50,6 +51,11 @@
     });
   }
 
+  /** Lines left out since the start. */
+  get omitted(): number {
+    return this._omitted;
+  }
+
   /** One of many alike, such as the end of a request that went well; its values are only made when the line is written. */
   ordinary(part: EventPart, text: string, fields: () => EventFields): void {
     if (this._takes(this._ordinary)) {
@@ -80,6 +86,7 @@
     }
     if (budget.left <= 0 || process.stdout.writableLength > kMaxPendingBytes) {
       budget.omitted++;
+      this._omitted++;
       return false;
     }
     budget.left--;
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -14,6 +14,7 @@
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
 import { HostServer, type HostReply, type HostRequest } from '../server/hostServer.js';
 import type { EventLog } from './eventLog.js';
+import { MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
 /** Longest wait at a start for what others remember of this host's target, in milliseconds. */
@@ -41,10 +42,13 @@
   private readonly _gate: TargetGate;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
+  private readonly _metrics: MeshMetrics;
+  private readonly _metricsServer: HostServer;
   private readonly _ready: HostServer;
   private readonly _announcements: HostServer;
   private _config: MeshConfig | undefined;
   private _routes: RouteTable | undefined;
+  private _configAt = 0;
   private _epoch = Date.now();
   private _revision = 0;
   private _recalled = false;
@@ -59,6 +63,12 @@
   ) {
     const { dialect } = _platform;
     this._placement = new Placement(_settings.zone, Math.random);
+    this._metrics = new MeshMetrics(_settings.zone, () => this._view());
+    this._metricsServer = new HostServer(async () => ({
+      status: 200,
+      contentType: 'text/plain; version=0.0.4',
+      body: await this._metrics.text(),
+    }));
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
@@ -68,6 +78,7 @@
         this._tellRecord();
       },
       chains: this._chains,
+      metrics: this._metrics,
       events: _events,
     });
     this._network = new PeerNetwork(_settings.id, this._directory, this._networkEvents(), _events);
@@ -100,6 +111,7 @@
       this._network.listen(listen.peers),
       this._ready.listen(listen.ready),
       this._announcements.listen(listen.announcements),
+      ...(listen.metrics !== undefined ? [this._metricsServer.listen(listen.metrics)] : []),
     ]);
     this._platform.configs.watch((cfg) => {
       this._takeConfig(cfg, 'log');
@@ -148,6 +160,7 @@
     this._network.close();
     this._ready.close();
     this._announcements.close();
+    this._metricsServer.close();
     this._calls.close();
     await this._gate.close();
   }
@@ -181,6 +194,7 @@
       routes: () => this._routes,
       stopping: () => this._stopping,
       chains: this._chains,
+      metrics: this._metrics,
       events: this._events,
       candidates: (service) => this._directory.ready(service),
       choose: (candidates, excluded, latencyTargetMs) => this._placement.choose(candidates, excluded, latencyTargetMs),
@@ -218,6 +232,22 @@
     return { status: 200, body: '{}' };
   }
 
+  private _view(): MetricsView {
+    const hosts = new Map<string, number>();
+    for (const { state } of this._directory.all()) {
+      hosts.set(state, (hosts.get(state) ?? 0) + 1);
+    }
+    return {
+      gate: this._gate.state,
+      hosts,
+      links: this._network.reachable,
+      configVersion: this._config?.version ?? -1,
+      configAge: this._config ? (monotonicMs() - this._configAt) / 1_000 : 0,
+      inFlight: this._calls.inFlight,
+      omittedLines: this._events.omitted,
+    };
+  }
+
   private _ownRecord(): TargetRecord {
     const { id, zone, listen, target } = this._settings;
     const { instance, service, state, slots } = this._gate.view;
@@ -331,6 +361,7 @@
       return;
     }
     this._config = checked.data;
+    this._configAt = monotonicMs();
     this._routes = new RouteTable(checked.data);
     this._calls.configure(checked.data);
     this._network.broadcast({ type: 'version', version: cfg.version });
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -24,6 +24,7 @@
 import { type Run, type RunEnd, TargetClient } from '../client/targetClient.js';
 import type { Announcement, HeaderNames } from '../ports.js';
 import type { EventLog } from './eventLog.js';
+import type { MeshMetrics, MetricsView } from './meshMetrics.js';
 
 /** How often calls that waited too long are looked for, in milliseconds: a tenth of the tightest latency targets seen. */
 const kExpireMs = 10;
@@ -51,6 +52,7 @@
   /** Called after each change of the target's state. */
   onChange(): void;
   chains: ChainModel;
+  metrics: MeshMetrics;
   events: EventLog;
 }
 
@@ -107,6 +109,12 @@
     return { instance: this._instance, service: this._service, state, slots: this._slots };
   }
 
+  /** Load and level, for the metrics. */
+  get state(): MetricsView['gate'] {
+    const { inFlight, queued, limit, meanMs } = this._gate;
+    return { inFlight, queued, limit, meanMs, level: this._level.current };
+  }
+
   /** What callers of a route should know as of now. */
   report(route: string): GateReport {
     const { inFlight, queued, limit, meanMs } = this._gate;
@@ -251,7 +259,11 @@
       this._budget.earn(this._heightOf(call.route));
       return undefined;
     }
-    return this._budget.spend(this._deps.targets(this._service), call.inner) ? undefined : 'repeat_budget';
+    if (!this._budget.spend(this._deps.targets(this._service), call.inner)) {
+      return 'repeat_budget';
+    }
+    this._deps.metrics.repeated();
+    return undefined;
   }
 
   private _replace(word: Announcement): void {
@@ -306,6 +318,7 @@
 
   /** Refused callers come back when what waits and runs now will have ended. */
   private _refusal(reason: GateRefusal): CallEnd {
+    this._deps.metrics.refused(reason);
     const { inFlight, queued, limit, meanMs } = this._gate;
     const drainMs = reason === 'not_accepting' ? 0 : ((inFlight + queued) / limit) * meanMs;
     return { kind: 'not_run', reason, retryAfterMs: Math.min(kMaxRetryAfterMs, drainMs) };
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -12,6 +12,7 @@
 import { CallExchange, type ExchangeDeps, type ExchangeEnd } from '../app/callExchange.js';
 import type { EventFields, EventLog } from '../app/eventLog.js';
 import { HeaderFilter } from '../app/hopByHop.js';
+import type { MeshMetrics, RequestOutcome } from '../app/meshMetrics.js';
 import type { HeaderNames } from '../ports.js';
 
 /** How often heads that are late are looked for, in milliseconds. */
@@ -41,6 +42,7 @@
   config(): MeshConfig | undefined;
   routes(): RouteTable | undefined;
   stopping(): boolean;
+  metrics: MeshMetrics;
   events: EventLog;
 }
 
@@ -190,18 +192,21 @@
   private _route(req: IncomingMessage, res: ServerResponse, body: Buffer): void {
     const routes = this._deps.routes();
     if (!routes) {
+      this._deps.metrics.requestEnded('none', 'no_configuration', 'none', 0);
       this._refuse(res, 503, 'no configuration is known yet', kRetryAfterMs);
       return;
     }
     const path = req.url ?? '/';
     const route = routes.find(req.headers.host ?? '', path);
     if (!route) {
+      this._deps.metrics.requestEnded('none', 'no_route', 'none', 0);
       this._refuse(res, 404, 'no route matches');
       return;
     }
     this._deps.chains.entered(route.name);
     if (this._shed(route)) {
       const fields = { req: req.headers[this._deps.names.requestId], route: route.name, level: this._deps.chains.level(route.name) };
+      this._deps.metrics.requestEnded(route.destinations[0]?.service ?? 'none', 'shed', 'level', 0);
       this._deps.events.notable('calls', 'Turned away where it entered: there is too much work on its chain.', fields);
       this._refuse(res, 503, 'not run: overloaded', route.latencyTargetMs * kShedRetryShare);
       return;
@@ -237,6 +242,8 @@
       this._deps,
       (end) => {
         active.delete(leave);
+        const { outcome, reason } = outcomeOf(end);
+        this._deps.metrics.requestEnded(service, outcome, reason, exchange.ageMs / 1_000);
         this._answer(res, exchange, route, end, typeof requestId === 'string' ? requestId : '');
       },
     );
@@ -302,3 +309,17 @@
     res.end(body);
   }
 }
+
+/** Outcome and reason as metrics count them; what follows a colon in a reason tells of the single case. */
+function outcomeOf(end: ExchangeEnd): { outcome: RequestOutcome; reason: string } {
+  switch (end.kind) {
+    case 'answered':
+      return { outcome: end.answer.status < 500 ? 'answered' : 'target_failed', reason: 'none' };
+    case 'not_run':
+      return { outcome: 'not_run', reason: end.reason };
+    case 'lost':
+      return { outcome: 'lost', reason: end.reason.split(':')[0] ?? '' };
+    case 'timed_out':
+      return { outcome: 'timed_out', reason: 'none' };
+  }
+}
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -37,6 +37,7 @@
   calls: string;
   ready: string;
   control: string;
+  metrics: string;
   zone: string;
 }
 
@@ -104,18 +105,18 @@
     if (target.address === '') {
       await target.start();
     }
-    const [calls = '', peers = '', ready = '', control = ''] = await freeAddresses(4);
+    const [calls = '', peers = '', ready = '', control = '', metrics = ''] = await freeAddresses(5);
     const zone = options.zone ?? 'z1';
     const settings = meshSettingsSchema.parse({
       id,
       zone,
-      listen: { calls, peers, ready, announcements: control },
+      listen: { calls, peers, ready, announcements: control, metrics },
       target: { address: target.address, service },
       log: { address: this.storeAddress },
       retries: { ratio: 0.2, extra: 50, windowSeconds: 10 },
       logLinesPerSecond: 0,
     });
-    return { settings, target, host: { id, calls, ready, control, zone } };
+    return { settings, target, host: { id, calls, ready, control, metrics, zone } };
   }
 
   /** Starts a daemon beside a target; `beat` lets the target announce itself. */
@@ -167,6 +168,12 @@
     return { status: res.statusCode, headers: res.headers, body: await res.body.text() };
   }
 
+  /** The metrics of a daemon, as text. */
+  async metrics(host: FleetHost): Promise<string> {
+    const res = await request(`http://${host.metrics}/metrics`);
+    return res.body.text();
+  }
+
   /** Status of a readiness check. */
   async readiness(host: FleetHost): Promise<number> {
     const res = await request(`http://${host.ready}/v1/readiness`);
