Level steered by the load that calls meet; a stop answers what came late

Ruled out: want of slots (70% in use). The close now comes first, and what is in flight ends after it.

--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -25,8 +25,8 @@
 const kConfigPatienceMs = 100;
 /** Time for callers to turn away from a daemon that stops, in milliseconds: two readiness checks, a second apart, and a margin. */
 const kTurnAwayMs = 2_300;
-/** Time in which connections that stand are still answered, in milliseconds. */
-const kLingerMs = 300;
+/** Time in which requests that crossed the close are still answered, in milliseconds. */
+const kLingerMs = 100;
 /** Part of the time for a stop that is left to spare, in milliseconds. */
 const kStopMarginMs = 400;
 /** How often a stop looks for what still runs, in milliseconds. */
@@ -139,16 +139,13 @@
     const startedAt = monotonicMs();
     this._events.notable('stop', 'A planned stop begins.', { calls: this._calls.inFlight, atGate: this._gate.pending });
     this._gate.stop();
-    const latest = startedAt + this._settings.stopSeconds * 1_000 - kStopMarginMs - kLingerMs;
-    const earliest = startedAt + kTurnAwayMs;
-    while (monotonicMs() < latest && (monotonicMs() < earliest || this._calls.inFlight + this._gate.pending > 0)) {
-      await pause(kStopCheckMs);
-    }
-    if (this._gate.view.state === 'gone') {
-      await Promise.race([this._platform.records.erase(this._settings.id), pause(kAckWaitMs)]);
-    }
+    const latest = startedAt + this._settings.stopSeconds * 1_000 - kStopMarginMs;
+    const goodbye = this._gate.view.state === 'gone' ? this._platform.records.erase(this._settings.id) : undefined;
+    // Runs of the own target may still call out through this daemon, on new connections too.
+    await waitUntil(startedAt + kTurnAwayMs, startedAt + kTurnAwayMs * 2, () => this._gate.pending === 0);
     this._calls.close();
-    await pause(kLingerMs);
+    await waitUntil(monotonicMs() + kLingerMs, latest, () => this._calls.inFlight + this._gate.pending === 0);
+    await Promise.race([goodbye, pause(kStopCheckMs)]);
     this._events.notable('stop', 'Stopped.', { calls: this._calls.inFlight, atGate: this._gate.pending });
   }
 
@@ -372,6 +369,13 @@
 /** Words that the daemon takes from the target on its host. */
 export type { Announcement };
 
+/** Waits until a condition holds, from `earliest` on and not beyond `latest`, on the monotonic clock. */
+async function waitUntil(earliest: number, latest: number, holds: () => boolean): Promise<void> {
+  while (monotonicMs() < latest && (monotonicMs() < earliest || !holds())) {
+    await pause(kStopCheckMs);
+  }
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -83,7 +83,6 @@
   private readonly _levelTimer: NodeJS.Timeout;
   /** Runs only while calls wait: an idle daemon should not wake up for nothing. */
   private _expiryTimer: NodeJS.Timeout | undefined;
-  private _refused = 0;
 
   constructor(private readonly _deps: TargetGateDeps) {
     this._budget = new RepeatBudget(_deps.bound);
@@ -92,13 +91,12 @@
         this._start(waiting);
       },
       onRefuse: (waiting, reason) => {
-        this._refused++;
+        this._noteRefused();
         waiting.done(this._refusal(reason), this.report(waiting.call.route));
       },
     });
     this._levelTimer = setInterval(() => {
-      this._level.step(this._gate, this._refused, kLevelMs);
-      this._refused = 0;
+      this._level.step(kLevelMs);
       _deps.chains.step();
     }, kLevelMs);
   }
@@ -216,13 +214,14 @@
       done(this._refusal(refusal), this.report(call.route));
       return { cancel: () => undefined };
     }
+    this._level.seen((this._gate.inFlight + this._gate.queued) / this._gate.limit);
     const decision = this._gate.offer(waiting);
     switch (decision.kind) {
       case 'started':
         this._start(waiting);
         break;
       case 'refused':
-        this._refused++;
+        this._noteRefused();
         done(this._refusal(decision.reason), this.report(call.route));
         break;
       case 'queued':
@@ -236,6 +235,11 @@
     };
   }
 
+  /** A refused call is work that the target had no slot for. */
+  private _noteRefused(): void {
+    this._level.refused(this._gate.meanMs / this._gate.limit);
+  }
+
   private _expireLater(): void {
     this._expiryTimer ??= setTimeout(() => {
       this._expiryTimer = undefined;
--- a/tests/mesh/leaving.spec.ts
+++ b/tests/mesh/leaving.spec.ts
@@ -173,6 +173,21 @@
       await stopped;
     }),
   );
+
+  itAlone('should answer a request that came late in the stop, though it takes longer than what was left to wait', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads', timeoutMs: 4_000 }]);
+      const stops = await fleet.add('h1', 'other');
+      const stays = await fleet.add('h2', 'reads');
+      await fleet.untilServing('/a/warm');
+      stays.target.workMs = 900;
+      const stopped = stops.daemon.stop().then(() => fleet.kill(stops));
+      await new Promise((resolve) => setTimeout(resolve, 2_200));
+      const late = await fleet.call(stops, '/a/x', { remainingMs: 4_000 });
+      t.is(late.status, 200);
+      await stopped;
+    }),
+  );
 });
 
 function recordOf(record: unknown): string {
