--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -39,7 +39,7 @@
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, latencyTargetMs: number): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
-  sent(host: string): void;
+  sent(target: TargetRecord, first: boolean): void;
   ended(host: string, end: { load?: GateReport; tookMs?: number; failed: boolean }): void;
 }
 
@@ -129,7 +129,7 @@
   private _make({ target, repeat }: Offer): void {
     const sentAt = monotonicMs();
     this._offers++;
-    this._deps.sent(target.host);
+    this._deps.sent(target, this._offers === 1);
     const progress = { settled: false };
     const handle = this._deps.offer(target, this._callFor(target, repeat), (end, report) => {
       progress.settled = true;
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -196,8 +196,9 @@
       candidates: (service) => this._directory.ready(service),
       choose: (candidates, excluded, latencyTargetMs) => this._placement.choose(candidates, excluded, latencyTargetMs),
       offer: (target, call, done) => this._offer(target, call, done),
-      sent: (host) => {
-        this._placement.sent(host);
+      sent: (target, first) => {
+        this._placement.sent(target.host);
+        this._metrics.placed(target.service, this._placeOf(target), !first);
       },
       ended: (host, end) => {
         this._placement.ended(host, end);
@@ -209,6 +210,13 @@
     return target.host === this._settings.id ? this._gate.offer(call, done) : this._network.offer(target, call, done);
   }
 
+  private _placeOf({ host, zone }: TargetRecord): 'own_host' | 'own_zone' | 'other_zone' {
+    if (host === this._settings.id) {
+      return 'own_host';
+    }
+    return zone === this._settings.zone ? 'own_zone' : 'other_zone';
+  }
+
   private _serveReady(req: HostRequest): HostReply {
     if (req.path !== this._platform.dialect.readyPath) {
       return { status: 404 };
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -41,6 +41,7 @@
     registers: [this._registry],
   });
   private readonly _refusals = this._counter('gate_refusals_total', 'Calls that the gate of this host refused', ['reason']);
+  private readonly _placements = this._counter('placements_total', 'Offers of calls by where the target stands', ['service', 'place', 'after_refusal']);
   private readonly _repeats = this._counter('gate_repeats_total', 'Repeats that the gate of this host let in', []);
   private readonly _gauge = new Gauge({
     name: 'gentiandrum_state',
@@ -67,6 +68,11 @@
     this._refusals.inc({ reason });
   }
 
+  /** Notes an offer of a call to a target; `afterRefusal` when an earlier one of the same request was refused or lost. */
+  placed(service: string, place: 'own_host' | 'own_zone' | 'other_zone', afterRefusal: boolean): void {
+    this._placements.inc({ service, place, after_refusal: String(afterRefusal) });
+  }
+
   /** Notes a repeat that the gate let in. */
   repeated(): void {
     this._repeats.inc();
