--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -31,6 +31,8 @@
 const kStopMarginMs = 400;
 /** How often a stop looks for what still runs, in milliseconds. */
 const kStopCheckMs = 20;
+/** How often the totals are logged, in milliseconds: a few lines a minute. */
+const kTotalsMs = 10_000;
 /** Connections to a target until its service's limit is known. */
 const kAssumedConnections = 100;
 
@@ -55,6 +57,7 @@
   private _stopping = false;
   private _published: Promise<boolean> = Promise.resolve(true);
   private _recallTimer: NodeJS.Timeout | undefined;
+  private _totalsTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly _settings: MeshSettings,
@@ -124,6 +127,9 @@
         this._recall('the log');
       },
     );
+    this._totalsTimer = setInterval(() => {
+      void this._logTotals();
+    }, kTotalsMs);
     this._recallTimer = setTimeout(() => {
       this._recall('nobody in time');
     }, kRecallMs);
@@ -152,6 +158,7 @@
   /** Ends timers and connections. */
   async close(): Promise<void> {
     clearTimeout(this._recallTimer);
+    clearInterval(this._totalsTimer);
     this._platform.configs.stop();
     this._platform.records.stop();
     this._network.close();
@@ -237,6 +244,11 @@
     return { status: 200, body: '{}' };
   }
 
+  private async _logTotals(): Promise<void> {
+    const totals = await this._metrics.totals();
+    this._events.notable('calls', 'Totals since the start.', { ...totals, gate: this._gate.state, configVersion: this._config?.version });
+  }
+
   private _view(): MetricsView {
     const hosts = new Map<string, number>();
     for (const { state } of this._directory.all()) {
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -78,6 +78,16 @@
     this._repeats.inc();
   }
 
+  /** Totals since the start, for the regular line of the log. */
+  async totals(): Promise<{ requests: Record<string, number>; placements: Record<string, number>; refusals: Record<string, number> }> {
+    const [requests, placements, refusals] = await Promise.all([this._requests.get(), this._placements.get(), this._refusals.get()]);
+    return {
+      requests: sumBy(requests.values, ({ outcome }) => String(outcome)),
+      placements: sumBy(placements.values, ({ place, after_refusal }) => `${place}${after_refusal === 'true' ? ' after a refusal' : ''}`),
+      refusals: sumBy(refusals.values, ({ reason }) => String(reason)),
+    };
+  }
+
   /** Everything as text. */
   async text(): Promise<string> {
     const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines } = this._view();
@@ -105,3 +115,17 @@
     return new Counter({ name: `gentiandrum_${name}`, help, labelNames, registers: [this._registry] });
   }
 }
+
+interface LabelledValue {
+  labels: Partial<Record<string, string | number>>;
+  value: number;
+}
+
+function sumBy(values: readonly LabelledValue[], keyOf: (labels: LabelledValue['labels']) => string): Record<string, number> {
+  const sums: Record<string, number> = {};
+  for (const { labels, value } of values) {
+    const key = keyOf(labels);
+    sums[key] = (sums[key] ?? 0) + value;
+  }
+  return sums;
+}
