--- a/packages/protocol/src/meshConfigSchema.ts
+++ b/packages/protocol/src/meshConfigSchema.ts
@@ -57,12 +57,30 @@
 });
 
 /** The whole routing configuration. */
-export const meshConfigSchema = z.strictObject({
-  version: z.int().min(0),
-  routes: z.array(routeSchema),
-  services: z.array(meshServiceSchema),
-  limits: callerLimitsSchema,
-});
+export const meshConfigSchema = z
+  .strictObject({
+    version: z.int().min(0),
+    routes: z.array(routeSchema),
+    services: z.array(meshServiceSchema),
+    limits: callerLimitsSchema,
+  })
+  .superRefine((cfg, ctx) => {
+    const services = new Set(cfg.services.map(({ name }) => name));
+    const places = new Set<string>();
+    for (const [i, route] of cfg.routes.entries()) {
+      const place = `${route.host}${route.prefix}`;
+      if (places.has(place)) {
+        ctx.addIssue({ code: 'custom', path: ['routes', i, 'prefix'], message: `expected one route for ${place}, got a second` });
+      }
+      places.add(place);
+      for (const [k, { service }] of route.destinations.entries()) {
+        if (!services.has(service)) {
+          const message = `expected a service declared under services, got "${service}"`;
+          ctx.addIssue({ code: 'custom', path: ['routes', i, 'destinations', k, 'service'], message });
+        }
+      }
+    }
+  });
 
 /** A checked routing configuration. */
 export type MeshConfig = z.infer<typeof meshConfigSchema>;
--- /dev/null
+++ b/tests/config/meshConfig.spec.ts
@@ -0,0 +1,57 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { meshConfigSchema } from '@gentiandrum/protocol';
+import { readFileSync } from 'node:fs';
+import { parse } from 'yaml';
+import { describe, it } from '../support/describe.js';
+
+const kExample = new URL('../../../examples/routes.yaml', import.meta.url);
+
+interface Example {
+  routes: { prefix: string; host: string; destinations: { service: string }[] }[];
+  services: unknown[];
+}
+
+function faultsOf(change: (cfg: Example) => void): string[] {
+  const cfg = parse(readFileSync(kExample, 'utf8')) as Example;
+  change(cfg);
+  const checked = meshConfigSchema.safeParse(cfg);
+  return checked.success ? [] : checked.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+}
+
+describe('configuration of the routing daemon', () => {
+  it('should take the example', (t) => {
+    t.deepEqual(
+      faultsOf(() => undefined),
+      [],
+    );
+  });
+
+  it('should refuse a service that is not declared, a second route for one place, and a prefix without its slashes', (t) => {
+    t.deepEqual(
+      faultsOf((cfg) => {
+        cfg.services.pop();
+      }),
+      ['routes.1.destinations.1.service: expected a service declared under services, got "switching-next"'],
+    );
+    t.deepEqual(
+      faultsOf((cfg) => {
+        cfg.routes.forEach((route) => {
+          route.prefix = '/same/';
+        });
+      }),
+      ['routes.1.prefix: expected one route for api.example/same/, got a second'],
+    );
+    t.deepEqual(
+      faultsOf((cfg) => {
+        cfg.routes.forEach((route, i) => {
+          route.prefix = i === 0 ? '/open' : route.prefix;
+        });
+      }),
+      ['routes.0.prefix: expected a prefix that begins and ends with a slash'],
+    );
+  });
+});
