--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -41,7 +41,11 @@
     registers: [this._registry],
   });
   private readonly _refusals = this._counter('gate_refusals_total', 'Calls that the gate of this host refused', ['reason']);
-  private readonly _placements = this._counter('placements_total', 'Offers of calls by where the target stands', ['service', 'place', 'after_refusal']);
+  private readonly _placements = this._counter('placements_total', 'Offers of calls by where the target stands', [
+    'service',
+    'place',
+    'after_refusal',
+  ]);
   private readonly _repeats = this._counter('gate_repeats_total', 'Repeats that the gate of this host let in', []);
   private readonly _gauge = new Gauge({
     name: 'gentiandrum_state',
