--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -5,11 +5,11 @@
 
 /**
  * Share of people's requests that a gate wants to be turned away where they enter, because it has more work than slots.
- * An integrator that steers the load offered to the target, waiting and refused calls included, to a little below its slots.
+ * An integrator that steers the load offered to the target, waiting and refused calls included, to about its slots.
  */
 
-/** Load as a share of the slots that is aimed at: busy, and calls of targets seldom wait for long. */
-const kAimedLoad = 0.92;
+/** Load, waiting calls included, as a share of the slots that is aimed at: a short queue keeps the slots busy. */
+const kAimedLoad = 1.05;
 /**
  * Change of the level a second for an excess of one. A change shows at the gate after the time of a chain, a few tenths of a
  * second, and one of the level moves the load by up to twice as much; above about 1.5 the level would swing.
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -27,9 +27,7 @@
 /** A call that asks to be let in. */
 export interface GatedCall {
   id: number;
-  /** Smaller is more urgent. */
-  rank: number;
-  /** Time up to which it may wait, on the monotonic clock. */
+  /** Time up to which it may wait, on the monotonic clock; who has to start sooner goes first. */
   waitUntil: number;
 }
 
@@ -41,10 +39,9 @@
 
 /** Gate of one target. */
 export class SlotGate<T extends GatedCall> {
-  /** Waiting calls by rank; ranks that never came leave holes. */
-  private readonly _queues: (T[] | undefined)[] = [];
+  /** Waiting calls, the one that has to start soonest first. */
+  private readonly _queue: T[] = [];
   private readonly _running = new Set<number>();
-  private _queued = 0;
   private _slots = 0;
   private _accepting = false;
   private _meanMs = 0;
@@ -61,7 +58,7 @@
 
   /** Calls that wait. */
   get queued(): number {
-    return this._queued;
+    return this._queue.length;
   }
 
   /** Calls that may run at once. */
@@ -95,11 +92,8 @@
   /** Takes no new calls, and refuses those that wait. What runs is left to end. */
   close(): void {
     this._accepting = false;
-    for (const queue of this._queues) {
-      for (const call of queue?.splice(0) ?? []) {
-        this._queued--;
-        this._events.onRefuse(call, 'not_accepting');
-      }
+    for (const call of this._queue.splice(0)) {
+      this._events.onRefuse(call, 'not_accepting');
     }
   }
 
@@ -108,17 +102,18 @@
     if (!this._accepting) {
       return { kind: 'refused', reason: 'not_accepting' };
     }
-    if (this._queued === 0 && this._running.size < this.limit) {
+    if (this._queue.length === 0 && this._running.size < this.limit) {
       this._running.add(call.id);
       return { kind: 'started' };
     }
     const now = monotonicMs();
     this._fullAt = now;
-    if (now + this._waitMs(call.rank) > call.waitUntil || this._queued >= this.limit * kQueuePerSlot) {
+    const place = this._placeFor(call);
+    const waitMs = ((place + 1) * this._meanMs) / this.limit;
+    if (now + waitMs > call.waitUntil || this._queue.length >= this.limit * kQueuePerSlot) {
       return { kind: 'refused', reason: 'overloaded' };
     }
-    (this._queues[call.rank] ??= []).push(call);
-    this._queued++;
+    this._queue.splice(place, 0, call);
     return { kind: 'queued' };
   }
 
@@ -135,33 +130,42 @@
 
   /** Takes back a call that waits; false when it has started. */
   withdraw(call: T): boolean {
-    const queue = this._queues[call.rank];
-    const at = queue?.indexOf(call) ?? -1;
-    if (!queue || at < 0) {
+    const at = this._queue.indexOf(call);
+    if (at < 0) {
       return false;
     }
-    queue.splice(at, 1);
-    this._queued--;
+    this._queue.splice(at, 1);
     return true;
   }
 
   /** Refuses calls whose wait is over; called a few times a second or more. */
   expire(): void {
     const now = monotonicMs();
-    for (const queue of this._queues) {
-      for (const call of queue?.filter(({ waitUntil }) => waitUntil <= now) ?? []) {
-        this.withdraw(call);
-        this._events.onRefuse(call, 'wait_too_long');
-      }
+    while (this._queue[0] && this._queue[0].waitUntil <= now) {
+      this._refuseFirst();
+    }
+  }
+
+  private _refuseFirst(): void {
+    const call = this._queue.shift();
+    if (call) {
+      this._events.onRefuse(call, 'wait_too_long');
     }
   }
 
-  private _waitMs(rank: number): number {
-    let ahead = 1;
-    for (let i = 0; i <= rank; i++) {
-      ahead += this._queues[i]?.length ?? 0;
+  /** Place in the queue, behind all that have to start no later. */
+  private _placeFor(call: T): number {
+    let low = 0;
+    let high = this._queue.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this._queue[middle]?.waitUntil ?? Infinity) <= call.waitUntil) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
     }
-    return (ahead * this._meanMs) / this.limit;
+    return low;
   }
 
   private _coldShare(): number {
@@ -173,29 +177,14 @@
   }
 
   private _startWaiting(): void {
-    const now = monotonicMs();
-    while (this._queued > 0 && this._running.size < this.limit) {
-      const call = this._takeFirst();
+    this.expire();
+    while (this._running.size < this.limit) {
+      const call = this._queue.shift();
       if (!call) {
         return;
       }
-      if (call.waitUntil <= now) {
-        this._events.onRefuse(call, 'wait_too_long');
-        continue;
-      }
       this._running.add(call.id);
       this._events.onStart(call);
     }
   }
-
-  private _takeFirst(): T | undefined {
-    for (const queue of this._queues) {
-      const call = queue?.shift();
-      if (call) {
-        this._queued--;
-        return call;
-      }
-    }
-    return undefined;
-  }
 }
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -30,8 +30,6 @@
 const kWaitShare = 0.2;
 /** The same for a call of a target: refused, it would cost the work above it, so it may wait longer. */
 const kInnerWaitShare = 0.5;
-/** Calls of targets go before people's requests, whatever their priority: work was spent on them. */
-const kInnerRank = 0;
 
 /** What an exchange uses of its daemon. */
 export interface ExchangeDeps {
@@ -160,7 +158,6 @@
     return {
       route: route.name,
       service: target.service,
-      rank: inner ? kInnerRank : kInnerRank + 1 + route.priority,
       waitMs: Math.max(0, route.latencyTargetMs * (inner ? kInnerWaitShare : kWaitShare) - this.ageMs),
       remainingMs: Math.floor(remainingMs),
       repeat,
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -200,7 +200,6 @@
     const now = monotonicMs();
     const waiting: Waiting = {
       id: this._nextId++,
-      rank: call.rank,
       waitUntil: now + Math.min(call.waitMs, call.remainingMs),
       call,
       expiresAt: now + call.remainingMs,
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -14,8 +14,6 @@
   /** Name of the route, for logs and statistics. */
   route: string;
   service: string;
-  /** Urgency at the gate; smaller is first. */
-  rank: number;
   /** Time that it may wait at the gate, in milliseconds. */
   waitMs: number;
   /** Time until nobody waits for the answer, in milliseconds. */
@@ -141,7 +139,6 @@
         message.id,
         call.route,
         call.service,
-        call.rank,
         call.waitMs,
         call.remainingMs,
         call.repeat,
@@ -227,18 +224,17 @@
   return {
     route: fields[2] as string,
     service: fields[3] as string,
-    rank: fields[4] as number,
-    waitMs: fields[5] as number,
-    remainingMs: fields[6] as number,
-    repeat: fields[7] as boolean,
-    inner: fields[8] as boolean,
-    idempotent: fields[9] as boolean,
-    instance: fields[10] as string,
-    callerService: fields[11] as string,
-    requestId: fields[12] as string,
-    method: fields[13] as string,
-    path: fields[14] as string,
-    headers: fields[15] as string[],
-    body: fields[16] as Buffer,
+    waitMs: fields[4] as number,
+    remainingMs: fields[5] as number,
+    repeat: fields[6] as boolean,
+    inner: fields[7] as boolean,
+    idempotent: fields[8] as boolean,
+    instance: fields[9] as string,
+    callerService: fields[10] as string,
+    requestId: fields[11] as string,
+    method: fields[12] as string,
+    path: fields[13] as string,
+    headers: fields[14] as string[],
+    body: fields[15] as Buffer,
   };
 }
