Placement compares times of one route; an unknown host counts as an ordinary one

Ruled out: refusals (a tenth of the offers). Change: means by route, and an unknown host has the mean of all.

--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -50,15 +50,29 @@
   outstanding: number;
   /** Outstanding calls at the time of the report. */
   outstandingThen: number;
-  meanMs: number;
+  /** Mean time of a call by its route, in milliseconds. */
+  meanMs: Map<string, number>;
   failures: number;
   avoidUntil: number;
   avoidMs: number;
 }
 
-/** Chooses targets, and remembers how they did. */
+/** What a choice needs of a route. */
+export interface PlacedRoute {
+  name: string;
+  latencyTargetMs: number;
+}
+
+function renewMean(means: Map<string, number>, route: string, tookMs: number): void {
+  const before = means.get(route);
+  means.set(route, before === undefined ? tookMs : before + (tookMs - before) * kMeanWeight);
+}
+
+/** Chooses targets, and remembers how they did. Times are kept by route: those of different routes can't be compared. */
 export class Placement {
   private readonly _stats = new Map<string, Stats>();
+  /** Mean time of a call by its route over all hosts, in milliseconds: what a host is taken for until it has shown better. */
+  private readonly _routeMeanMs = new Map<string, number>();
 
   constructor(
     private readonly _zone: string,
@@ -66,7 +80,11 @@
   ) {}
 
   /** The best candidate that is not excluded. */
-  choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, latencyTargetMs: number): TargetRecord | undefined {
+  choose(
+    candidates: readonly TargetRecord[],
+    excluded: ReadonlySet<string>,
+    { name, latencyTargetMs }: PlacedRoute,
+  ): TargetRecord | undefined {
     const now = monotonicMs();
     let best: TargetRecord | undefined;
     let bestScore = Infinity;
@@ -74,7 +92,7 @@
       if (excluded.has(candidate.host)) {
         continue;
       }
-      const score = this._score(candidate, latencyTargetMs, now);
+      const score = this._score(candidate, name, latencyTargetMs, now);
       if (score < bestScore || best === undefined) {
         best = candidate;
         bestScore = score;
@@ -89,7 +107,7 @@
   }
 
   /** Notes the end of a call; `tookMs` counts when it was answered, and `failed` when the target did badly. */
-  ended(host: string, end: { load?: LoadReport; tookMs?: number; failed: boolean }): void {
+  ended(host: string, route: string, end: { load?: LoadReport; tookMs?: number; failed: boolean }): void {
     const stats = this._of(host);
     stats.outstanding = Math.max(0, stats.outstanding - 1);
     stats.failures += ((end.failed ? 1 : 0) - stats.failures) * kFailureWeight;
@@ -100,7 +118,8 @@
       stats.avoidMs = 0;
     }
     if (end.tookMs !== undefined) {
-      stats.meanMs = stats.meanMs === 0 ? end.tookMs : stats.meanMs + (end.tookMs - stats.meanMs) * kMeanWeight;
+      renewMean(stats.meanMs, route, end.tookMs);
+      renewMean(this._routeMeanMs, route, end.tookMs);
     }
   }
 
@@ -126,9 +145,9 @@
     this._stats.delete(host);
   }
 
-  private _score(candidate: TargetRecord, latencyTargetMs: number, now: number): number {
+  private _score(candidate: TargetRecord, route: string, latencyTargetMs: number, now: number): number {
     const stats = this._of(candidate.host);
-    const mean = stats.meanMs > 0 ? stats.meanMs : kAssumedMs;
+    const mean = stats.meanMs.get(route) ?? this._routeMeanMs.get(route) ?? kAssumedMs;
     const limit = stats.load.limit > 0 ? stats.load.limit : Math.max(1, candidate.slots);
     const age = 0.5 ** ((now - stats.reportedAt) / kReportHalfLifeMs);
     const others = Math.max(0, stats.load.inFlight + stats.load.queued - stats.outstandingThen) * age;
@@ -148,7 +167,7 @@
         reportedAt: -Infinity,
         outstanding: 0,
         outstandingThen: 0,
-        meanMs: 0,
+        meanMs: new Map(),
         failures: 0,
         avoidUntil: 0,
         avoidMs: 0,
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -13,6 +13,7 @@
   type GateReport,
   monotonicMs,
   type Offer,
+  type PlacedRoute,
   type CallEnd,
   type RouteEnd,
   routeRequest,
@@ -34,11 +35,11 @@
 /** What an exchange uses of its daemon. */
 export interface ExchangeDeps {
   candidates(service: string): readonly TargetRecord[];
-  choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, latencyTargetMs: number): TargetRecord | undefined;
+  choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
   sent(target: TargetRecord, first: boolean): void;
-  ended(host: string, end: { load?: GateReport; tookMs?: number; failed: boolean }): void;
+  ended(host: string, route: string, end: { load?: GateReport; tookMs?: number; failed: boolean }): void;
 }
 
 /** A request as the server hands it over. */
@@ -74,7 +75,7 @@
   ) {
     const { route, service } = _req;
     this._procedure = routeRequest(route, {
-      choose: (excluded) => _deps.choose(_deps.candidates(service), excluded, route.latencyTargetMs),
+      choose: (excluded) => _deps.choose(_deps.candidates(service), excluded, route),
       remainingMs: () => this._remainingMs(),
       usefulMs: () => kUsefulMs,
     });
@@ -148,7 +149,7 @@
     if (load) {
       this._deps.chains.learn(this._req.route.name, load);
     }
-    this._deps.ended(target.host, { load, tookMs: answered && !failed ? tookMs : undefined, failed });
+    this._deps.ended(target.host, this._req.route.name, { load, tookMs: answered && !failed ? tookMs : undefined, failed });
   }
 
   private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -201,14 +201,14 @@
       metrics: this._metrics,
       events: this._events,
       candidates: (service) => this._directory.ready(service),
-      choose: (candidates, excluded, latencyTargetMs) => this._placement.choose(candidates, excluded, latencyTargetMs),
+      choose: (candidates, excluded, route) => this._placement.choose(candidates, excluded, route),
       offer: (target, call, done) => this._offer(target, call, done),
       sent: (target, first) => {
         this._placement.sent(target.host);
         this._metrics.placed(target.service, this._placeOf(target), !first);
       },
-      ended: (host, end) => {
-        this._placement.ended(host, end);
+      ended: (host, route, end) => {
+        this._placement.ended(host, route, end);
       },
     };
   }
--- /dev/null
+++ b/tests/routing/placement.spec.ts
@@ -0,0 +1,85 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { Placement, type TargetRecord } from '@gentiandrum/core';
+import { describe, itAlone } from '../support/describe.js';
+import { VirtualTime } from '../support/virtualTime.js';
+
+const kRoute = { name: 'search', latencyTargetMs: 200 };
+const kNone: ReadonlySet<string> = new Set();
+
+function record(host: string, zone: string): TargetRecord {
+  return { host, zone, peers: '', service: 's', instance: `i-${host}`, state: 'ready', slots: 10, epoch: 1, revision: 1 };
+}
+
+const kNear = record('near', 'z1');
+const kFar = record('far', 'z2');
+
+function withPlacement(body: (placement: Placement, time: VirtualTime) => void): void {
+  const time = new VirtualTime();
+  try {
+    body(new Placement('z1', () => 0), time);
+  } finally {
+    time.restore();
+  }
+}
+
+function answer(placement: Placement, host: string, route: string, tookMs: number): void {
+  placement.sent(host);
+  placement.ended(host, route, { tookMs, failed: false });
+}
+
+describe('placement', () => {
+  itAlone('should stay in its zone unless waiting there costs more than leaving it', (t) => {
+    withPlacement((placement) => {
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+      answer(placement, 'near', 'search', 60);
+      answer(placement, 'far', 'search', 40);
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+      for (let i = 0; i < 30; i++) {
+        answer(placement, 'near', 'search', 300);
+      }
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kFar);
+    });
+  });
+
+  itAlone('should not leave its zone because other routes take longer there', (t) => {
+    withPlacement((placement) => {
+      for (let i = 0; i < 30; i++) {
+        answer(placement, 'near', 'report', 2_000);
+        answer(placement, 'near', 'search', 50);
+      }
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+    });
+  });
+
+  itAlone('should take a host that it does not know for an ordinary one', (t) => {
+    withPlacement((placement) => {
+      answer(placement, 'near', 'search', 150);
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+    });
+  });
+
+  itAlone('should spread over equal targets by what is outstanding', (t) => {
+    withPlacement((placement) => {
+      const twin = record('twin', 'z1');
+      placement.sent('near');
+      t.is(placement.choose([kNear, twin], kNone, kRoute), twin);
+      placement.sent('twin');
+      placement.sent('twin');
+      t.is(placement.choose([kNear, twin], kNone, kRoute), kNear);
+    });
+  });
+
+  itAlone('should pass over a host that can not be reached, for a while, unless there is no other', (t) => {
+    withPlacement((placement, time) => {
+      placement.avoid('near');
+      t.is(placement.choose([kNear, kFar], kNone, kRoute), kFar);
+      t.is(placement.choose([kNear], kNone, kRoute), kNear);
+      time.runUntil(5_000);
+      t.is(placement.choose([kNear, kFar], kNone, kRoute), kNear);
+    });
+  });
+});
