Full targets are left for another zone before people are turned away

Ruled out: the controller (the load met was as aimed). Change: load above 0.85 of the slots is charged, and the level of a route is the lowest of the hosts heard of lately.

--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -16,8 +16,8 @@
 /** Least weight of the newest answer's level, and the silence after which it counts half, in milliseconds. */
 const kLeastWeight = 0.15;
 const kRenewMs = 150;
-/** Time in which a level that no answer renews is halved, in milliseconds. */
-const kHalfLifeMs = 700;
+/** Age up to which a host's level counts as it is, in milliseconds; the newest one is halved with each such time after. */
+const kFreshMs = 1_000;
 /** How often samples are closed and ratios solved, in milliseconds. */
 const kSampleMs = 200;
 const kSolveMs = 1_000;
@@ -36,10 +36,18 @@
   height: number;
 }
 
-interface RouteState extends RouteReport {
+interface HostLevel {
+  level: number;
   at: number;
 }
 
+interface RouteState {
+  inner: boolean | undefined;
+  height: number;
+  /** Levels by the host that reported them. */
+  levels: Map<string, HostLevel>;
+}
+
 /** Chains as one daemon knows them. */
 export class ChainModel {
   private readonly _mix = new CallerMix();
@@ -65,20 +73,43 @@
     }
   }
 
-  /** Learns from an answer to a request that entered at this host. */
-  learn(route: string, report: RouteReport): void {
-    const known = this._routes.get(route);
+  /** Learns from an answer of a host's gate to a request that entered at this host. */
+  learn(route: string, host: string, report: RouteReport): void {
+    let known = this._routes.get(route);
+    if (!known) {
+      known = { inner: undefined, height: 0, levels: new Map() };
+      this._routes.set(route, known);
+    }
+    known.inner = report.inner ?? known.inner;
+    known.height = report.height;
     const now = monotonicMs();
-    const before = known?.level ?? 0;
-    const weight = Math.max(kLeastWeight, 1 - 0.5 ** ((now - (known?.at ?? 0)) / kRenewMs));
-    const level = before + (report.level - before) * weight;
-    this._routes.set(route, { level, inner: report.inner ?? known?.inner, height: report.height, at: now });
+    const before = known.levels.get(host) ?? { level: 0, at: 0 };
+    const weight = Math.max(kLeastWeight, 1 - 0.5 ** ((now - before.at) / kRenewMs));
+    known.levels.set(host, { level: before.level + (report.level - before.level) * weight, at: now });
   }
 
-  /** Share of people's requests on a route to turn away, as of now. */
+  /**
+   * Share of people's requests on a route to turn away, as of now: the lowest level of the hosts heard of lately, as work goes
+   * where there is room, and nobody is turned away while there is some.
+   */
   level(route: string): number {
     const known = this._routes.get(route);
-    return known ? known.level * 0.5 ** ((monotonicMs() - known.at) / kHalfLifeMs) : 0;
+    if (!known) {
+      return 0;
+    }
+    const now = monotonicMs();
+    let lowest: number | undefined;
+    let newest: HostLevel = { level: 0, at: -Infinity };
+    for (const [host, heard] of known.levels) {
+      if (now - heard.at <= kFreshMs) {
+        lowest = Math.min(lowest ?? 1, heard.level);
+      } else if (heard.at >= newest.at) {
+        newest = heard;
+      } else {
+        known.levels.delete(host);
+      }
+    }
+    return lowest ?? newest.level * 0.5 ** ((now - newest.at) / kFreshMs);
   }
 
   /** Whether only targets call the route, as far as this daemon was told. */
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -16,6 +16,9 @@
  * when it gains more than this.
  */
 const kZoneCharge = 0.25;
+/** Load from which on a target is charged for it, and the charge for each load above, as a share of the latency target. */
+const kEasyLoad = 0.85;
+const kLoadCharge = 1.5;
 /** Time for a round trip between zones, in milliseconds; of the order of what deployments report. */
 const kZoneRoundTripMs = 3;
 /** Time per call that is assumed until one ended, in milliseconds. */
@@ -152,7 +155,8 @@
     const age = 0.5 ** ((now - stats.reportedAt) / kReportHalfLifeMs);
     const others = Math.max(0, stats.load.inFlight + stats.load.queued - stats.outstandingThen) * age;
     const load = (others + stats.outstanding + 1) / limit;
-    const wait = load > 1 ? mean * (load - 1) * 2 : 0;
+    // A full target is left for another zone before people are turned away for it.
+    const wait = Math.max(0, load - kEasyLoad) * kLoadCharge * latencyTargetMs;
     const zone = candidate.zone === this._zone ? 0 : latencyTargetMs * kZoneCharge + kZoneRoundTripMs;
     const avoided = stats.avoidUntil > now ? 1e6 : 0;
     // Load below the limit breaks ties between equal targets, and keeps room for bursts.
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -147,7 +147,7 @@
     const failed = end.kind === 'lost' ? end.reason !== 'cancelled' : answered && end.answer.status >= 500;
     const load = report.limit > 0 ? report : undefined;
     if (load) {
-      this._deps.chains.learn(this._req.route.name, load);
+      this._deps.chains.learn(this._req.route.name, target.host, load);
     }
     this._deps.ended(target.host, this._req.route.name, { load, tookMs: answered && !failed ? tookMs : undefined, failed });
   }
--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -45,6 +45,19 @@
     });
   });
 
+  itAlone('should leave its zone for a free target when its own is full, and not before', (t) => {
+    withPlacement((placement) => {
+      const load = (inFlight: number): void => {
+        placement.sent('near');
+        placement.ended('near', 'search', { load: { inFlight, queued: 0, limit: 10, meanMs: 50 }, tookMs: 50, failed: false });
+      };
+      load(7);
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+      load(10);
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kFar);
+    });
+  });
+
   itAlone('should not leave its zone because other routes take longer there', (t) => {
     withPlacement((placement) => {
       for (let i = 0; i < 30; i++) {
