--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/', 'out/', 'target/', 'journal/', '**/gen/', 'node_modules/', '**/*.mjs', '**/*.js'] },
+  { ignores: ['**/dist/', 'out/', 'target/', 'journal/', '**/gen/', 'node_modules/', '**/*.mjs', '**/*.cjs', '**/*.js'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -200,6 +200,17 @@
   }
 }
 
+/** Runs a test with a fleet of its own. */
+export async function withFleet(body: (fleet: MeshFleet) => Promise<void>): Promise<void> {
+  const fleet = new MeshFleet();
+  await fleet.start();
+  try {
+    await body(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
 /** Addresses on the loopback that are free at the moment. */
 async function freeAddresses(count: number): Promise<string[]> {
   const servers = await Promise.all(
