--- /dev/null
+++ b/tests/mesh/callers.spec.ts
@@ -0,0 +1,138 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Callers as they come: pipelines, chunks, long and late bodies, early leavers, and bytes that are no request. */
+
+import { describe, itAlone } from '../support/describe.js';
+import { type FleetHost, type MeshFleet, withFleet } from './meshFleet.js';
+import { RawCaller, requestText } from './rawCaller.js';
+
+async function oneHost(fleet: MeshFleet, limits: Record<string, number> = {}): Promise<FleetHost> {
+  fleet.configure(
+    [
+      { prefix: '/a/', service: 'reads' },
+      { prefix: '/once/', service: 'reads', idempotent: false },
+    ],
+    limits,
+  );
+  const host = await fleet.add('h1', 'reads');
+  await fleet.untilServing('/a/warm');
+  return host;
+}
+
+describe('callers', () => {
+  itAlone('should get the answers of a pipeline in the order of its requests', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet);
+      const caller = await RawCaller.open(host.calls);
+      host.target.workMs = 120;
+      caller.write(requestText('/a/1', 'p1'));
+      await fleet.until('the first to run', () => host.target.running === 1);
+      host.target.workMs = 1;
+      caller.write(requestText('/a/2', 'p2') + requestText('/a/3', 'p3'));
+      const text = await caller.until(/did p3/);
+      t.deepEqual(text.match(/did p\d/g), ['did p1', 'did p2', 'did p3']);
+      caller.leave();
+    }),
+  );
+
+  itAlone('should have chunked bodies passed on whole, and their connection kept', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet);
+      const caller = await RawCaller.open(host.calls);
+      const headers = ['Transfer-Encoding: chunked'];
+      caller.write(requestText('/once/1', 'c1', { method: 'POST', headers, body: '5\r\nfirst\r\n' }));
+      caller.write('7\r\n second\r\n0\r\n\r\n');
+      await caller.until(/did c1/);
+      t.is(host.target.seen.at(-1)?.body, 'first second');
+      caller.write(requestText('/a/2', 'c2'));
+      t.regex(await caller.until(/did c2/), /did c2/);
+      caller.leave();
+    }),
+  );
+
+  itAlone('should have long bodies passed on whole, also when the target answers before it has read them', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet);
+      const body = 'x'.repeat(700_000);
+      t.is((await fleet.call(host, '/once/1', { method: 'POST', body })).status, 200);
+      t.is(host.target.seen.at(-1)?.body.length, body.length);
+      host.target.answersEarly = true;
+      const early = await fleet.call(host, '/once/2', { method: 'POST', body });
+      t.is(early.status, 500);
+      host.target.answersEarly = false;
+      for (let i = 0; i < 5; i++) {
+        t.is((await fleet.call(host, `/once/${i + 3}`, { method: 'POST', body: `b${i}` })).status, 200);
+        t.is(host.target.seen.at(-1)?.body, `b${i}`);
+      }
+    }),
+  );
+
+  itAlone('should get their answer whole when they read slowly', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet);
+      host.target.padding = 900_000;
+      const caller = await RawCaller.open(host.calls);
+      caller.pause();
+      caller.write(requestText('/a/1', 's1'));
+      await fleet.until('the target to have answered', () => host.target.seen.at(-1)?.id === 's1' && host.target.running === 0);
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      caller.resume();
+      const text = await caller.until(/did s1x*$/);
+      await fleet.until('all bytes', () => caller.text.length > 900_000);
+      t.regex(text, /^HTTP\/1.1 200/);
+      caller.leave();
+    }),
+  );
+
+  itAlone('should be told 408 when their body does not come, and 431 for a head over the limit', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet, { max_header_bytes: 2_000 });
+      const late = await RawCaller.open(host.calls);
+      const headers = ['Content-Length: 10'];
+      late.write(requestText('/once/1', 'l1', { method: 'POST', headers, body: 'half' }).replace('3000', '200'));
+      t.regex(await late.untilClosed(), /^HTTP\/1.1 408/);
+      const long = await RawCaller.open(host.calls);
+      long.write(requestText('/a/1', 'h1', { headers: [`X-Long: ${'y'.repeat(3_000)}`] }));
+      t.regex(await long.untilClosed(), /^HTTP\/1.1 431/);
+      t.false(host.target.seen.some(({ id }) => id === 'l1' || id === 'h1'));
+    }),
+  );
+
+  itAlone('should not smuggle a request inside another, nor have bytes after one taken for more', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet);
+      const before = host.target.seen.length;
+      const twice = await RawCaller.open(host.calls);
+      const inner = requestText('/once/inner', 'i1', { method: 'POST' });
+      const headers = ['Content-Length: 4', 'Transfer-Encoding: chunked'];
+      twice.write(requestText('/once/1', 'o1', { method: 'POST', headers, body: `0\r\n\r\n${inner}` }));
+      t.regex(await twice.untilClosed(), /^HTTP\/1.1 400/);
+      t.is(host.target.seen.length, before);
+      const trailing = await RawCaller.open(host.calls);
+      trailing.write(`${requestText('/a/1', 't1')}\u0001\u0002 no request\r\n\r\n`);
+      await trailing.untilClosed();
+      t.true(host.target.seen.slice(before).every(({ id }) => id === 't1'));
+    }),
+  );
+
+  itAlone('should free their target when they leave, unless what runs must not be repeated', (t) =>
+    withFleet(async (fleet) => {
+      const host = await oneHost(fleet);
+      host.target.workMs = 400;
+      for (const [path, left] of [
+        ['/a/1', 1],
+        ['/once/1', 1],
+      ] as const) {
+        const caller = await RawCaller.open(host.calls);
+        caller.write(requestText(path, path));
+        await fleet.until('the target to work', () => host.target.running === 1);
+        caller.leave();
+        await fleet.until('the run to end', () => host.target.running === 0);
+        t.is(host.target.left, left);
+      }
+    }),
+  );
+});
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -41,6 +41,10 @@
   /** Answers that the mode holds for; then they are whole again. */
   modeLeft = Infinity;
   workMs = 1;
+  /** Bytes added to each whole answer. */
+  padding = 0;
+  /** Fails a request before it has read its body, keeps the connection, and reads on later. */
+  answersEarly = false;
   readonly seen: SeenRequest[] = [];
   /** Requests whose connection closed before the answer. */
   left = 0;
@@ -97,7 +101,14 @@
   }
 
   private async _serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.answersEarly) {
+      const id = String(req.headers['x-attempt-id'] ?? '');
+      res.writeHead(500, { 'x-attempt-id': id, 'x-response-seal': `seal.${id}`, 'content-length': 0 }).end();
+    }
     const body = await readBody(req);
+    if (res.writableEnded) {
+      return;
+    }
     const header = (name: string): string => String(req.headers[name] ?? '');
     this.seen.push({
       id: header('x-attempt-id'),
@@ -125,7 +136,7 @@
   }
 
   private _answer(mode: AnswerMode, id: string, req: IncomingMessage, res: ServerResponse): void {
-    const text = `${this.instance} did ${id}`;
+    const text = `${this.instance} did ${id}${'x'.repeat(this.padding)}`;
     const sealed = { 'x-attempt-id': id, 'x-response-seal': `seal.${id}` };
     switch (mode) {
       case 'whole':
