Records and configuration of a daemon in classes of their own; a gate waits for who remembers its target

Read in review: a daemon that starts again opened its gate as soon as any peer was reached, before what that peer remembers was taken, and also when it knew nothing. Only the log, or a peer that has a record of this host, opens it now. A late write that puts an older record last in the log, or an erasure, is followed by the newest record.

--- /dev/null
+++ b/packages/mesh/src/app/configHolder.ts
@@ -0,0 +1,78 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The configuration in force at one daemon: checked, never older than the one before, and passed on to other daemons. */
+
+import { monotonicMs, RouteTable } from '@gentiandrum/core';
+import { type MeshConfig, meshConfigSchema } from '@gentiandrum/protocol';
+import type { EventLog } from './eventLog.js';
+
+/** Time that a newer version gets to come from its source before a daemon that has it is asked, in milliseconds. */
+const kPatienceMs = 100;
+/** Faults of a configuration that a log line names. */
+const kNamedFaults = 3;
+
+/** Holds the newest configuration. */
+export class ConfigHolder {
+  private _config: MeshConfig | undefined;
+  private _routes: RouteTable | undefined;
+  private _takenAt = 0;
+
+  /** @param _onTaken called with each configuration that comes into force */
+  constructor(
+    private readonly _onTaken: (cfg: MeshConfig) => void,
+    private readonly _events: EventLog,
+  ) {}
+
+  /** The configuration in force. */
+  get config(): MeshConfig | undefined {
+    return this._config;
+  }
+
+  /** Its routes. */
+  get routes(): RouteTable | undefined {
+    return this._routes;
+  }
+
+  /** Its version; -1 before the first. */
+  get version(): number {
+    return this._config?.version ?? -1;
+  }
+
+  /** Time since it came into force, in seconds. */
+  get ageSeconds(): number {
+    return this._config ? (monotonicMs() - this._takenAt) / 1_000 : 0;
+  }
+
+  /** Takes a configuration from wherever it came. Versions only go up within one life of the process. */
+  take(cfg: MeshConfig, from: 'log' | 'peer'): void {
+    if (cfg.version <= this.version) {
+      return;
+    }
+    const checked = meshConfigSchema.safeParse(cfg);
+    if (!checked.success) {
+      const faults = checked.error.issues.slice(0, kNamedFaults).map((issue) => `${issue.path.join('.')}: ${issue.message}`);
+      this._events.warn('config', `Version ${cfg.version} is not valid and stays out of force.`, { faults });
+      return;
+    }
+    this._config = checked.data;
+    this._routes = new RouteTable(checked.data);
+    this._takenAt = monotonicMs();
+    this._events.notable('config', `Version ${cfg.version} is in force.`, { version: cfg.version, from, routes: cfg.routes.length });
+    this._onTaken(checked.data);
+  }
+
+  /** Hears that another daemon has a version; asks it when the source doesn't bring that version first. */
+  hear(version: number, ask: () => void): void {
+    if (version <= this.version) {
+      return;
+    }
+    setTimeout(() => {
+      if (version > this.version) {
+        ask();
+      }
+    }, kPatienceMs);
+  }
+}
--- /dev/null
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -0,0 +1,187 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Records of all hosts as this daemon believes them, and its own record as others should know it. */
+
+import { type Placement, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import type { MeshSettings } from '@gentiandrum/protocol';
+import type { RecordChange, RecordLog } from '../ports.js';
+import type { EventLog } from './eventLog.js';
+import type { TargetGate } from './targetGate.js';
+
+/** Longest wait at a start for what others remember of this host's target, in milliseconds. */
+const kRecallMs = 3_000;
+/**
+ * Time after which the own record in the log is compared with the newest one, in milliseconds: a write without an answer may
+ * take effect seconds later, behind a newer one.
+ */
+const kCompareMs = 2_000;
+
+/** What the records use of their daemon. */
+export interface HostRecordsDeps {
+  settings: MeshSettings;
+  gate: () => TargetGate;
+  directory: TargetDirectory;
+  placement: Placement;
+  log: RecordLog;
+  /** Tells linked daemons. */
+  broadcast(record: TargetRecord): void;
+  events: EventLog;
+}
+
+/** Keeps the records. */
+export class HostRecords {
+  private _epoch = Date.now();
+  private _revision = 0;
+  private _recalled = false;
+  private _inLog: number | undefined;
+  private _published: Promise<boolean> = Promise.resolve(true);
+  private _recallTimer: NodeJS.Timeout | undefined;
+  private _compareTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly _deps: HostRecordsDeps) {}
+
+  /** Whether what others remember of this host's target is known, as far as it can be. */
+  get recalled(): boolean {
+    return this._recalled;
+  }
+
+  /** Resolves once the own record is durable, or a newer one took its place. */
+  get published(): Promise<boolean> {
+    return this._published;
+  }
+
+  /** The own record. */
+  get own(): TargetRecord {
+    const { id, zone, listen, target } = this._deps.settings;
+    const { instance, service, state, slots } = this._deps.gate().view;
+    return {
+      host: id,
+      zone,
+      peers: listen.peers,
+      service: service === '' ? target.service : service,
+      instance,
+      state,
+      slots,
+      epoch: this._epoch,
+      revision: this._revision,
+    };
+  }
+
+  /** Begins to follow the log. */
+  start(): void {
+    this._deps.directory.learn(this.own);
+    this._deps.log.watch(
+      (change) => {
+        this._takeChange(change);
+      },
+      () => {
+        this._recall('the log');
+      },
+    );
+    this._recallTimer = setTimeout(() => {
+      this._recall('nobody in time');
+    }, kRecallMs);
+  }
+
+  /** Ends timers. */
+  stop(): void {
+    clearTimeout(this._recallTimer);
+    clearTimeout(this._compareTimer);
+  }
+
+  /** Makes the state of the own target known: to linked daemons at once, and in the log. */
+  tell(): void {
+    this._revision++;
+    const record = this.own;
+    this._deps.directory.learn(record);
+    this._deps.broadcast(record);
+    // A daemon that stops tells its peers alone: it will be back in a moment, or its host is taken away.
+    if (record.state !== 'unknown') {
+      this._published = this._deps.log.publish(record);
+    }
+  }
+
+  /** Takes records that another daemon passed on. */
+  take(records: TargetRecord[]): void {
+    for (const record of records) {
+      if (record.host === this._deps.settings.id) {
+        this._takeOwn(record);
+        this._recall('another daemon');
+      } else {
+        this._takeOther(record);
+      }
+    }
+  }
+
+  private _takeChange(change: RecordChange): void {
+    const own = this._deps.settings.id;
+    switch (change.kind) {
+      case 'record':
+        if (change.record.host === own) {
+          this._takeOwn(change.record);
+          this._noteInLog(change.record.epoch === this._epoch ? change.record.revision : -1);
+        } else {
+          this._takeOther(change.record);
+        }
+        return;
+      case 'erased':
+        if (change.host === own) {
+          this._noteInLog(-1);
+        } else {
+          this._deps.directory.forget(change.host);
+        }
+    }
+  }
+
+  private _takeOther(record: TargetRecord): void {
+    const { directory, placement, events } = this._deps;
+    const before = directory.get(record.host);
+    if (!directory.learn(record)) {
+      return;
+    }
+    const replaced = before?.instance !== record.instance;
+    if (before && replaced) {
+      placement.forget(record.host);
+    }
+    if (replaced || before.state !== record.state) {
+      const { host, state, instance, service } = record;
+      events.notable('peers', `The target on ${host} is ${state}.`, { peer: host, state, instance, service });
+    }
+  }
+
+  /** What an earlier daemon of this host said still binds, and must not look newer than what this one says. */
+  private _takeOwn(record: TargetRecord): void {
+    if (record.epoch === this._epoch) {
+      return;
+    }
+    this._deps.gate().remember(record);
+    if (record.epoch > this._epoch) {
+      this._epoch = record.epoch + 1;
+      this.tell();
+    }
+  }
+
+  /** The last own record of the log must be the newest one, or daemons that start later would believe an old one. */
+  private _noteInLog(revision: number): void {
+    this._inLog = revision;
+    this._compareTimer ??= setTimeout(() => {
+      this._compareTimer = undefined;
+      if (this._inLog !== undefined && this._inLog < this._revision) {
+        this._deps.events.notable('log', 'An older record of this host came last in the log; writing the newest again.');
+        this.tell();
+      }
+    }, kCompareMs);
+  }
+
+  private _recall(from: string): void {
+    if (!this._recalled) {
+      this._recalled = true;
+      clearTimeout(this._recallTimer);
+      this._deps.events.notable('start', `Heard from ${from} what is known of this host.`, { hosts: this._deps.directory.all().length });
+      this._deps.gate().release();
+    }
+  }
+}
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -5,24 +5,21 @@
 
 /** One routing daemon: puts its parts together, starts them, and stops them in order. */
 
-import { ChainModel, monotonicMs, Placement, RouteTable, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
-import { type MeshConfig, meshConfigSchema, type MeshSettings } from '@gentiandrum/protocol';
+import { ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import type { MeshSettings } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
-import type { PeerLink } from '../client/peerLink.js';
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
-import type { Announcement, Platform, RecordChange } from '../ports.js';
+import type { Platform } from '../ports.js';
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
 import { HostServer, type HostReply, type HostRequest } from '../server/hostServer.js';
+import { ConfigHolder } from './configHolder.js';
 import type { EventLog } from './eventLog.js';
+import { HostRecords } from './hostRecords.js';
 import { MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
-/** Longest wait at a start for what others remember of this host's target, in milliseconds. */
-const kRecallMs = 3_000;
 /** Longest time for which the answer to a leaving target waits until others know of it, in milliseconds: below one second. */
 const kAckWaitMs = 500;
-/** Time that a newer configuration gets to come from its source before a daemon that has it is asked, in milliseconds. */
-const kConfigPatienceMs = 100;
 /** Time for callers to turn away from a daemon that stops, in milliseconds: two readiness checks, a second apart, and a margin. */
 const kTurnAwayMs = 2_300;
 /** Time in which requests that crossed the close are still answered, in milliseconds. */
@@ -41,6 +38,8 @@
   private readonly _directory = new TargetDirectory();
   private readonly _placement: Placement;
   private readonly _chains = new ChainModel();
+  private readonly _configs: ConfigHolder;
+  private readonly _records: HostRecords;
   private readonly _gate: TargetGate;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
@@ -48,15 +47,7 @@
   private readonly _metricsServer: HostServer;
   private readonly _ready: HostServer;
   private readonly _announcements: HostServer;
-  private _config: MeshConfig | undefined;
-  private _routes: RouteTable | undefined;
-  private _configAt = 0;
-  private _epoch = Date.now();
-  private _revision = 0;
-  private _recalled = false;
   private _stopping = false;
-  private _published: Promise<boolean> = Promise.resolve(true);
-  private _recallTimer: NodeJS.Timeout | undefined;
   private _totalsTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -72,13 +63,29 @@
       contentType: 'text/plain; version=0.0.4',
       body: await this._metrics.text(),
     }));
+    this._configs = new ConfigHolder((cfg) => {
+      this._calls.configure(cfg);
+      this._network.broadcast({ type: 'version', version: cfg.version });
+    }, _events);
+    this._records = new HostRecords({
+      settings: _settings,
+      gate: () => this._gate,
+      directory: this._directory,
+      placement: this._placement,
+      log: _platform.records,
+      broadcast: (record) => {
+        this._network.broadcast({ type: 'records', records: [record] });
+      },
+      events: _events,
+    });
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
-      maxConnections: (service) => this._config?.services.find(({ name }) => name === service)?.maxConnections ?? kAssumedConnections,
+      maxConnections: (service) =>
+        this._configs.config?.services.find(({ name }) => name === service)?.maxConnections ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
       onChange: () => {
-        this._tellRecord();
+        this._records.tell();
       },
       chains: this._chains,
       metrics: this._metrics,
@@ -92,12 +99,12 @@
 
   /** Whether callers should be sent here. */
   get ready(): boolean {
-    return this._config !== undefined && this._recalled && !this._stopping;
+    return this._configs.config !== undefined && this._records.recalled && !this._stopping;
   }
 
   /** The record of this host as other daemons should know it. */
   get record(): TargetRecord {
-    return this._ownRecord();
+    return this._records.own;
   }
 
   /** Other daemons that a link is open to. */
@@ -108,7 +115,6 @@
   /** Listens, and begins to learn. */
   async start(): Promise<void> {
     const { listen } = this._settings;
-    this._directory.learn(this._ownRecord());
     await Promise.all([
       this._calls.listen(listen.calls),
       this._network.listen(listen.peers),
@@ -117,22 +123,12 @@
       ...(listen.metrics !== undefined ? [this._metricsServer.listen(listen.metrics)] : []),
     ]);
     this._platform.configs.watch((cfg) => {
-      this._takeConfig(cfg, 'log');
+      this._configs.take(cfg, 'log');
     });
-    this._platform.records.watch(
-      (change) => {
-        this._takeChange(change);
-      },
-      () => {
-        this._recall('the log');
-      },
-    );
+    this._records.start();
     this._totalsTimer = setInterval(() => {
       void this._logTotals();
     }, kTotalsMs);
-    this._recallTimer = setTimeout(() => {
-      this._recall('nobody in time');
-    }, kRecallMs);
     this._events.notable('start', 'Listening.', { ...listen, zone: this._settings.zone, service: this._settings.target.service });
   }
 
@@ -157,7 +153,7 @@
 
   /** Ends timers and connections. */
   async close(): Promise<void> {
-    clearTimeout(this._recallTimer);
+    this._records.stop();
     clearInterval(this._totalsTimer);
     this._platform.configs.stop();
     this._platform.records.stop();
@@ -173,19 +169,21 @@
     return {
       onCall: (call, done) => this._gate.offer(call, done),
       onRecords: (records) => {
-        this._takeRecords(records);
+        this._records.take(records);
       },
       onVersion: (version, link) => {
-        this._hearVersion(version, link);
+        this._configs.hear(version, () => {
+          link.send({ type: 'config_wanted' });
+        });
       },
       onConfig: (cfg) => {
-        this._takeConfig(cfg, 'peer');
+        this._configs.take(cfg, 'peer');
       },
       onReach: (host, reached) => {
         this._hearReach(host, reached);
       },
-      hello: () => ({ type: 'hello', host: this._settings.id, version: this._config?.version ?? -1, records: this._directory.all() }),
-      config: () => this._config,
+      hello: () => ({ type: 'hello', host: this._settings.id, version: this._configs.version, records: this._directory.all() }),
+      config: () => this._configs.config,
     };
   }
 
@@ -194,8 +192,8 @@
       names: this._platform.dialect.headers,
       service: this._settings.target.service,
       memoryMb: this._settings.memoryMb,
-      config: () => this._config,
-      routes: () => this._routes,
+      config: () => this._configs.config,
+      routes: () => this._configs.routes,
       stopping: () => this._stopping,
       chains: this._chains,
       metrics: this._metrics,
@@ -239,14 +237,14 @@
       return { status: 400 };
     }
     if (this._gate.announce(word) && word.state !== 'ready') {
-      await Promise.race([this._published, pause(kAckWaitMs)]);
+      await Promise.race([this._records.published, pause(kAckWaitMs)]);
     }
     return { status: 200, body: '{}' };
   }
 
   private async _logTotals(): Promise<void> {
     const totals = await this._metrics.totals();
-    this._events.notable('calls', 'Totals since the start.', { ...totals, gate: this._gate.state, configVersion: this._config?.version });
+    this._events.notable('calls', 'Totals since the start.', { ...totals, gate: this._gate.state, configVersion: this._configs.version });
   }
 
   private _view(): MetricsView {
@@ -258,137 +256,22 @@
       gate: this._gate.state,
       hosts,
       links: this._network.reachable,
-      configVersion: this._config?.version ?? -1,
-      configAge: this._config ? (monotonicMs() - this._configAt) / 1_000 : 0,
+      configVersion: this._configs.version,
+      configAge: this._configs.ageSeconds,
       inFlight: this._calls.inFlight,
       omittedLines: this._events.omitted,
     };
   }
 
-  private _ownRecord(): TargetRecord {
-    const { id, zone, listen, target } = this._settings;
-    const { instance, service, state, slots } = this._gate.view;
-    return {
-      host: id,
-      zone,
-      peers: listen.peers,
-      service: service === '' ? target.service : service,
-      instance,
-      state,
-      slots,
-      epoch: this._epoch,
-      revision: this._revision,
-    };
-  }
-
-  /** Makes the state of the own target known: to linked daemons at once, and in the log. */
-  private _tellRecord(): void {
-    this._revision++;
-    const record = this._ownRecord();
-    this._directory.learn(record);
-    this._network.broadcast({ type: 'records', records: [record] });
-    // A daemon that stops tells its peers alone: it will be back in a moment, or its host is taken away.
-    if (record.state !== 'unknown') {
-      this._published = this._platform.records.publish(record);
-    }
-  }
-
-  private _takeChange(change: RecordChange): void {
-    if (change.kind === 'record') {
-      this._takeRecords([change.record]);
-    } else if (change.host !== this._settings.id) {
-      this._directory.forget(change.host);
-    }
-  }
-
-  private _takeRecords(records: TargetRecord[]): void {
-    for (const record of records) {
-      if (record.host === this._settings.id) {
-        this._takeOwn(record);
-        continue;
-      }
-      const before = this._directory.get(record.host);
-      if (this._directory.learn(record)) {
-        this._noteRecord(before, record);
-      }
-    }
-  }
-
-  private _noteRecord(before: TargetRecord | undefined, record: TargetRecord): void {
-    if (before && before.instance !== record.instance) {
-      this._placement.forget(record.host);
-    }
-    if (before?.state !== record.state || before.instance !== record.instance) {
-      const { host, state, instance, service } = record;
-      this._events.notable('peers', `The target on ${host} is ${state}.`, { peer: host, state, instance, service });
-    }
-  }
-
-  /** What an earlier daemon of this host said still binds, and must not look newer than what this one says. */
-  private _takeOwn(record: TargetRecord): void {
-    if (record.epoch === this._epoch) {
-      return;
-    }
-    this._gate.remember(record);
-    if (record.epoch > this._epoch) {
-      this._epoch = record.epoch + 1;
-      this._tellRecord();
-    }
-  }
-
-  private _recall(from: string): void {
-    if (!this._recalled) {
-      this._recalled = true;
-      clearTimeout(this._recallTimer);
-      this._events.notable('start', `Heard from ${from} what is known of the hosts.`, { hosts: this._directory.all().length });
-      this._gate.release();
-    }
-  }
-
   private _hearReach(host: string, reached: boolean): void {
     if (reached) {
       this._placement.reached(host);
-      this._recall('another daemon');
     } else {
       this._placement.avoid(host);
     }
   }
-
-  private _hearVersion(version: number, link: PeerLink): void {
-    if (version <= (this._config?.version ?? -1)) {
-      return;
-    }
-    setTimeout(() => {
-      if (version > (this._config?.version ?? -1)) {
-        link.send({ type: 'config_wanted' });
-      }
-    }, kConfigPatienceMs);
-  }
-
-  /** Versions only go up within one life of the process. */
-  private _takeConfig(cfg: MeshConfig, from: 'log' | 'peer'): void {
-    if (this._config && cfg.version <= this._config.version) {
-      return;
-    }
-    const checked = meshConfigSchema.safeParse(cfg);
-    if (!checked.success) {
-      this._events.warn('config', `Version ${cfg.version} is not valid and stays out of force.`, {
-        issues: checked.error.issues.slice(0, 3),
-      });
-      return;
-    }
-    this._config = checked.data;
-    this._configAt = monotonicMs();
-    this._routes = new RouteTable(checked.data);
-    this._calls.configure(checked.data);
-    this._network.broadcast({ type: 'version', version: cfg.version });
-    this._events.notable('config', `Version ${cfg.version} is in force.`, { version: cfg.version, from, routes: cfg.routes.length });
-  }
 }
 
-/** Words that the daemon takes from the target on its host. */
-export type { Announcement };
-
 /** Waits until a condition holds, from `earliest` on and not beyond `latest`, on the monotonic clock. */
 async function waitUntil(earliest: number, latest: number, holds: () => boolean): Promise<void> {
   while (monotonicMs() < latest && (monotonicMs() < earliest || !holds())) {
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -240,8 +240,8 @@
     switch (message.type) {
       case 'hello':
         link.host = message.host;
-        this._register(link);
         this._events.onRecords(message.records);
+        this._register(link);
         this._events.onVersion(message.version, link);
         return;
       case 'call':
--- a/tests/mesh/leaving.spec.ts
+++ b/tests/mesh/leaving.spec.ts
@@ -6,6 +6,7 @@
 /** Targets that leave, daemons that come back, and a store that is away. */
 
 import { describe, itAlone } from '../support/describe.js';
+import { UpstreamStandin } from '../platform/upstreamStandin.js';
 import { withFleet } from './meshFleet.js';
 
 const kTopic = 'keyed.gentiandrum-hosts';
@@ -140,6 +141,40 @@
   );
 });
 
+describe('the record of a host in the log', () => {
+  itAlone('should be written anew when a late write put an older one last, or it was erased', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      await fleet.until('the log to have it', () => fleet.store.newest(kTopic).has('h1'));
+      const older = fleet.store.newest(kTopic).get('h1') ?? '';
+      await host.target.beat(host.control, 'draining');
+      await fleet.until('the log to know the newer one', () => fleet.store.newest(kTopic).get('h1')?.includes('"draining"') === true);
+      fleet.store.put(kTopic, 'h1', older);
+      await fleet.until('the newer one to be back', () => fleet.store.newest(kTopic).get('h1')?.includes('"draining"') === true);
+      fleet.store.put(kTopic, 'h1', '');
+      await fleet.until('it to be back after an erasure', () => fleet.store.newest(kTopic).get('h1')?.includes('"draining"') === true);
+      t.pass();
+    }),
+  );
+
+  itAlone('should be awaited by a daemon that starts again, though a peer that knows nothing answers first', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const target = new UpstreamStandin('i-h1', 'reads');
+      const own = { host: 'h1', zone: 'z1', peers: '127.0.0.1:9', service: 'reads', instance: 'i-h1', state: 'draining', slots: 20 };
+      fleet.store.put(kTopic, 'h1', JSON.stringify({ ...own, epoch: 1, revision: 5 }));
+      const ignorant = await fleet.add('h2', 'other');
+      await fleet.until('the ignorant daemon to be ready', async () => (await fleet.readiness(ignorant)) === 200);
+      const again = await fleet.add('h1', 'reads', { target });
+      const statuses = await Promise.all(Array.from({ length: 40 }, async () => (await fleet.call(again, '/a/x')).status));
+      t.true(statuses.every((status) => status === 503));
+      t.is(target.seen.length, 0);
+    }),
+  );
+});
+
 describe('a planned stop', () => {
   itAlone('should end what runs, be unready at once, and send callers elsewhere', (t) =>
     withFleet(async (fleet) => {
