Level from the work that comes to a gate, not from full slots

Ruled out: other services (their slots were a third in use). Change: the level integrates work done, refused and queued against what the slots can do, and aims at a wait that is a quarter of what calls may bear.

--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -5,49 +5,58 @@
 
 /**
  * Share of people's requests that a gate wants to be turned away where they enter, because it has more work than slots.
- * An integrator that steers the load offered to the target, waiting and refused calls included, to about its slots.
+ *
+ * An integrator on the work that comes to the gate: what ran, what was refused, and what was added to the queue. It settles
+ * where that is just what the slots can do, with a short queue that keeps them busy.
  */
 
-/** Load, waiting calls included, as a share of the slots that is aimed at: a short queue keeps the slots busy. */
-const kAimedLoad = 1.05;
+/** Wait that is aimed at, as a share of the time that calls may wait. */
+const kAimedWaitShare = 0.25;
+/** Weight of the wait, as a multiple of the aimed one, beside the excess of work. */
+const kWaitWeight = 0.05;
+/** Largest multiple of the aimed wait that counts. */
+const kMaxWait = 4;
 /**
  * Change of the level a second for an excess of one. A change shows at the gate after the time of a chain, a few tenths of a
- * second, and one of the level moves the load by up to twice as much; above about 1.5 the level would swing.
+ * second, and one of the level moves the work by up to twice as much; above about 1.5 the level would swing.
  */
 const kGain = 0.8;
-/** Largest excess that counts, so that a short rush doesn't close everything. */
+/** Largest excess that counts either way, so that a short rush doesn't close everything. */
 const kMaxExcess = 0.7;
+/** Weight of the newest call in the mean time that calls may wait. */
+const kToleratedWeight = 0.02;
 
 /** Level of one gate: 0 turns nobody away, 1 everybody. */
 export class GateLevel {
   private _level = 0;
-  private _seenSum = 0;
-  private _seenCount = 0;
-  private _refusedWorkMs = 0;
+  private _workMs = 0;
+  private _toleratedMs = 0;
+  private _waitMs = 0;
 
   /** The level as of the last step. */
   get current(): number {
     return this._level;
   }
 
-  /** Notes the load that a call met when it came: running and waiting calls per slot. */
-  seen(load: number): void {
-    this._seenSum += load;
-    this._seenCount++;
+  /** Notes a call that came; `toleratedMs` is the time that it may wait. */
+  came(toleratedMs: number): void {
+    this._toleratedMs += (toleratedMs - this._toleratedMs) * (this._toleratedMs === 0 ? 1 : kToleratedWeight);
   }
 
-  /** Notes a call that was refused for want of slots; `workMs` is its work, divided by the slots. */
-  refused(workMs: number): void {
-    this._refusedWorkMs += workMs;
+  /** Notes work that was done, or refused for want of slots, in milliseconds of the whole gate: of a call, over the slots. */
+  work(ms: number): void {
+    this._workMs += ms;
   }
 
-  /** Steers over the time since the last step, in milliseconds. */
-  step(elapsedMs: number): void {
-    const met = this._seenCount > 0 ? this._seenSum / this._seenCount : 0;
-    const excess = Math.min(kMaxExcess, met + this._refusedWorkMs / elapsedMs - kAimedLoad);
-    this._level = Math.min(1, Math.max(0, this._level + (kGain * excess * elapsedMs) / 1_000));
-    this._seenSum = 0;
-    this._seenCount = 0;
-    this._refusedWorkMs = 0;
+  /** Steers over the time since the last step; `waitMs` is the time that a call at the end of the queue would wait. */
+  step(waitMs: number, elapsedMs: number): void {
+    const offered = (this._workMs + waitMs - this._waitMs) / elapsedMs;
+    const aimedMs = this._toleratedMs * kAimedWaitShare;
+    const wait = aimedMs > 0 ? Math.min(kMaxWait, waitMs / aimedMs) : 0;
+    const excess = offered - 1 + kWaitWeight * (wait - 1);
+    const bounded = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess));
+    this._level = Math.min(1, Math.max(0, this._level + (kGain * bounded * elapsedMs) / 1_000));
+    this._workMs = 0;
+    this._waitMs = waitMs;
   }
 }
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -96,7 +96,8 @@
       },
     });
     this._levelTimer = setInterval(() => {
-      this._level.step(kLevelMs);
+      const { queued, meanMs, limit } = this._gate;
+      this._level.step((queued * meanMs) / limit, kLevelMs);
       _deps.chains.step();
     }, kLevelMs);
   }
@@ -213,7 +214,7 @@
       done(this._refusal(refusal), this.report(call.route));
       return { cancel: () => undefined };
     }
-    this._level.seen((this._gate.inFlight + this._gate.queued) / this._gate.limit);
+    this._level.came(call.waitMs);
     const decision = this._gate.offer(waiting);
     switch (decision.kind) {
       case 'started':
@@ -236,7 +237,7 @@
 
   /** A refused call is work that the target had no slot for. */
   private _noteRefused(): void {
-    this._level.refused(this._gate.meanMs / this._gate.limit);
+    this._level.work(this._gate.meanMs / this._gate.limit);
   }
 
   private _expireLater(): void {
@@ -307,7 +308,9 @@
 
   private _ended(waiting: Waiting, { end, answered }: RunEnd): void {
     const ran = answered && end.kind === 'answered' && end.answer.status < 400;
-    this._gate.ended(waiting.id, ran ? monotonicMs() - waiting.startedAt : undefined);
+    const tookMs = monotonicMs() - waiting.startedAt;
+    this._level.work(tookMs / this._gate.limit);
+    this._gate.ended(waiting.id, ran ? tookMs : undefined);
     waiting.done(end, this.report(waiting.call.route));
   }
 
