--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -10,6 +10,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import type { GateReport, CallEnd, TargetDirectory, TargetRecord } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
+import { listenOn, splitAddress } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
 import type { OfferDone, OfferHandle } from '../app/targetGate.js';
 import { PeerLink } from './peerLink.js';
@@ -84,10 +85,7 @@
 
   /** Takes links of other daemons, and opens some. */
   async listen(address: string): Promise<void> {
-    const [host = '', port = ''] = address.split(':');
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject).listen(Number(port), host, resolve);
-    });
+    await listenOn(this._server, address);
     this._timer = setInterval(() => {
       this._check();
     }, kCheckMs);
@@ -166,8 +164,7 @@
       return dial;
     }
     const current = dial;
-    const [host = '', port = ''] = record.peers.split(':');
-    const socket = connect({ host, port: Number(port) });
+    const socket = connect(splitAddress(record.peers));
     dial.socket = socket;
     const timer = setTimeout(() => {
       fail(`no connection within ${kConnectMs} ms`);
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net';
 import { admitsRoot, monotonicMs, type RouteTable } from '@gentiandrum/core';
 import type { MeshConfig, Route } from '@gentiandrum/protocol';
+import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeEnd } from '../app/callExchange.js';
 import type { EventFields, EventLog } from '../app/eventLog.js';
 import { HeaderFilter } from '../app/hopByHop.js';
@@ -75,10 +76,7 @@
   }
 
   async listen(address: string): Promise<void> {
-    const [host = '', port = ''] = address.split(':');
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject).listen(Number(port), host, resolve);
-    });
+    await listenOn(this._server, address);
   }
 
   /** Follows the limits of a configuration. */
--- a/packages/mesh/src/server/hostServer.ts
+++ b/packages/mesh/src/server/hostServer.ts
@@ -6,6 +6,7 @@
 /** Small HTTP servers for the platform and the target on this host: readiness, announcements, metrics. */
 
 import { createServer, type Server } from 'node:http';
+import { listenOn } from '../app/addresses.js';
 
 /** Longest body that is read, in bytes; announcements are a few hundred. */
 const kMaxBodyBytes = 65_536;
@@ -53,10 +54,7 @@
   }
 
   async listen(address: string): Promise<void> {
-    const [host = '', port = ''] = address.split(':');
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject).listen(Number(port), host, resolve);
-    });
+    await listenOn(this._server, address);
   }
 
   close(): void {
