--- /dev/null
+++ b/packages/mesh/src/app/latencyMetric.ts
@@ -0,0 +1,66 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Latency histogram of requests, in the form that the metrics library serves. */
+
+/** Bounds of the latency histogram, in seconds: from a call on the same host to the longest limits of routes. */
+export const kLatencyBounds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** How a request ended at the ingress. */
+export type RequestOutcome = 'answered' | 'target_failed' | 'not_run' | 'lost' | 'timed_out' | 'shed' | 'no_route' | 'no_configuration';
+
+/** Requests that ended alike. */
+export interface RequestEnds {
+  service: string;
+  outcome: RequestOutcome;
+  reason: string;
+  count: number;
+  /** Sum of the times. */
+  seconds: number;
+  /** Requests by the least bound of the histogram that holds their time. */
+  buckets: number[];
+}
+
+interface HistogramValue {
+  metricName: string;
+  labels: Record<string, string | number>;
+  value: number;
+}
+
+/** Latency histogram in the library's form, from the ends that were noted. */
+export class LatencyMetric {
+  readonly name = 'gentiandrum_request_seconds';
+  readonly help = 'Time from the last byte of a request to its final answer';
+  readonly type = 'histogram';
+  readonly aggregator = 'sum';
+
+  constructor(private readonly _ends: ReadonlyMap<string, RequestEnds>) {}
+
+  /** The values as of now. */
+  get(): Promise<object> {
+    const { name, help, type, aggregator } = this;
+    return Promise.resolve({ name, help, type, aggregator, values: [...this._ends.values()].flatMap((ends) => this._valuesOf(ends)) });
+  }
+
+  /** The ends are never forgotten. */
+  reset(): void {
+    return undefined;
+  }
+
+  private _valuesOf({ service, outcome, reason, count, seconds, buckets }: RequestEnds): HistogramValue[] {
+    const labels = { service, outcome, reason };
+    let below = 0;
+    const bounded = kLatencyBounds.map((bound, i) => {
+      below += buckets[i] ?? 0;
+      return { metricName: `${this.name}_bucket`, labels: { ...labels, le: bound }, value: below };
+    });
+    return [
+      ...bounded,
+      { metricName: `${this.name}_bucket`, labels: { ...labels, le: '+Inf' }, value: count },
+      { metricName: `${this.name}_sum`, labels, value: seconds },
+      { metricName: `${this.name}_count`, labels, value: count },
+    ];
+  }
+}
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -15,7 +15,7 @@
 import { ConfigHolder } from './configHolder.js';
 import type { EventLog } from './eventLog.js';
 import { HostRecords } from './hostRecords.js';
-import { MeshMetrics, type MetricsView } from './meshMetrics.js';
+import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
 /** Longest time for which the answer to a leaving target waits until others know of it, in milliseconds: below one second. */
@@ -215,7 +215,7 @@
     return target.host === this._settings.id ? this._gate.offer(call, done) : this._network.offer(target, call, done);
   }
 
-  private _placeOf({ host, zone }: TargetRecord): 'own_host' | 'own_zone' | 'other_zone' {
+  private _placeOf({ host, zone }: TargetRecord): CallPlace {
     if (host === this._settings.id) {
       return 'own_host';
     }
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -6,13 +6,11 @@
 /** Counters, gauges and latency histograms of a routing daemon, served as text. Labels have few values, whatever callers send. */
 
 import type { GateRefusal } from '@gentiandrum/core';
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, type Metric, Registry } from 'prom-client';
+import { kLatencyBounds, LatencyMetric, type RequestEnds, type RequestOutcome } from './latencyMetric.js';
 
-/** Bounds of the latency histogram, in seconds: from a call on the same host to the longest limits of routes. */
-const kLatencyBounds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
-
-/** How a request ended at the ingress. */
-export type RequestOutcome = 'answered' | 'target_failed' | 'not_run' | 'lost' | 'timed_out' | 'shed' | 'no_route' | 'no_configuration';
+/** Where the target of a call stands, as its ingress sees it. */
+export type CallPlace = 'own_host' | 'own_zone' | 'other_zone';
 
 /** Values that are read when metrics are asked for. */
 export interface MetricsView {
@@ -33,13 +31,6 @@
 export class MeshMetrics {
   private readonly _registry = new Registry();
   private readonly _requests = this._counter('requests_total', 'Requests that ended at this ingress', ['service', 'outcome', 'reason']);
-  private readonly _seconds = new Histogram({
-    name: 'gentiandrum_request_seconds',
-    help: 'Time from the last byte of a request to its final answer',
-    labelNames: ['service', 'outcome'],
-    buckets: kLatencyBounds,
-    registers: [this._registry],
-  });
   private readonly _refusals = this._counter('gate_refusals_total', 'Calls that the gate of this host refused', ['reason']);
   private readonly _placements = this._counter('placements_total', 'Offers of calls by where the target stands', [
     'service',
@@ -47,9 +38,9 @@
     'after_refusal',
   ]);
   private readonly _repeats = this._counter('gate_repeats_total', 'Repeats that the gate of this host let in', []);
-  /** Children of metrics by their labels: hashing labels with each request costs a twentieth of the daemon's own time. */
-  private readonly _ends = new Map<string, { requests: Counter.Internal; seconds: Histogram.Internal<string> }>();
-  private readonly _placed = new Map<string, Counter.Internal>();
+  /** Ends of requests and offers by their labels; the library hashes labels with each note, so they are handed over when read. */
+  private readonly _ends = new Map<string, RequestEnds>();
+  private readonly _placed = new Map<string, Placed>();
   private readonly _gauge = new Gauge({
     name: 'gentiandrum_state',
     help: 'State of the daemon, by name: see docs/OPERATIONS.md',
@@ -62,18 +53,23 @@
     private readonly _view: () => MetricsView,
   ) {
     this._registry.setDefaultLabels({ zone });
+    this._registry.registerMetric(new LatencyMetric(this._ends) as unknown as Metric);
   }
 
   /** Notes the end of a request; `reason` is one of a closed list. */
   requestEnded(service: string, outcome: RequestOutcome, reason: string, seconds: number): void {
     const key = `${service} ${outcome} ${reason}`;
-    let end = this._ends.get(key);
-    if (!end) {
-      end = { requests: this._requests.labels({ service, outcome, reason }), seconds: this._seconds.labels({ service, outcome }) };
-      this._ends.set(key, end);
+    let ends = this._ends.get(key);
+    if (!ends) {
+      ends = { service, outcome, reason, count: 0, seconds: 0, buckets: kLatencyBounds.map(() => 0) };
+      this._ends.set(key, ends);
+    }
+    ends.count++;
+    ends.seconds += seconds;
+    const bucket = kLatencyBounds.findIndex((bound) => seconds <= bound);
+    if (bucket >= 0) {
+      ends.buckets[bucket] = (ends.buckets[bucket] ?? 0) + 1;
     }
-    end.requests.inc();
-    end.seconds.observe(seconds);
   }
 
   /** Notes a call that the gate refused. */
@@ -82,14 +78,14 @@
   }
 
   /** Notes an offer of a call to a target; `afterRefusal` when an earlier one of the same request was refused or lost. */
-  placed(service: string, place: 'own_host' | 'own_zone' | 'other_zone', afterRefusal: boolean): void {
+  placed(service: string, place: CallPlace, afterRefusal: boolean): void {
     const key = `${service} ${place} ${afterRefusal}`;
-    let placements = this._placed.get(key);
-    if (!placements) {
-      placements = this._placements.labels({ service, place, after_refusal: String(afterRefusal) });
-      this._placed.set(key, placements);
+    let placed = this._placed.get(key);
+    if (!placed) {
+      placed = { service, place, afterRefusal, count: 0 };
+      this._placed.set(key, placed);
     }
-    placements.inc();
+    placed.count++;
   }
 
   /** Notes a repeat that the gate let in. */
@@ -99,16 +95,17 @@
 
   /** Totals since the start, for the regular line of the log. */
   async totals(): Promise<{ requests: Record<string, number>; placements: Record<string, number>; refusals: Record<string, number> }> {
-    const [requests, placements, refusals] = await Promise.all([this._requests.get(), this._placements.get(), this._refusals.get()]);
+    const refusals = await this._refusals.get();
     return {
-      requests: sumBy(requests.values, ({ outcome }) => String(outcome)),
-      placements: sumBy(placements.values, ({ place, after_refusal }) => `${place}${after_refusal === 'true' ? ' after a refusal' : ''}`),
-      refusals: sumBy(refusals.values, ({ reason }) => String(reason)),
+      requests: sumBy(this._ends.values(), ({ outcome }) => outcome),
+      placements: sumBy(this._placed.values(), ({ place, afterRefusal }) => `${place}${afterRefusal ? ' after a refusal' : ''}`),
+      refusals: Object.fromEntries(refusals.values.map(({ labels, value }) => [String(labels.reason), value])),
     };
   }
 
   /** Everything as text. */
   async text(): Promise<string> {
+    this._handOver();
     const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines } = this._view();
     const values: [string, number][] = [
       ['gate_in_flight', gate.inFlight],
@@ -130,21 +127,34 @@
     return this._registry.metrics();
   }
 
+  private _handOver(): void {
+    this._requests.reset();
+    this._placements.reset();
+    for (const { service, outcome, reason, count } of this._ends.values()) {
+      this._requests.inc({ service, outcome, reason }, count);
+    }
+    for (const { service, place, afterRefusal, count } of this._placed.values()) {
+      this._placements.inc({ service, place, after_refusal: String(afterRefusal) }, count);
+    }
+  }
+
   private _counter<T extends string>(name: string, help: string, labelNames: T[]): Counter<T> {
     return new Counter({ name: `gentiandrum_${name}`, help, labelNames, registers: [this._registry] });
   }
 }
 
-interface LabelledValue {
-  labels: Partial<Record<string, string | number>>;
-  value: number;
+interface Placed {
+  service: string;
+  place: CallPlace;
+  afterRefusal: boolean;
+  count: number;
 }
 
-function sumBy(values: readonly LabelledValue[], keyOf: (labels: LabelledValue['labels']) => string): Record<string, number> {
+function sumBy<T extends { count: number }>(entries: Iterable<T>, keyOf: (entry: T) => string): Record<string, number> {
   const sums: Record<string, number> = {};
-  for (const { labels, value } of values) {
-    const key = keyOf(labels);
-    sums[key] = (sums[key] ?? 0) + value;
+  for (const entry of entries) {
+    const key = keyOf(entry);
+    sums[key] = (sums[key] ?? 0) + entry.count;
   }
   return sums;
 }
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -69,6 +69,8 @@
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
+/** Headers travel as one string, which is cheaper than many short ones; no name or value holds a line break. */
+const kHeaderSeparator = '\n';
 /** Levels travel as whole thousandths. */
 const kLevelSteps = 1_000;
 /** Numbers at the head of a report. */
@@ -149,14 +151,21 @@
         call.requestId,
         call.method,
         call.path,
-        call.headers,
+        call.headers.join(kHeaderSeparator),
         call.body,
       ];
     }
     case 'cancel':
       return [type, message.id];
     case 'answer':
-      return [type, message.id, message.answer.status, message.answer.headers, message.answer.body, ...loadFields(message.load)];
+      return [
+        type,
+        message.id,
+        message.answer.status,
+        message.answer.headers.join(kHeaderSeparator),
+        message.answer.body,
+        ...loadFields(message.load),
+      ];
     case 'not_run':
       return [type, message.id, message.reason, message.retryAfterMs, ...loadFields(message.load)];
     case 'lost':
@@ -200,7 +209,7 @@
     case 'cancel':
       return { type, id };
     case 'answer': {
-      const answer = { status: fields[2] as number, headers: fields[3] as string[], body: fields[4] as Buffer };
+      const answer = { status: fields[2] as number, headers: splitHeaders(fields[3] as string), body: fields[4] as Buffer };
       return { type, id, answer, load: loadFrom(fields, 5) };
     }
     case 'not_run':
@@ -220,6 +229,10 @@
   }
 }
 
+function splitHeaders(text: string): string[] {
+  return text === '' ? [] : text.split(kHeaderSeparator);
+}
+
 function callFrom(fields: unknown[]): PeerCall {
   return {
     route: fields[2] as string,
@@ -234,7 +247,7 @@
     requestId: fields[11] as string,
     method: fields[12] as string,
     path: fields[13] as string,
-    headers: fields[14] as string[],
+    headers: splitHeaders(fields[14] as string),
     body: fields[15] as Buffer,
   };
 }
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -13,7 +13,8 @@
 import { CallExchange, type ExchangeDeps, type ExchangeEnd } from '../app/callExchange.js';
 import type { EventFields, EventLog } from '../app/eventLog.js';
 import { HeaderFilter } from '../app/hopByHop.js';
-import type { MeshMetrics, RequestOutcome } from '../app/meshMetrics.js';
+import type { RequestOutcome } from '../app/latencyMetric.js';
+import type { MeshMetrics } from '../app/meshMetrics.js';
 import type { HeaderNames } from '../ports.js';
 
 /** How often heads that are late are looked for, in milliseconds. */
--- a/tests/mesh/metrics.spec.ts
+++ b/tests/mesh/metrics.spec.ts
@@ -22,7 +22,8 @@
       t.regex(text, /gentiandrum_requests_total\{service="reads",outcome="answered",reason="none",zone="z1"\} \d+/);
       t.regex(text, /gentiandrum_requests_total\{service="absent",outcome="not_run",reason="no_target",zone="z1"\} 1/);
       t.regex(text, /gentiandrum_requests_total\{service="none",outcome="no_route",reason="none",zone="z1"\} 1/);
-      t.regex(text, /gentiandrum_request_seconds_count\{zone="z1",service="reads",outcome="answered"\} \d+/);
+      t.regex(text, /gentiandrum_request_seconds_count\{service="reads",outcome="answered",reason="none",zone="z1"\} \d+/);
+      t.regex(text, /gentiandrum_request_seconds_bucket\{service="reads",outcome="answered",reason="none",le="10",zone="z1"\} \d+/);
       t.true(text.includes(`gentiandrum_state{name="config_version",zone="z1"} ${version}`));
       t.true(text.includes('gentiandrum_state{name="hosts_ready",zone="z1"} 1'));
       t.true(text.includes('gentiandrum_state{name="gate_limit",zone="z1"} 19'));
