Review of the change: dead code out, one place for refusals, the runtime's own timer promises

Read as a newcomer: the gate kept a time and a getter that nobody asked for since the level is steered by work; the chain model a getter that only its parts need; pause was written twice beside the one of node:timers/promises; the target's gate spelled the same refusal four times.

--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -133,11 +133,6 @@
     return this._ratios.settled(route);
   }
 
-  /** Calls for one run of a route on this host. */
-  callsOf(route: string): ReadonlyMap<string, number> {
-    return this._ratios.callsOf(route);
-  }
-
   /** Closes samples as time goes; called a few times a second. */
   step(): void {
     const now = monotonicMs();
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -46,8 +46,6 @@
   private _accepting = false;
   private _meanMs = 0;
   private _warmFrom = 0;
-  /** Time at which a call last had to wait or was refused for want of slots. */
-  private _fullAt = -Infinity;
 
   constructor(private readonly _events: SlotGateEvents<T>) {}
 
@@ -71,16 +69,6 @@
     return this._meanMs;
   }
 
-  /** Whether new calls are taken. */
-  get accepting(): boolean {
-    return this._accepting;
-  }
-
-  /** Time at which calls last had to wait or were refused, on the monotonic clock. */
-  get fullAt(): number {
-    return this._fullAt;
-  }
-
   /** Takes calls from now on; `coldMs` is how much longer the target stays slow after its start. */
   open(slots: number, coldMs: number): void {
     this._slots = slots;
@@ -107,7 +95,6 @@
       return { kind: 'started' };
     }
     const now = monotonicMs();
-    this._fullAt = now;
     const place = this._placeFor(call);
     const waitMs = ((place + 1) * this._meanMs) / this.limit;
     if (now + waitMs > call.waitUntil || this._queue.length >= this.limit * kQueuePerSlot) {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -5,6 +5,7 @@
 
 /** One routing daemon: puts its parts together, starts them, and stops them in order. */
 
+import { setTimeout as pause } from 'node:timers/promises';
 import { ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
@@ -278,7 +279,3 @@
     await pause(kStopCheckMs);
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -92,7 +92,7 @@
       },
       onRefuse: (waiting, reason) => {
         this._noteRefused();
-        waiting.done(this._refusal(reason), this.report(waiting.call.route));
+        this._refuse(waiting, reason);
       },
     });
     this._levelTimer = setInterval(() => {
@@ -211,7 +211,7 @@
     this._deps.chains.arrived(call.route, call.callerService);
     const refusal = this._refusalAtOnce(call);
     if (refusal) {
-      done(this._refusal(refusal), this.report(call.route));
+      this._refuse(waiting, refusal);
       return { cancel: () => undefined };
     }
     this._level.came(call.waitMs);
@@ -222,7 +222,7 @@
         break;
       case 'refused':
         this._noteRefused();
-        done(this._refusal(decision.reason), this.report(call.route));
+        this._refuse(waiting, decision.reason);
         break;
       case 'queued':
         this._expireLater();
@@ -235,6 +235,10 @@
     };
   }
 
+  private _refuse({ call, done }: Waiting, reason: GateRefusal): void {
+    done(this._refusal(reason), this.report(call.route));
+  }
+
   /** A refused call is work that the target had no slot for. */
   private _noteRefused(): void {
     this._level.work(this._gate.meanMs / this._gate.limit);
@@ -297,7 +301,7 @@
     const client = this._client;
     if (!client || remaining <= 0) {
       this._gate.ended(waiting.id);
-      waiting.done(this._refusal('wait_too_long'), this.report(waiting.call.route));
+      this._refuse(waiting, 'wait_too_long');
       return;
     }
     this._deps.chains.ran(waiting.call.route);
