Work leaves a full zone at the top of its chain; repeated names travel as numbers

Every zone has one target of each service, and the narrow service's are of different speed, so the slow zone's calls to it left the zone one by one, each with its own head and answer. A call carried some 490 bytes of names and headers, beside bodies that do not compress (108,761 bytes of answers became 110,343 by deflate, at every level).

Ruled out: compressing the link (bodies are incompressible, and names alone are dearer to deflate than to number).

Change: each answer brings the charge of the calls below a route at that host, learned from the ratios of calls and the charges that placement paid for them; the charge for another zone follows the bytes of the route. Route names, services, instances and headers are introduced once a link and are numbers from then on; the id of a request travels once.

--- /dev/null
+++ b/bench/arrival/main.ts
@@ -0,0 +1,96 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Processor time that one call costs its two daemons, the one where it enters and the one beside its target: both run as the
+ * processes that the platform starts. `--profile DIR` keeps a profile of each.
+ */
+
+import { type ChildProcess, spawn, spawnSync } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Pool } from 'undici';
+import { MeshFleet, type PreparedHost } from '../../tests/mesh/meshFleet.js';
+import { runInterleaved } from '../support/openLoop.js';
+
+const kRoot = fileURLToPath(new URL('../../..', import.meta.url));
+/** Calls a second, as many as one busy daemon sees on the users' days. */
+const kPerSecond = 400;
+const kWarmSeconds = 4;
+const kSeconds = 6;
+const kRounds = 3;
+const kConnections = 30;
+/** Ticks of the processor clock in one second, as Linux counts them for processes. */
+const kTicksPerSecond = 100;
+/** Flags of the runtime to try, in place of those of the deploy file. */
+const kFlags = process.env.ARRIVAL_NODE_FLAGS?.split(' ') ?? ['--max-semi-space-size=8'];
+const kProfileOption = process.argv.indexOf('--profile');
+const kProfileDir = kProfileOption < 0 ? undefined : process.argv[kProfileOption + 1];
+
+interface RunningHost extends PreparedHost {
+  child: ChildProcess;
+}
+
+async function startHost(fleet: MeshFleet, folder: string, id: string, service: string): Promise<RunningHost> {
+  const prepared = await fleet.prepare(id, service);
+  const file = join(folder, `${id}.yaml`);
+  writeFileSync(file, JSON.stringify({ ...prepared.settings, logLinesPerSecond: 20 }));
+  const profiling = kProfileDir === undefined ? [] : ['--cpu-prof', '--cpu-prof-dir', kProfileDir];
+  const child = spawn(process.execPath, [...kFlags, ...profiling, 'target/gentiandrumd.cjs'], {
+    cwd: kRoot,
+    env: { GENTIANDRUM_BOOT: file },
+    stdio: 'ignore',
+  });
+  await fleet.until(`${id} to listen`, () => prepared.target.beat(prepared.host.control).then(Boolean, () => false));
+  return { ...prepared, child };
+}
+
+function processorSeconds(child: ChildProcess): number {
+  const text = readFileSync(`/proc/${child.pid ?? 0}/stat`, 'utf8');
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) / kTicksPerSecond;
+}
+
+function caller(pool: Pool): () => Promise<boolean> {
+  let nextId = 1;
+  return async () => {
+    const headers = { host: 'app.example', 'x-attempt-id': `b${nextId++}`, 'x-deadline-remaining': '2000' };
+    const res = await pool.request({ method: 'GET', path: '/a/x', headers });
+    await res.body.dump();
+    return res.statusCode === 200;
+  };
+}
+
+spawnSync(process.execPath, ['utils/bundle.mjs'], { cwd: kRoot, stdio: 'inherit' });
+const folder = mkdtempSync(join(tmpdir(), 'gentiandrum-'));
+const fleet = new MeshFleet();
+await fleet.start();
+fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+const hosts = [await startHost(fleet, folder, 'h1', 'front'), await startHost(fleet, folder, 'h2', 'reads')];
+const pool = new Pool(`http://${hosts[0]?.host.calls ?? ''}`, { connections: kConnections });
+const call = caller(pool);
+await fleet.until('a call to be served', call);
+await runInterleaved({ call }, kPerSecond, kWarmSeconds);
+const rounds = [];
+for (let i = 0; i < kRounds; i++) {
+  const before = hosts.map(({ child }) => processorSeconds(child));
+  const { call: latencies } = await runInterleaved({ call }, kPerSecond, kSeconds);
+  const after = hosts.map(({ child }) => processorSeconds(child));
+  const [entry = 0, gate = 0] = after.map((seconds, at) => ((seconds - (before[at] ?? 0)) * 1_000) / (kPerSecond * kSeconds));
+  rounds.push({ 'entry, ms a call': entry, 'gate, ms a call': gate, 'both, ms a call': entry + gate, ...latencies });
+}
+console.table(rounds);
+for (const { child, target } of hosts) {
+  const ended = once(child, 'exit');
+  child.kill('SIGTERM');
+  await ended;
+  target.close();
+}
+await pool.destroy();
+await fleet.close();
+rmSync(folder, { recursive: true, force: true });
--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -128,6 +128,15 @@
     return { level, inner: this._mix.inner(route), height };
   }
 
+  /** Sum over the calls that follow a run of a route, of a value for one call on the route of the call. */
+  sumBelow(route: string, valueOf: (call: string) => number): number {
+    let sum = 0;
+    for (const [call, ratio] of this._ratios.callsOf(route)) {
+      sum += ratio * valueOf(call);
+    }
+    return sum;
+  }
+
   /** Whether enough runs of a route were seen to know the chain below it. */
   settled(route: string): boolean {
     return this._ratios.settled(route);
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -4,7 +4,10 @@
  */
 
 /**
- * Chooses the target of a call by the time that the caller would wait for it, with a charge for leaving the zone.
+ * Chooses the target of a call by the time that the caller would wait for it, with charges in milliseconds for what else it
+ * costs: bytes that leave the zone, a target that is nearly full, and the same for the calls that the run itself will make.
+ *
+ * The charge of the calls below makes work leave a full zone at the top of its chain, where one crossing carries all of it.
  */
 
 import type { RouteReport } from '../admission/chainModel.js';
@@ -12,11 +15,15 @@
 import { monotonicMs } from '../util/clock.js';
 
 /**
- * Charge for another zone, as a share of the latency target: bytes between zones cost money, so a call leaves its zone only
- * when it gains more than this.
+ * Charge for another zone, in milliseconds for each KiB of a call and its answer: bytes between zones cost money, so a call
+ * leaves its zone only when it gains more than this. At most a share of the latency target, which people count on.
  */
-const kZoneCharge = 0.25;
-/** Load from which on a target is charged for it, and the charge for each load above, as a share of the latency target. */
+const kZoneChargePerKib = 150;
+const kMaxZoneCharge = 0.4;
+/** KiB of a call and its answer that are assumed until one ended, and what comes with every call: names, ids, times. */
+const kAssumedKib = 1;
+const kHeadKib = 0.16;
+/** Load from which on a target is charged for it, and the charge for a load of one above that, as a share of the latency target. */
 const kEasyLoad = 0.85;
 const kLoadCharge = 1.5;
 /** Time for a round trip between zones, in milliseconds; of the order of what deployments report. */
@@ -27,10 +34,19 @@
 const kMeanWeight = 0.1;
 /** Age at which a report of load counts half, in milliseconds. */
 const kReportHalfLifeMs = 500;
+/** Weight of the newest call in the mean charge and size of a route, and age at which a mean charge counts half, in milliseconds. */
+const kChargeWeight = 0.1;
+const kChargeHalfLifeMs = 1_000;
+/** Largest charge that is passed on for the calls below a route, in milliseconds: beyond it all ways are alike. */
+const kMaxChainChargeMs = 1_500;
 /** Weight of the newest outcome in the failure share. */
 const kFailureWeight = 0.05;
 /** Multiple of the mean time per call that is charged for a failure share of one. */
 const kFailureCharge = 20;
+/** Share of the mean time that is charged for a load of one, so that of equal targets the emptier one is taken. */
+const kLoadTie = 0.5;
+/** Charge for a target that can't be reached, in milliseconds: above all others. */
+const kAvoidChargeMs = 1e6;
 /** Time for which a target that can't be reached is passed over, in milliseconds; doubles up to the longest. */
 const kAvoidMs = 200;
 const kLongestAvoidMs = 2_000;
@@ -43,8 +59,25 @@
   meanMs: number;
 }
 
-/** What a gate says with each answer: its load, and what it knows of the route. */
-export type GateReport = LoadReport & RouteReport;
+/** What a gate says with each answer: its load, what it knows of the route, and the charge for the calls of one run there. */
+export type GateReport = LoadReport & RouteReport & { chargeMs: number };
+
+/** How a call ended, as its target's statistics need it. */
+export interface PlacedEnd {
+  load?: LoadReport & { chargeMs?: number };
+  /** Set when it was answered. */
+  tookMs?: number;
+  /** Size of its body and of the answer's, set when it was answered. */
+  bytes?: number;
+  /** Whether the target did badly. */
+  failed: boolean;
+}
+
+/** A mean that fades while nothing renews it. */
+interface FadingMean {
+  value: number;
+  at: number;
+}
 
 interface Stats {
   load: LoadReport;
@@ -55,6 +88,8 @@
   outstandingThen: number;
   /** Mean time of a call by its route, in milliseconds. */
   meanMs: Map<string, number>;
+  /** Charge for the calls below a route, in milliseconds. */
+  chargeMs: Map<string, FadingMean>;
   failures: number;
   avoidUntil: number;
   avoidMs: number;
@@ -66,9 +101,18 @@
   latencyTargetMs: number;
 }
 
-function renewMean(means: Map<string, number>, route: string, tookMs: number): void {
+function renewMean(means: Map<string, number>, route: string, value: number): void {
   const before = means.get(route);
-  means.set(route, before === undefined ? tookMs : before + (tookMs - before) * kMeanWeight);
+  means.set(route, before === undefined ? value : before + (value - before) * kMeanWeight);
+}
+
+function renewFading(means: Map<string, FadingMean>, route: string, value: number, now: number): void {
+  const before = faded(means.get(route), now);
+  means.set(route, { value: before + (value - before) * kChargeWeight, at: now });
+}
+
+function faded(mean: FadingMean | undefined, now: number): number {
+  return mean === undefined ? 0 : mean.value * 0.5 ** ((now - mean.at) / kChargeHalfLifeMs);
 }
 
 /** Chooses targets, and remembers how they did. Times are kept by route: those of different routes can't be compared. */
@@ -76,6 +120,9 @@
   private readonly _stats = new Map<string, Stats>();
   /** Mean time of a call by its route over all hosts, in milliseconds: what a host is taken for until it has shown better. */
   private readonly _routeMeanMs = new Map<string, number>();
+  private readonly _routeKib = new Map<string, number>();
+  /** Charges of the targets that calls of a route went to. */
+  private readonly _routeChargeMs = new Map<string, FadingMean>();
 
   constructor(
     private readonly _zone: string,
@@ -89,36 +136,58 @@
     { name, latencyTargetMs }: PlacedRoute,
   ): TargetRecord | undefined {
     const now = monotonicMs();
+    const zoneChargeMs = Math.min(kMaxZoneCharge * latencyTargetMs, this._kibOf(name) * kZoneChargePerKib) + kZoneRoundTripMs;
+    // Drawn once a choice: a charge that is just over the one for another zone moves some calls, and not all of them at once.
+    const chainWeight = 2 * this._random();
     let best: TargetRecord | undefined;
     let bestScore = Infinity;
+    let bestChargeMs = 0;
     for (const candidate of candidates) {
       if (excluded.has(candidate.host)) {
         continue;
       }
-      const score = this._score(candidate, name, latencyTargetMs, now);
+      const stats = this._of(candidate.host);
+      const load = loadOf(stats, candidate, now);
+      const chainMs = faded(stats.chargeMs.get(name), now);
+      const ownMs = (candidate.zone === this._zone ? 0 : zoneChargeMs) + Math.max(0, load - kEasyLoad) * kLoadCharge * latencyTargetMs;
+      const score = this._timeOf(stats, name, latencyTargetMs, load) + ownMs + chainMs * chainWeight + this._avoidance(stats, now);
       if (score < bestScore || best === undefined) {
         best = candidate;
         bestScore = score;
+        bestChargeMs = ownMs + chainMs;
       }
     }
+    if (best) {
+      renewFading(this._routeChargeMs, name, bestChargeMs, now);
+    }
     return best;
   }
 
+  /** Mean charge of the targets that calls of a route went to lately, in milliseconds; it fades when there are none. */
+  chargeMs(route: string): number {
+    return Math.min(kMaxChainChargeMs, faded(this._routeChargeMs.get(route), monotonicMs()));
+  }
+
   /** Notes that a call was sent to a host. */
   sent(host: string): void {
     this._of(host).outstanding++;
   }
 
-  /** Notes the end of a call; `tookMs` counts when it was answered, and `failed` when the target did badly. */
-  ended(host: string, route: string, end: { load?: LoadReport; tookMs?: number; failed: boolean }): void {
+  /** Notes the end of a call. */
+  ended(host: string, route: string, end: PlacedEnd): void {
     const stats = this._of(host);
+    const now = monotonicMs();
     stats.outstanding = Math.max(0, stats.outstanding - 1);
     stats.failures += ((end.failed ? 1 : 0) - stats.failures) * kFailureWeight;
     if (end.load) {
       stats.load = end.load;
-      stats.reportedAt = monotonicMs();
+      stats.reportedAt = now;
       stats.outstandingThen = stats.outstanding;
       stats.avoidMs = 0;
+      renewFading(stats.chargeMs, route, Math.min(kMaxChainChargeMs, end.load.chargeMs ?? 0), now);
+    }
+    if (end.bytes !== undefined) {
+      renewMean(this._routeKib, route, end.bytes / 1_024 + kHeadKib);
     }
     if (end.tookMs !== undefined) {
       renewMean(stats.meanMs, route, end.tookMs);
@@ -148,19 +217,19 @@
     this._stats.delete(host);
   }
 
-  private _score(candidate: TargetRecord, route: string, latencyTargetMs: number, now: number): number {
-    const stats = this._of(candidate.host);
+  private _kibOf(route: string): number {
+    return this._routeKib.get(route) ?? kAssumedKib;
+  }
+
+  /** Time of a call, weighed by what it takes of the latency target; load breaks ties between equal targets. */
+  private _timeOf(stats: Stats, route: string, latencyTargetMs: number, load: number): number {
     const mean = stats.meanMs.get(route) ?? this._routeMeanMs.get(route) ?? kAssumedMs;
-    const limit = stats.load.limit > 0 ? stats.load.limit : Math.max(1, candidate.slots);
-    const age = 0.5 ** ((now - stats.reportedAt) / kReportHalfLifeMs);
-    const others = Math.max(0, stats.load.inFlight + stats.load.queued - stats.outstandingThen) * age;
-    const load = (others + stats.outstanding + 1) / limit;
-    // A full target is left for another zone before people are turned away for it.
-    const wait = Math.max(0, load - kEasyLoad) * kLoadCharge * latencyTargetMs;
-    const zone = candidate.zone === this._zone ? 0 : latencyTargetMs * kZoneCharge + kZoneRoundTripMs;
-    const avoided = stats.avoidUntil > now ? 1e6 : 0;
-    // Load below the limit breaks ties between equal targets, and keeps room for bursts.
-    return mean * (1 + load * 0.5 + stats.failures * kFailureCharge) + wait + zone + avoided + this._random();
+    const weighed = mean * Math.min(1, mean / latencyTargetMs);
+    return weighed + mean * (load * kLoadTie + stats.failures * kFailureCharge);
+  }
+
+  private _avoidance(stats: Stats, now: number): number {
+    return (stats.avoidUntil > now ? kAvoidChargeMs : 0) + this._random();
   }
 
   private _of(host: string): Stats {
@@ -172,6 +241,7 @@
         outstanding: 0,
         outstandingThen: 0,
         meanMs: new Map(),
+        chargeMs: new Map(),
         failures: 0,
         avoidUntil: 0,
         avoidMs: 0,
@@ -181,3 +251,11 @@
     return stats;
   }
 }
+
+/** Calls at a target and on the way to it, for each one that it may run at once; a full target is left before people wait for it. */
+function loadOf(stats: Stats, { slots }: TargetRecord, now: number): number {
+  const limit = stats.load.limit > 0 ? stats.load.limit : Math.max(1, slots);
+  const age = 0.5 ** ((now - stats.reportedAt) / kReportHalfLifeMs);
+  const others = Math.max(0, stats.load.inFlight + stats.load.queued - stats.outstandingThen) * age;
+  return (others + stats.outstanding + 1) / limit;
+}
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -13,6 +13,7 @@
   type GateReport,
   monotonicMs,
   type Offer,
+  type PlacedEnd,
   type PlacedRoute,
   type CallEnd,
   type RouteEnd,
@@ -39,7 +40,7 @@
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
   sent(target: TargetRecord, first: boolean): void;
-  ended(host: string, route: string, end: { load?: GateReport; tookMs?: number; failed: boolean }): void;
+  ended(host: string, route: string, end: PlacedEnd): void;
 }
 
 /** A request as the server hands it over. */
@@ -149,7 +150,12 @@
     if (load) {
       this._deps.chains.learn(this._req.route.name, target.host, load);
     }
-    this._deps.ended(target.host, this._req.route.name, { load, tookMs: answered && !failed ? tookMs : undefined, failed });
+    this._deps.ended(target.host, this._req.route.name, {
+      load,
+      tookMs: answered && !failed ? tookMs : undefined,
+      bytes: answered ? this._req.body.length + end.answer.body.length : undefined,
+      failed,
+    });
   }
 
   private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
--- a/packages/mesh/src/app/hopByHop.ts
+++ b/packages/mesh/src/app/hopByHop.ts
@@ -3,7 +3,10 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Headers that concern one connection only, or that the daemon sets itself, and so are not passed on. */
+/**
+ * Headers that concern one connection only, or that the daemon sets itself, and so are not passed on. The id of a request is
+ * carried beside its headers, and set again on the way to the target and to the caller.
+ */
 
 import type { HeaderNames } from '../ports.js';
 
@@ -24,10 +27,11 @@
 /** Decides which headers are passed on. */
 export class HeaderFilter {
   private readonly _request: ReadonlySet<string>;
-  private readonly _answer = new Set(kConnectionHeaders);
+  private readonly _answer: ReadonlySet<string>;
 
   constructor(names: HeaderNames) {
-    this._request = new Set([...kConnectionHeaders, names.remainingMs, names.expectedInstance, names.callerService]);
+    this._request = new Set([...kConnectionHeaders, names.remainingMs, names.expectedInstance, names.callerService, names.requestId]);
+    this._answer = new Set([...kConnectionHeaders, names.requestId]);
   }
 
   /** Headers of a caller's request as they go to a target; names and values in turn. */
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -85,6 +85,7 @@
       maxConnections: (service) =>
         this._configs.config?.services.find(({ name }) => name === service)?.maxConnections ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
+      chargeMs: (route) => this._placement.chargeMs(route),
       onChange: () => {
         this._records.tell();
       },
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -49,6 +49,8 @@
   maxConnections(service: string): number;
   /** Targets of the service, this one included. */
   targets(service: string): number;
+  /** Mean charge of calls on a route that begin on this host, in milliseconds. */
+  chargeMs(route: string): number;
   /** Called after each change of the target's state. */
   onChange(): void;
   chains: ChainModel;
@@ -118,7 +120,8 @@
   report(route: string): GateReport {
     const { inFlight, queued, limit, meanMs } = this._gate;
     const { level, inner, height } = this._deps.chains.report(route, this._level.current);
-    return { inFlight, queued, limit, meanMs, level, inner, height };
+    const chargeMs = Math.round(this._deps.chains.sumBelow(route, (call) => this._deps.chargeMs(call)));
+    return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs };
   }
 
   /** Calls that run or wait. */
--- a/packages/mesh/src/client/peerLink.ts
+++ b/packages/mesh/src/client/peerLink.ts
@@ -7,7 +7,7 @@
 
 import type { Socket } from 'node:net';
 import { monotonicMs } from '@gentiandrum/core';
-import { encodeMessage, MessageReader, type PeerMessage } from './peerMessages.js';
+import { MessageReader, MessageWriter, type PeerMessage } from './peerMessages.js';
 
 /** Silence after which a peer that owes an answer is asked for a sign of life, in milliseconds: far above a round trip. */
 const kPingAfterMs = 400;
@@ -29,6 +29,7 @@
   /** Answers that the other end owes. */
   owed = 0;
   private readonly _reader = new MessageReader();
+  private readonly _writer = new MessageWriter();
   private _outbox: Buffer[] = [];
   private _flushing = false;
   private _heardAt = monotonicMs();
@@ -61,7 +62,7 @@
     if (this._closed) {
       return;
     }
-    this._outbox.push(encodeMessage(message));
+    this._outbox.push(this._writer.encode(message));
     if (!this._flushing) {
       this._flushing = true;
       setImmediate(() => {
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -3,11 +3,15 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Messages between routing daemons, and their form on the wire: MessagePack arrays behind a length of four bytes. */
+/**
+ * Messages between routing daemons, and their form on the wire: MessagePack arrays behind a length of four bytes. Names that
+ * come again and again (routes, services, headers) travel as short numbers once both ends know them.
+ */
 
 import type { GateReport, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { Packr, Unpackr } from 'msgpackr';
+import { NameReader, NameWriter } from './sharedNames.js';
 
 /** A call that one daemon hands to the daemon beside the target. */
 export interface PeerCall {
@@ -69,29 +73,33 @@
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
-/** Headers travel as one string, which is cheaper than many short ones; no name or value holds a line break. */
-const kHeaderSeparator = '\n';
 /** Levels travel as whole thousandths. */
 const kLevelSteps = 1_000;
-/** Numbers at the head of a report. */
-const kLoadNumbers = 5;
+/** Fields of a report. */
+const kLoadFields = 8;
 /** Longest message, in bytes: a request body of the largest size, and room for its head. */
 const kMaxMessageBytes = 80 * 1024 * 1024;
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true });
 const unpackr = new Unpackr({ useRecords: false });
 
-/** Encodes a message with its length in front. */
-export function encodeMessage(message: PeerMessage): Buffer {
-  const body = packr.pack(fieldsOf(message));
-  const frame = Buffer.allocUnsafe(kLengthBytes + body.length);
-  frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, kLengthBytes);
-  return frame;
+/** Encodes the messages of one link, in the order in which they are sent. */
+export class MessageWriter {
+  private readonly _names = new NameWriter();
+
+  /** The message with its length in front. */
+  encode(message: PeerMessage): Buffer {
+    const body = packr.pack(fieldsOf(message, this._names));
+    const frame = Buffer.allocUnsafe(kLengthBytes + body.length);
+    frame.writeUInt32BE(body.length, 0);
+    body.copy(frame, kLengthBytes);
+    return frame;
+  }
 }
 
-/** Cuts a stream of bytes into messages. */
+/** Cuts the bytes of one link into messages. */
 export class MessageReader {
+  private readonly _names = new NameReader();
   private _pending: Buffer[] = [];
   private _bytes = 0;
 
@@ -110,7 +118,7 @@
         return messages;
       }
       const whole = this._joined(kLengthBytes + length);
-      messages.push(decodeFields(unpackr.unpack(whole.subarray(kLengthBytes, kLengthBytes + length)) as unknown[]));
+      messages.push(decodeFields(unpackr.unpack(whole.subarray(kLengthBytes, kLengthBytes + length)) as unknown[], this._names));
       this._pending = [whole.subarray(kLengthBytes + length)];
       this._bytes -= kLengthBytes + length;
     }
@@ -129,32 +137,13 @@
   }
 }
 
-function fieldsOf(message: PeerMessage): unknown[] {
+function fieldsOf(message: PeerMessage, names: NameWriter): unknown[] {
   const type = kTypes.indexOf(message.type);
   switch (message.type) {
     case 'hello':
       return [type, message.host, message.version, message.records];
-    case 'call': {
-      const { call } = message;
-      return [
-        type,
-        message.id,
-        call.route,
-        call.service,
-        call.waitMs,
-        call.remainingMs,
-        call.repeat,
-        call.inner,
-        call.idempotent,
-        call.instance,
-        call.callerService,
-        call.requestId,
-        call.method,
-        call.path,
-        call.headers.join(kHeaderSeparator),
-        call.body,
-      ];
-    }
+    case 'call':
+      return [type, message.id, ...callFields(message.call, names)];
     case 'cancel':
       return [type, message.id];
     case 'answer':
@@ -162,12 +151,12 @@
         type,
         message.id,
         message.answer.status,
-        message.answer.headers.join(kHeaderSeparator),
+        message.answer.headers.map((text) => names.write(text)),
         message.answer.body,
         ...loadFields(message.load),
       ];
     case 'not_run':
-      return [type, message.id, message.reason, message.retryAfterMs, ...loadFields(message.load)];
+      return [type, message.id, names.write(message.reason), message.retryAfterMs, ...loadFields(message.load)];
     case 'lost':
       return [type, message.id, message.reason, ...loadFields(message.load)];
     case 'records':
@@ -183,19 +172,40 @@
   }
 }
 
-function loadFields({ inFlight, queued, limit, meanMs, level, inner, height }: GateReport): unknown[] {
-  return [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelSteps), inner, height];
+function callFields(call: PeerCall, names: NameWriter): unknown[] {
+  return [
+    names.write(call.route),
+    names.write(call.service),
+    Math.round(call.waitMs),
+    call.remainingMs,
+    call.repeat,
+    call.inner,
+    call.idempotent,
+    names.write(call.instance),
+    names.write(call.callerService),
+    call.requestId,
+    names.write(call.method),
+    call.path,
+    call.headers.map((text) => names.write(text)),
+    call.body,
+  ];
+}
+
+function loadFields({ inFlight, queued, limit, meanMs, level, inner, height, chargeMs }: GateReport): unknown[] {
+  return [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelSteps), chargeMs, height, inner];
 }
 
 function loadFrom(fields: unknown[], at: number): GateReport {
-  const [inFlight = 0, queued = 0, limit = 0, meanMs = 0, level = 0] = fields.slice(at, at + kLoadNumbers) as number[];
-  const inner = (fields[at + kLoadNumbers] ?? undefined) as boolean | undefined;
-  const height = fields[at + kLoadNumbers + 1] as number;
-  return { inFlight, queued, limit, meanMs, level: level / kLevelSteps, inner, height };
+  const [inFlight = 0, queued = 0, limit = 0, meanMs = 0, level = 0, chargeMs = 0, height = 0] = fields.slice(
+    at,
+    at + kLoadFields - 1,
+  ) as number[];
+  const inner = (fields[at + kLoadFields - 1] ?? undefined) as boolean | undefined;
+  return { inFlight, queued, limit, meanMs, level: level / kLevelSteps, inner, height, chargeMs };
 }
 
 /** Daemons of one deployment run one program, so the fields are taken as they are. */
-function decodeFields(fields: unknown[]): PeerMessage {
+function decodeFields(fields: unknown[], names: NameReader): PeerMessage {
   const type = kTypes[fields[0] as number];
   const id = fields[1] as number;
   if (type === undefined) {
@@ -205,15 +215,15 @@
     case 'hello':
       return { type, host: fields[1] as string, version: fields[2] as number, records: fields[3] as TargetRecord[] };
     case 'call':
-      return { type, id, call: callFrom(fields) };
+      return { type, id, call: callFrom(fields, names) };
     case 'cancel':
       return { type, id };
     case 'answer': {
-      const answer = { status: fields[2] as number, headers: splitHeaders(fields[3] as string), body: fields[4] as Buffer };
+      const answer = { status: fields[2] as number, headers: headersFrom(fields[3], names), body: fields[4] as Buffer };
       return { type, id, answer, load: loadFrom(fields, 5) };
     }
     case 'not_run':
-      return { type, id, reason: fields[2] as NotRunReason, retryAfterMs: fields[3] as number, load: loadFrom(fields, 4) };
+      return { type, id, reason: names.read(fields[2]) as NotRunReason, retryAfterMs: fields[3] as number, load: loadFrom(fields, 4) };
     case 'lost':
       return { type, id, reason: fields[2] as string, load: loadFrom(fields, 3) };
     case 'records':
@@ -229,25 +239,26 @@
   }
 }
 
-function splitHeaders(text: string): string[] {
-  return text === '' ? [] : text.split(kHeaderSeparator);
+function headersFrom(field: unknown, names: NameReader): string[] {
+  return (field as unknown[]).map((text) => names.read(text));
 }
 
-function callFrom(fields: unknown[]): PeerCall {
+function callFrom(fields: unknown[], names: NameReader): PeerCall {
+  // In the order in which they were written: a name may be introduced by one field and used by the next.
   return {
-    route: fields[2] as string,
-    service: fields[3] as string,
+    route: names.read(fields[2]),
+    service: names.read(fields[3]),
     waitMs: fields[4] as number,
     remainingMs: fields[5] as number,
     repeat: fields[6] as boolean,
     inner: fields[7] as boolean,
     idempotent: fields[8] as boolean,
-    instance: fields[9] as string,
-    callerService: fields[10] as string,
+    instance: names.read(fields[9]),
+    callerService: names.read(fields[10]),
     requestId: fields[11] as string,
-    method: fields[12] as string,
+    method: names.read(fields[12]),
     path: fields[13] as string,
-    headers: splitHeaders(fields[14] as string),
+    headers: headersFrom(fields[14], names),
     body: fields[15] as Buffer,
   };
 }
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -54,7 +54,7 @@
   waiting: ((link: PeerLink | undefined) => void)[];
 }
 
-const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0 };
+const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0, chargeMs: 0 };
 
 /** The links of one daemon. */
 export class PeerNetwork {
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -69,7 +69,8 @@
     exchange.limit(remainingMs + kOvertimeMs);
     const names = this._names;
     const own = [names.remainingMs, String(Math.max(1, Math.floor(remainingMs))), names.expectedInstance, this._instance];
-    const headers = [...call.headers, ...own, names.callerService, call.callerService];
+    const id = call.requestId === '' ? [] : [names.requestId, call.requestId];
+    const headers = [...call.headers, ...id, ...own, names.callerService, call.callerService];
     const body = call.body.length > 0 ? call.body : null;
     this._pool.dispatch({ method: call.method, path: call.path, headers, body }, exchange);
     return exchange;
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -263,7 +263,7 @@
     this._logEnd(exchange, route, end, requestId);
     switch (end.kind) {
       case 'answered':
-        this._send(res, end.answer.status, end.answer.headers, end.answer.body);
+        this._send(res, end.answer.status, this._withId(end.answer.headers, requestId), end.answer.body);
         return;
       case 'not_run':
         this._refuse(res, 503, `not run: ${end.reason}`, Math.max(kRetryAfterMs, end.retryAfterMs));
@@ -277,6 +277,10 @@
     }
   }
 
+  private _withId(headers: string[], requestId: string): string[] {
+    return requestId === '' ? headers : [...headers, this._deps.names.requestId, requestId];
+  }
+
   private _logEnd(exchange: CallExchange, route: Route, end: ExchangeEnd, requestId: string): void {
     const fields = (): EventFields => ({ req: requestId, route: route.name, offers: exchange.offers, ms: Math.round(exchange.ageMs) });
     if (end.kind === 'answered') {
--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -95,4 +95,65 @@
       t.is(placement.choose([kNear, kFar], kNone, kRoute), kNear);
     });
   });
+
+  describe('charge of the calls below', () => {
+    const inZone = { name: 'capacity', latencyTargetMs: 300 };
+    const chained = { name: 'report', latencyTargetMs: 1_500 };
+    const reported = (placement: Placement, host: string, chargeMs: number): void => {
+      placement.sent(host);
+      const load = { inFlight: 1, queued: 0, limit: 10, meanMs: 50, chargeMs };
+      placement.ended(host, 'report', { load, tookMs: 50, bytes: 1_000, failed: false });
+    };
+
+    itAlone('should grow with the load of the targets that calls go to, and fade when there are none', (t) => {
+      withPlacement((placement, time) => {
+        t.is(placement.chargeMs('capacity'), 0);
+        for (let i = 0; i < 40; i++) {
+          placement.sent('near');
+          placement.choose([kNear], kNone, inZone);
+        }
+        const full = placement.chargeMs('capacity');
+        t.true(full > 100);
+        time.runUntil(1_000);
+        t.true(placement.chargeMs('capacity') < full * 0.51);
+      });
+    });
+
+    itAlone('should send work to another zone at the top of its chain', (t) => {
+      const time = new VirtualTime();
+      try {
+        const placement = new Placement('z1', () => 0.5);
+        t.is(placement.choose([kNear, kFar], kNone, chained), kNear);
+        for (let i = 0; i < 30; i++) {
+          reported(placement, 'near', 400);
+        }
+        t.is(placement.choose([kNear, kFar], kNone, chained), kFar);
+        for (let i = 0; i < 30; i++) {
+          reported(placement, 'far', 400);
+        }
+        t.is(placement.choose([kNear, kFar], kNone, chained), kNear);
+      } finally {
+        time.restore();
+      }
+    });
+
+    itAlone('should keep calls with large bodies in their zone longer', (t) => {
+      const time = new VirtualTime();
+      try {
+        const placement = new Placement('z1', () => 0.5);
+        const sized = (name: string, bytes: number): void => {
+          for (let i = 0; i < 60; i++) {
+            placement.sent('near');
+            placement.ended('near', name, { load: { inFlight: 1, queued: 0, limit: 10, meanMs: 50, chargeMs: 250 }, bytes, failed: false });
+          }
+        };
+        sized('small', 300);
+        sized('large', 5_000);
+        t.is(placement.choose([kNear, kFar], kNone, { name: 'small', latencyTargetMs: 1_500 }), kFar);
+        t.is(placement.choose([kNear, kFar], kNone, { name: 'large', latencyTargetMs: 1_500 }), kNear);
+      } finally {
+        time.restore();
+      }
+    });
+  });
 });
