Goodbyes bind whoever hears them; hosts that were replaced are noticed; a stop leaves its target in use at first

The daemon knew no instance yet, answered 200 and forgot the word; a heartbeat that came late opened the gate. Instances that left or were replaced now stay so. - 23,591 of 26,000 refusals "not accepting" at one gate: its host had got the address of one that was gone. The link was filed under the name that had been dialed, and the stranger's low load made it the best choice. The hello now decides who is there. - each restart of a rolling stop left the target idle for 2.3 s: its gate closed at the signal. Shares of failures now fade, and the first tenth is free.

--- a/packages/core/src/membership/targetDirectory.ts
+++ b/packages/core/src/membership/targetDirectory.ts
@@ -25,6 +25,15 @@
     return true;
   }
 
+  /** Takes a host for gone, though nobody has said so; whatever is later than what was known of it counts again. */
+  presumeGone(host: string): void {
+    const known = this._records.get(host);
+    if (known) {
+      this._records.set(host, { ...known, state: 'gone' });
+      this._index();
+    }
+  }
+
   /** Forgets a host that left for good. */
   forget(host: string): void {
     if (this._records.delete(host)) {
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -23,9 +23,15 @@
 /** KiB of a call and its answer that are assumed until one ended, and what comes with every call: names, ids, times. */
 const kAssumedKib = 1;
 const kHeadKib = 0.16;
-/** Load from which on a target is charged for it, and the charge for a load of one above that, as a share of the latency target. */
+/**
+ * Loads between which the charge for a busy target grows, up to a multiple of the charge for another zone: a full target is left
+ * for one that has room, and not for one that is nearly as full.
+ */
 const kEasyLoad = 0.85;
-const kLoadCharge = 1.5;
+const kFullLoad = 1.15;
+const kFullCharge = 1.5;
+/** Weight of the charge of the calls below in another zone: a chain that is about as dear there stays where it is. */
+const kFarChainWeight = 2;
 /** Time for a round trip between zones, in milliseconds; of the order of what deployments report. */
 const kZoneRoundTripMs = 3;
 /** Time per call that is assumed until one ended, in milliseconds. */
@@ -41,15 +47,24 @@
 const kMaxChainChargeMs = 1_500;
 /** Weight of the newest outcome in the failure share. */
 const kFailureWeight = 0.05;
-/** Multiple of the mean time per call that is charged for a failure share of one. */
+/**
+ * Share of failures that is not charged, as chains fail for reasons further down too, and the multiple of the mean time per call
+ * that is charged for a share of one above that.
+ */
+const kUsualFailures = 0.1;
 const kFailureCharge = 20;
+/** Time in which the failure share of a host is halved, in milliseconds: one that gets no calls can't show that it is well again. */
+const kFailureHalfLifeMs = 2_000;
 /** Share of the mean time that is charged for a load of one, so that of equal targets the emptier one is taken. */
 const kLoadTie = 0.5;
 /** Charge for a target that can't be reached, in milliseconds: above all others. */
 const kAvoidChargeMs = 1e6;
-/** Time for which a target that can't be reached is passed over, in milliseconds; doubles up to the longest. */
-const kAvoidMs = 200;
-const kLongestAvoidMs = 2_000;
+/**
+ * Time for which a target that can't be reached is passed over, in milliseconds; doubles up to the longest. Links are opened
+ * again in the background and end it at once, so it only bounds what a lost word of that would cost.
+ */
+const kAvoidMs = 1_000;
+const kLongestAvoidMs = 8_000;
 
 /** Load of a target as its gate reports it with each answer. */
 export interface LoadReport {
@@ -90,7 +105,7 @@
   meanMs: Map<string, number>;
   /** Charge for the calls below a route, in milliseconds. */
   chargeMs: Map<string, FadingMean>;
-  failures: number;
+  failures: FadingMean;
   avoidUntil: number;
   avoidMs: number;
 }
@@ -111,8 +126,8 @@
   means.set(route, { value: before + (value - before) * kChargeWeight, at: now });
 }
 
-function faded(mean: FadingMean | undefined, now: number): number {
-  return mean === undefined ? 0 : mean.value * 0.5 ** ((now - mean.at) / kChargeHalfLifeMs);
+function faded(mean: FadingMean | undefined, now: number, halfLifeMs = kChargeHalfLifeMs): number {
+  return mean === undefined ? 0 : mean.value * 0.5 ** ((now - mean.at) / halfLifeMs);
 }
 
 /** Chooses targets, and remembers how they did. Times are kept by route: those of different routes can't be compared. */
@@ -130,11 +145,8 @@
   ) {}
 
   /** The best candidate that is not excluded. */
-  choose(
-    candidates: readonly TargetRecord[],
-    excluded: ReadonlySet<string>,
-    { name, latencyTargetMs }: PlacedRoute,
-  ): TargetRecord | undefined {
+  choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined {
+    const { name, latencyTargetMs } = route;
     const now = monotonicMs();
     const zoneChargeMs = Math.min(kMaxZoneCharge * latencyTargetMs, this._kibOf(name) * kZoneChargePerKib) + kZoneRoundTripMs;
     // Drawn once a choice: a charge that is just over the one for another zone moves some calls, and not all of them at once.
@@ -149,8 +161,10 @@
       const stats = this._of(candidate.host);
       const load = loadOf(stats, candidate, now);
       const chainMs = faded(stats.chargeMs.get(name), now);
-      const ownMs = (candidate.zone === this._zone ? 0 : zoneChargeMs) + Math.max(0, load - kEasyLoad) * kLoadCharge * latencyTargetMs;
-      const score = this._timeOf(stats, name, latencyTargetMs, load) + ownMs + chainMs * chainWeight + this._avoidance(stats, now);
+      const far = candidate.zone !== this._zone;
+      const ownMs = (far ? zoneChargeMs : 0) + fullness(load) * kFullCharge * zoneChargeMs;
+      const weighedMs = chainMs * chainWeight * (far ? kFarChainWeight : 1);
+      const score = this._timeOf(stats, route, load, now) + ownMs + weighedMs + this._avoidance(stats, now);
       if (score < bestScore || best === undefined) {
         best = candidate;
         bestScore = score;
@@ -178,7 +192,8 @@
     const stats = this._of(host);
     const now = monotonicMs();
     stats.outstanding = Math.max(0, stats.outstanding - 1);
-    stats.failures += ((end.failed ? 1 : 0) - stats.failures) * kFailureWeight;
+    const failures = faded(stats.failures, now, kFailureHalfLifeMs);
+    stats.failures = { value: failures + ((end.failed ? 1 : 0) - failures) * kFailureWeight, at: now };
     if (end.load) {
       stats.load = end.load;
       stats.reportedAt = now;
@@ -222,10 +237,11 @@
   }
 
   /** Time of a call, weighed by what it takes of the latency target; load breaks ties between equal targets. */
-  private _timeOf(stats: Stats, route: string, latencyTargetMs: number, load: number): number {
+  private _timeOf(stats: Stats, { name: route, latencyTargetMs }: PlacedRoute, load: number, now: number): number {
     const mean = stats.meanMs.get(route) ?? this._routeMeanMs.get(route) ?? kAssumedMs;
     const weighed = mean * Math.min(1, mean / latencyTargetMs);
-    return weighed + mean * (load * kLoadTie + stats.failures * kFailureCharge);
+    const failures = Math.max(0, faded(stats.failures, now, kFailureHalfLifeMs) - kUsualFailures);
+    return weighed + mean * (load * kLoadTie + failures * kFailureCharge);
   }
 
   private _avoidance(stats: Stats, now: number): number {
@@ -242,7 +258,7 @@
         outstandingThen: 0,
         meanMs: new Map(),
         chargeMs: new Map(),
-        failures: 0,
+        failures: { value: 0, at: 0 },
         avoidUntil: 0,
         avoidMs: 0,
       };
@@ -259,3 +275,8 @@
   const others = Math.max(0, stats.load.inFlight + stats.load.queued - stats.outstandingThen) * age;
   return (others + stats.outstanding + 1) / limit;
 }
+
+/** How full a target is, from 0 at an easy load to 1. */
+function fullness(load: number): number {
+  return Math.min(1, Math.max(0, (load - kEasyLoad) / (kFullLoad - kEasyLoad)));
+}
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -146,7 +146,8 @@
   private _note(target: TargetRecord, end: CallEnd, report: GateReport, tookMs: number): void {
     const answered = end.kind === 'answered';
     const failed = end.kind === 'lost' ? end.reason !== 'cancelled' : answered && end.answer.status >= 500;
-    const load = report.limit > 0 ? report : undefined;
+    // A gate that takes nothing, or is another host's by now, says nothing of the target that was meant.
+    const load = report.limit > 0 && !(end.kind === 'not_run' && end.reason === 'not_accepting') ? report : undefined;
     if (load) {
       this._deps.chains.learn(this._req.route.name, target.host, load);
     }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -142,11 +142,13 @@
     this._stopping = true;
     const startedAt = monotonicMs();
     this._events.notable('stop', 'A planned stop begins.', { calls: this._calls.inFlight, atGate: this._gate.pending });
-    this._gate.stop();
     const latest = startedAt + this._settings.stopSeconds * 1_000 - kStopMarginMs;
+    // The target goes on meanwhile: closing its gate at once would leave its slots empty while callers turn away.
+    await pause(kTurnAwayMs);
     const goodbye = this._gate.view.state === 'gone' ? this._platform.records.erase(this._settings.id) : undefined;
+    this._gate.stop();
     // Runs of the own target may still call out through this daemon, on new connections too.
-    await waitUntil(startedAt + kTurnAwayMs, startedAt + kTurnAwayMs * 2, () => this._gate.pending === 0);
+    await waitUntil(monotonicMs(), startedAt + kTurnAwayMs * 2, () => this._gate.pending === 0);
     this._calls.close();
     await waitUntil(monotonicMs() + kLingerMs, latest, () => this._calls.inFlight + this._gate.pending === 0);
     await Promise.race([goodbye, pause(kStopCheckMs)]);
@@ -181,6 +183,9 @@
       onConfig: (cfg) => {
         this._configs.take(cfg, 'peer');
       },
+      onTakenOver: (host) => {
+        this._directory.presumeGone(host);
+      },
       onReach: (host, reached) => {
         this._hearReach(host, reached);
       },
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -33,6 +33,9 @@
 /** Longest time after which a refused caller may come back, in milliseconds. */
 const kMaxRetryAfterMs = 2_000;
 
+/** Instances whose end is remembered; late heartbeats are seconds late, and a host does not see as many targets in that time. */
+const kMaxEnded = 20;
+
 /** Called once with the end of an offered call. */
 export type OfferDone = (end: CallEnd, report: GateReport) => void;
 
@@ -77,6 +80,8 @@
   private _slots = 0;
   private _state: TargetRecord['state'] = 'unknown';
   private _sequence = -1;
+  /** Instances that have left or were replaced, the oldest first. */
+  private readonly _endedInstances = new Set<string>();
   private _coldMs = 0;
   private _held = true;
   private _stopping = false;
@@ -131,10 +136,7 @@
 
   /** Takes an announcement of the target; true when it changed anything. */
   announce(word: Announcement): boolean {
-    if (word.instance === this._instance && word.sequence <= this._sequence && word.state !== 'gone') {
-      return false;
-    }
-    if (word.instance !== this._instance && word.state === 'gone') {
+    if (!this._isNews(word)) {
       return false;
     }
     const before = `${this._instance} ${this._state} ${this._slots}`;
@@ -161,6 +163,29 @@
     return true;
   }
 
+  /** What is over for an instance stays over: its heartbeats may come late, also after another one took its place. */
+  private _isNews({ instance, state, sequence }: Announcement): boolean {
+    if (this._endedInstances.has(instance)) {
+      return false;
+    }
+    if (state !== 'gone') {
+      return instance !== this._instance || sequence > this._sequence;
+    }
+    if (instance !== this._instance && this._instance !== '') {
+      this._endInstance(instance);
+      return false;
+    }
+    return true;
+  }
+
+  private _endInstance(instance: string): void {
+    this._endedInstances.add(instance);
+    if (this._endedInstances.size > kMaxEnded) {
+      const [oldest = ''] = this._endedInstances;
+      this._endedInstances.delete(oldest);
+    }
+  }
+
   /** Takes what others remember of this host's target: a leaving one stays leaving, whoever acknowledged it. */
   remember(record: TargetRecord): void {
     const leaving = record.state === 'draining' || record.state === 'gone';
@@ -278,6 +303,9 @@
   }
 
   private _replace(word: Announcement): void {
+    if (this._instance !== '') {
+      this._endInstance(this._instance);
+    }
     this._instance = word.instance;
     this._state = 'unknown';
     this._sequence = -1;
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -34,6 +34,8 @@
   /** Another daemon has this version. */
   onVersion(version: number, link: PeerLink): void;
   onConfig(cfg: MeshConfig): void;
+  /** Another host answers at the address of this one. */
+  onTakenOver(host: string, by: string): void;
   /** A link to a host was opened or lost. */
   onReach(host: string, reached: boolean): void;
   /** What this daemon tells first on each link. */
@@ -50,6 +52,8 @@
   socket: Socket | undefined;
   notBefore: number;
   pauseMs: number;
+  /** Whether the last try failed; such a host is tried again until it answers, as calls avoid it meanwhile. */
+  failed: boolean;
   /** Messages that wait for the link. */
   waiting: ((link: PeerLink | undefined) => void)[];
 }
@@ -157,7 +161,7 @@
   private _dial(record: TargetRecord): Dial {
     let dial = this._dials.get(record.host);
     if (!dial) {
-      dial = { socket: undefined, notBefore: 0, pauseMs: kRedialMs, waiting: [] };
+      dial = { socket: undefined, notBefore: 0, pauseMs: kRedialMs, failed: false, waiting: [] };
       this._dials.set(record.host, dial);
     }
     if (dial.socket || performance.now() < dial.notBefore) {
@@ -189,6 +193,7 @@
   private _dialed(record: TargetRecord, dial: Dial, socket: Socket): void {
     dial.socket = undefined;
     dial.pauseMs = kRedialMs;
+    dial.failed = false;
     const link = this._adopt(socket);
     link.host = record.host;
     this._register(link);
@@ -202,6 +207,7 @@
       return;
     }
     dial.socket = undefined;
+    dial.failed = true;
     dial.notBefore = performance.now() + dial.pauseMs * (0.75 + Math.random() / 2);
     dial.pauseMs = Math.min(kMaxRedialMs, dial.pauseMs * 2);
     this._log.notable('peers', `No link to ${record.host}: ${reason}.`, { peer: record.host });
@@ -236,7 +242,7 @@
   private _take(link: PeerLink, message: PeerMessage): void {
     switch (message.type) {
       case 'hello':
-        link.host = message.host;
+        this._identify(link, message.host);
         this._events.onRecords(message.records);
         this._register(link);
         this._events.onVersion(message.version, link);
@@ -274,6 +280,20 @@
     }
   }
 
+  /** The other end is who it says it is: addresses of hosts that are gone are given to others. */
+  private _identify(link: PeerLink, host: string): void {
+    const expected = link.host;
+    link.host = host;
+    if (expected === '' || expected === host) {
+      return;
+    }
+    if (this._links.get(expected) === link) {
+      this._links.delete(expected);
+    }
+    this._log.notable('peers', `${host} answers at the address of ${expected}, which is gone.`, { peer: host, gone: expected });
+    this._events.onTakenOver(expected, host);
+  }
+
   private _sendConfig(link: PeerLink): void {
     const config = this._events.config();
     if (config) {
@@ -329,10 +349,8 @@
     }
     let kept = this._links.size;
     for (const record of this._directory.all()) {
-      if (kept >= kKeptLinks) {
-        return;
-      }
-      if (record.host !== this._self && record.state !== 'gone' && !this._links.has(record.host)) {
+      const wanted = kept < kKeptLinks || (this._dials.get(record.host)?.failed ?? false);
+      if (wanted && record.host !== this._self && record.state !== 'gone' && !this._links.has(record.host)) {
         this._dial(record);
         kept++;
       }
--- a/tests/mesh/leaving.spec.ts
+++ b/tests/mesh/leaving.spec.ts
@@ -75,6 +75,55 @@
   );
 });
 
+describe('words of a target that come out of order', () => {
+  itAlone('should let a goodbye bind a daemon that hears of the target for the first time', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads', { beat: false });
+      t.is(await host.target.leave(host.control), 200);
+      t.is(await host.target.beat(host.control, 'ready', 7), 200);
+      await fleet.until('the daemon to be ready', async () => (await fleet.readiness(host)) === 200);
+      t.is((await fleet.call(host, '/a/x')).status, 503);
+      t.deepEqual(host.target.seen, []);
+    }),
+  );
+
+  itAlone('should not bring back an instance that another one has taken the place of', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      const before = host.target.seen.length;
+      const next = new UpstreamStandin('i-next', 'reads');
+      await next.start();
+      await next.beat(host.control);
+      await host.target.beat(host.control);
+      await fleet.until('the new instance to serve', async () => (await fleet.call(host, '/a/x')).status === 200);
+      await host.target.leave(host.control);
+      t.is((await fleet.call(host, '/a/x')).status, 200);
+      t.is(host.target.seen.length, before);
+      t.true(next.seen.length >= 2);
+      next.close();
+    }),
+  );
+});
+
+describe('a planned stop', () => {
+  itAlone('should leave the target in use while callers turn away', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const stops = await fleet.add('h1', 'reads');
+      const other = await fleet.add('h2', 'other');
+      await fleet.untilServing('/a/warm');
+      const stopped = stops.daemon.stop();
+      t.is(await fleet.readiness(stops), 503);
+      t.is((await fleet.call(other, '/a/x')).status, 200);
+      await stopped;
+      t.is(stops.target.running, 0);
+    }),
+  );
+});
+
 describe('a store that is away', () => {
   for (const mode of ['busy', 'limited', 'silent', 'reset', 'lost', 'full'] as const) {
     itAlone(`should not keep a target that came meanwhile from being used (${mode})`, (t) =>
--- a/tests/mesh/links.spec.ts
+++ b/tests/mesh/links.spec.ts
@@ -107,4 +107,20 @@
       await fleet.until('the target to be used again', async () => (await fleet.call(near, '/a/x')).status === 200);
     }),
   );
+
+  itAlone('should tell that a host is gone when another one answers at its address', (t) =>
+    withFleet(async (fleet) => {
+      const heir = await fleet.add('h2', 'reads');
+      const host = await believer(fleet, heir.daemon.record.peers);
+      await fleet.until('only the two hosts to be known as ready', async () =>
+        /name="hosts_ready"[^}]*} 2\n/.test(await fleet.metrics(host)),
+      );
+      const placed = async (): Promise<boolean> => /after_refusal="true"/.test(await fleet.metrics(host));
+      const before = await placed();
+      for (let i = 0; i < 5; i++) {
+        t.is((await fleet.call(host, '/a/x')).status, 200);
+      }
+      t.is(await placed(), before);
+    }),
+  );
 });
--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -75,6 +75,24 @@
     });
   });
 
+  itAlone('should not leave its zone for a single failure, but for a target that keeps failing, and come back later', (t) => {
+    withPlacement((placement, time) => {
+      const end = (failed: boolean): void => {
+        placement.sent('near');
+        placement.ended('near', 'search', { tookMs: failed ? undefined : 50, failed });
+      };
+      end(false);
+      end(true);
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+      for (let i = 0; i < 10; i++) {
+        end(true);
+      }
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kFar);
+      time.runUntil(6_000);
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+    });
+  });
+
   itAlone('should spread over equal targets by what is outstanding', (t) => {
     withPlacement((placement) => {
       const twin = record('twin', 'z1');
