A daemon that starts again uses its target at once, as the log and its peers remember it

Change: a record of the target is believed until the target speaks. Another instance refuses what was meant for the remembered one, so "not run" stays true; instances that left or were replaced are never taken up again.

Ruled out: asking the target's health path at the start, which is priced as a probe and says less.

--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -82,6 +82,7 @@
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
+      address: _settings.target.address,
       maxConnections: (service) =>
         this._configs.config?.services.find(({ name }) => name === service)?.maxConnections ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -49,6 +49,8 @@
 export interface TargetGateDeps {
   names: HeaderNames;
   bound: RepeatBound;
+  /** Address of the target, as the settings tell it. */
+  address: string;
   maxConnections(service: string): number;
   /** Targets of the service, this one included. */
   targets(service: string): number;
@@ -186,21 +188,28 @@
     }
   }
 
-  /** Takes what others remember of this host's target: a leaving one stays leaving, whoever acknowledged it. */
-  remember(record: TargetRecord): void {
-    const leaving = record.state === 'draining' || record.state === 'gone';
-    if (!leaving || record.instance === '' || (this._instance !== '' && record.instance !== this._instance)) {
+  /**
+   * Takes what others remember of this host's target, until it speaks itself: a leaving one stays leaving, whoever acknowledged
+   * it, and one that was in use is used again. Should it be another instance by now, it refuses what was meant for this one.
+   */
+  remember({ instance, service, state, slots }: TargetRecord): void {
+    if (instance === '' || this._endedInstances.has(instance) || (this._instance !== '' && instance !== this._instance)) {
       return;
     }
-    if (this._instance === '') {
-      this._instance = record.instance;
-      this._service = record.service;
+    // A daemon that stops says "unknown" of a target that is well.
+    const remembered = state === 'unknown' ? 'ready' : state;
+    if (rankOf(remembered) <= rankOf(this._state)) {
+      return;
     }
-    if (rankOf(record.state) > rankOf(this._state)) {
-      this._state = record.state;
-      this._deps.events.notable('target', `Others remember that the target is ${this._state}.`, { instance: this._instance });
-      this._apply();
+    if (this._instance === '') {
+      this._instance = instance;
+      this._service = service;
+      this._slots = slots;
+      this._address = this._deps.address;
     }
+    this._state = remembered;
+    this._deps.events.notable('target', `Others remember that the target is ${remembered}.`, { instance });
+    this._apply();
   }
 
   /** Lets calls in once this daemon has heard what others remember of its target. */
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -43,6 +43,7 @@
 
 /** One host of the fleet. */
 export interface FleetHost extends HostPlace {
+  settings: MeshSettings;
   daemon: MeshDaemon;
   target: UpstreamStandin;
 }
@@ -124,12 +125,22 @@
   /** Starts a daemon beside a target; `beat` lets the target announce itself. */
   async add(id: string, service: string, options: { zone?: string; beat?: boolean; target?: UpstreamStandin } = {}): Promise<FleetHost> {
     const { settings, target, host: place } = await this.prepare(id, service, options);
+    return this._start(settings, target, place, options.beat !== false);
+  }
+
+  /** Starts a daemon again where it was, beside the same target, which says nothing yet. */
+  async restart({ settings, target, ...place }: FleetHost): Promise<FleetHost> {
+    return this._start(settings, target, place, false);
+  }
+
+  private async _start(settings: MeshSettings, target: UpstreamStandin, place: HostPlace, beat: boolean): Promise<FleetHost> {
+    const { id } = settings;
     const events = new EventLog(id, 0, 0);
     const daemon = new MeshDaemon(settings, adaptPlatform(settings, events), events);
     await daemon.start();
-    const host = { ...place, daemon, target };
+    const host = { ...place, settings, daemon, target };
     this.hosts.push(host);
-    if (options.beat !== false) {
+    if (beat) {
       await target.beat(host.control);
     }
     return host;
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -50,6 +50,8 @@
   left = 0;
   running = 0;
   address = '';
+  /** Port to listen on; any free one when 0. */
+  port = 0;
   private _sequence = 0;
   private readonly _server: Server;
 
@@ -66,7 +68,7 @@
 
   /** Listens on the loopback. */
   async start(): Promise<void> {
-    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => this._server.listen(this.port, '127.0.0.1', resolve));
     const address = this._server.address();
     this.address = `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
   }
