A silent daemon is passed over before its link is given up

Change: 150 ms after an unanswered ping the host is passed over where there are others; what was sent to it is still judged after 1.2 s, as it may have run. A daemon that stood still itself reads first what came meanwhile. Ruled out: giving links up sooner; a daemon on a slowed host may need most of a second, and what it ran would be lost.

--- a/packages/mesh/src/client/peerLink.ts
+++ b/packages/mesh/src/client/peerLink.ts
@@ -10,9 +10,13 @@
 import { MessageReader, MessageWriter, type PeerMessage } from './peerMessages.js';
 
 /** Silence after which a peer that owes an answer is asked for a sign of life, in milliseconds: far above a round trip. */
-const kPingAfterMs = 400;
-/** Silence after which a peer counts as lost, in milliseconds. */
+const kPingAfterMs = 150;
+/** Time without the sign that was asked for, after which other targets are taken where there are some, in milliseconds. */
+const kSuspectAfterMs = 150;
+/** Silence after which a peer counts as lost, in milliseconds: a daemon on a slow host may need most of a second. */
 const kLostAfterMs = 1_200;
+/** Pause between two checks from which on this process itself stood still, in milliseconds; what came meanwhile is read first. */
+const kLateCheckMs = 400;
 /** Silence on an idle link after which it is probed, in milliseconds: a dead one should be known before it is needed. */
 const kIdlePingMs = 2_000;
 
@@ -20,6 +24,8 @@
 export interface PeerLinkEvents {
   onMessage(link: PeerLink, message: PeerMessage): void;
   onClose(link: PeerLink, reason: string): void;
+  /** The other end doesn't give the sign of life that it was asked for, or was heard of again. */
+  onSilence(link: PeerLink, silent: boolean): void;
 }
 
 /** A connection to another daemon. */
@@ -34,6 +40,8 @@
   private _flushing = false;
   private _heardAt = monotonicMs();
   private _pingedAt = 0;
+  private _checkedAt = monotonicMs();
+  private _suspected = false;
   private _closed = false;
 
   constructor(
@@ -74,10 +82,17 @@
   /** Looks for silence; called a few times a second. */
   check(): void {
     const now = monotonicMs();
+    const late = now - this._checkedAt > kLateCheckMs;
+    this._checkedAt = now;
+    if (late) {
+      return;
+    }
     const silence = now - this._heardAt;
     const pinged = this._pingedAt > this._heardAt;
     if (pinged && now - this._pingedAt > kLostAfterMs - kPingAfterMs) {
       this.close('no sign of life');
+    } else if (pinged && now - this._pingedAt > kSuspectAfterMs) {
+      this._suspect(true);
     } else if (!pinged && silence > (this.owed > 0 ? kPingAfterMs : kIdlePingMs)) {
       this._pingedAt = now;
       this.send({ type: 'ping' });
@@ -94,6 +109,13 @@
     this._events.onClose(this, reason);
   }
 
+  private _suspect(suspected: boolean): void {
+    if (this._suspected !== suspected) {
+      this._suspected = suspected;
+      this._events.onSilence(this, suspected);
+    }
+  }
+
   private _flush(): void {
     this._flushing = false;
     const frames = this._outbox;
@@ -105,6 +127,7 @@
 
   private _take(chunk: Buffer): void {
     this._heardAt = monotonicMs();
+    this._suspect(false);
     try {
       for (const message of this._reader.push(chunk)) {
         this._takeMessage(message);
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -19,7 +19,7 @@
 /** Time for a connection to another host, in milliseconds: far above a round trip within a region. */
 const kConnectMs = 700;
 /** How often links are checked for silence, in milliseconds. */
-const kCheckMs = 200;
+const kCheckMs = 100;
 /** Pause before a lost link is opened again, in milliseconds, at first and at most. */
 const kRedialMs = 100;
 const kMaxRedialMs = 1_600;
@@ -225,6 +225,11 @@
       onClose: (closed, reason) => {
         this._lost(closed, reason);
       },
+      onSilence: ({ host }, silent) => {
+        if (host !== '') {
+          this._events.onReach(host, !silent);
+        }
+      },
     });
     this._all.add(link);
     this._incoming.set(link, new Map());
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -8,6 +8,7 @@
 export * from './app/eventLog.js';
 export * from './app/meshDaemon.js';
 export * from './app/runMesh.js';
+export * from './client/peerLink.js';
 export * from './client/peerMessages.js';
 export * from './client/sharedNames.js';
 export * from './ports.js';
--- /dev/null
+++ b/tests/mesh/peerLink.spec.ts
@@ -0,0 +1,99 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import type { Socket } from 'node:net';
+import { Duplex } from 'node:stream';
+import { MessageWriter, PeerLink } from '@gentiandrum/mesh';
+import { describe, itAlone } from '../support/describe.js';
+import { VirtualTime } from '../support/virtualTime.js';
+
+/** How often a daemon checks its links, in milliseconds. */
+const kCheckMs = 100;
+
+class SilentSocket extends Duplex {
+  setNoDelay(): this {
+    return this;
+  }
+
+  override _read(): void {
+    return undefined;
+  }
+
+  override _write(_chunk: unknown, _encoding: string, done: () => void): void {
+    done();
+  }
+}
+
+function withLink(
+  body: (link: PeerLink, socket: Duplex, checkUntil: (ms: number) => void, events: string[], time: VirtualTime) => void,
+): void {
+  const time = new VirtualTime();
+  const events: string[] = [];
+  const socket = new SilentSocket();
+  const link = new PeerLink(socket as unknown as Socket, {
+    onMessage: () => undefined,
+    onClose: (_link, reason) => events.push(`closed: ${reason}`),
+    onSilence: (_link, silent) => events.push(silent ? 'silent' : 'heard'),
+  });
+  let now = 0;
+  const checkUntil = (ms: number): void => {
+    while (now < ms) {
+      now += kCheckMs;
+      time.runUntil(now);
+      link.check();
+    }
+  };
+  try {
+    body(link, socket, checkUntil, events, time);
+  } finally {
+    time.restore();
+    socket.destroy();
+  }
+}
+
+describe('a link whose other end is silent', () => {
+  itAlone('should be suspected within half a second when an answer is owed, and lost later', (t) => {
+    withLink((link, _socket, checkUntil, events) => {
+      link.owed = 1;
+      checkUntil(200);
+      t.deepEqual(events, []);
+      checkUntil(500);
+      t.deepEqual(events, ['silent']);
+      checkUntil(1_100);
+      t.deepEqual(events, ['silent']);
+      checkUntil(1_400);
+      t.deepEqual(events, ['silent', 'closed: no sign of life']);
+    });
+  });
+
+  itAlone('should be trusted again when it is heard of', (t) => {
+    withLink((link, socket, checkUntil, events) => {
+      link.owed = 1;
+      checkUntil(500);
+      socket.emit('data', new MessageWriter().encode({ type: 'pong' }));
+      t.deepEqual(events, ['silent', 'heard']);
+      t.true(link.open);
+    });
+  });
+
+  itAlone('should not be judged by a time in which this process itself stood still', (t) => {
+    withLink((link, _socket, checkUntil, events, time) => {
+      link.owed = 1;
+      checkUntil(300);
+      time.runUntil(5_000);
+      link.check();
+      t.deepEqual(events, []);
+    });
+  });
+
+  itAlone('should be left alone while nothing is owed, and asked now and then', (t) => {
+    withLink((_link, _socket, checkUntil, events) => {
+      checkUntil(2_000);
+      t.deepEqual(events, []);
+      checkUntil(3_600);
+      t.deepEqual(events, ['silent', 'closed: no sign of life']);
+    });
+  });
+});
