Only a planned stop lets the next daemon use its target before a heartbeat

Found by reading the change: after a kill the log may say "ready" of a target whose leaving was acknowledged while the log was away, and a peer that started again repeats what the log says. Opening the gate on that would break a promise that nobody remembers. A planned stop says "unknown" last, to peers only, so that is what is believed; after a kill the daemon waits for its target.

Test: a killed daemon's successor, with "ready" in the store, answers 503 until the target speaks (failed before).

--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -164,7 +164,7 @@
       const far = candidate.zone !== this._zone;
       const ownMs = (far ? zoneChargeMs : 0) + fullness(load) * kFullCharge * zoneChargeMs;
       const weighedMs = chainMs * chainWeight * (far ? kFarChainWeight : 1);
-      const score = this._timeOf(stats, route, load, now) + ownMs + weighedMs + this._avoidance(stats, now);
+      const score = this._timeOf(stats, route, load, now) + ownMs + weighedMs + avoidanceMs(stats, now) + this._random();
       if (score < bestScore || best === undefined) {
         best = candidate;
         bestScore = score;
@@ -244,10 +244,6 @@
     return weighed + mean * (load * kLoadTie + failures * kFailureCharge);
   }
 
-  private _avoidance(stats: Stats, now: number): number {
-    return (stats.avoidUntil > now ? kAvoidChargeMs : 0) + this._random();
-  }
-
   private _of(host: string): Stats {
     let stats = this._stats.get(host);
     if (!stats) {
@@ -280,3 +276,7 @@
 function fullness(load: number): number {
   return Math.min(1, Math.max(0, (load - kEasyLoad) / (kFullLoad - kEasyLoad)));
 }
+
+function avoidanceMs({ avoidUntil }: Stats, now: number): number {
+  return avoidUntil > now ? kAvoidChargeMs : 0;
+}
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -189,14 +189,16 @@
   }
 
   /**
-   * Takes what others remember of this host's target, until it speaks itself: a leaving one stays leaving, whoever acknowledged
-   * it, and one that was in use is used again. Should it be another instance by now, it refuses what was meant for this one.
+   * Takes what others remember of this host's target, until it speaks itself. A leaving one stays leaving, whoever acknowledged it.
+   * A daemon that stops as planned says "unknown" last of a target that is well, so that one is used again; should it be another
+   * instance by now, it refuses what was meant for this one. "Ready" is not believed: the daemon that said so was killed, and may
+   * have acknowledged since that the target leaves, with nobody left who knows.
    */
   remember({ instance, service, state, slots }: TargetRecord): void {
-    if (instance === '' || this._endedInstances.has(instance) || (this._instance !== '' && instance !== this._instance)) {
+    const other = this._endedInstances.has(instance) || (this._instance !== '' && instance !== this._instance);
+    if (instance === '' || other || state === 'ready') {
       return;
     }
-    // A daemon that stops says "unknown" of a target that is well.
     const remembered = state === 'unknown' ? 'ready' : state;
     if (rankOf(remembered) <= rankOf(this._state)) {
       return;
--- a/tests/mesh/leaving.spec.ts
+++ b/tests/mesh/leaving.spec.ts
@@ -109,47 +109,57 @@
 });
 
 describe('a daemon that starts again', () => {
-  for (const from of ['the store', 'other daemons'] as const) {
-    itAlone(`should use its target at once, before the next heartbeat, as ${from} remember it`, (t) =>
-      withFleet(async (fleet) => {
-        fleet.configure([{ prefix: '/a/', service: 'reads' }]);
-        const host = await fleet.add('h1', 'reads');
-        const other = await fleet.add('h2', 'other');
-        await fleet.untilServing('/a/warm');
-        await fleet.until('the store to know', () => fleet.store.newest(kTopic).get('h1')?.includes('"ready"') === true);
-        if (from === 'other daemons') {
-          fleet.store.mode = 'reset';
-        } else {
-          await fleet.kill(other);
-        }
-        await fleet.kill(host);
-        const again = await fleet.restart(host);
-        if (from === 'the store') {
-          await fleet.until('its target to serve', async () => (await fleet.call(again, '/a/x')).status === 200);
-        } else {
-          await fleet.until('its target to serve others', async () => (await fleet.call(other, '/a/x')).status === 200);
-        }
-        t.is(again.daemon.record.instance, host.target.instance);
-      }),
-    );
-  }
+  itAlone('should use its target at once after a planned stop, before the next heartbeat', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      const other = await fleet.add('h2', 'other');
+      await fleet.untilServing('/a/warm');
+      await host.daemon.stop();
+      await fleet.kill(host);
+      const again = await fleet.restart(host);
+      await fleet.until('its target to serve others', async () => (await fleet.call(other, '/a/x')).status === 200);
+      t.is(again.daemon.record.instance, host.target.instance);
+    }),
+  );
+
+  itAlone('should wait for its target after a kill: what was acknowledged last may be known to nobody', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      await fleet.until('the store to know', () => fleet.store.newest(kTopic).get('h1')?.includes('"ready"') === true);
+      await fleet.kill(host);
+      const before = host.target.seen.length;
+      const again = await fleet.restart(host);
+      await fleet.until('the daemon to be ready', async () => (await fleet.readiness(again)) === 200);
+      t.is((await fleet.call(again, '/a/x')).status, 503);
+      t.is(host.target.seen.length, before);
+      await host.target.beat(again.control);
+      t.is((await fleet.call(again, '/a/x')).status, 200);
+    }),
+  );
 
   itAlone('should be told "not run" by a target that is another instance by now', (t) =>
     withFleet(async (fleet) => {
       fleet.configure([{ prefix: '/a/', service: 'reads', idempotent: false }]);
       const host = await fleet.add('h1', 'reads');
+      const other = await fleet.add('h2', 'other');
       await fleet.untilServing('/a/warm');
-      await fleet.until('the store to know', () => fleet.store.newest(kTopic).get('h1')?.includes('"ready"') === true);
+      await host.daemon.stop();
       await fleet.kill(host);
       const next = new UpstreamStandin('i-next', 'reads');
       next.port = Number(host.target.address.split(':')[1]);
       host.target.close();
       await next.start();
-      const again = await fleet.add('h1', 'reads', { target: next, beat: false });
-      await fleet.until('the daemon to be ready', async () => (await fleet.readiness(again)) === 200);
-      t.is((await fleet.call(again, '/a/x', { method: 'POST', body: 'hold' })).status, 503);
+      const again = await fleet.restart(host);
+      await fleet.until('the remembered target to be offered a call', async () => {
+        t.is((await fleet.call(other, '/a/x', { method: 'POST', body: 'hold' })).status, 503);
+        return next.seen.length > 0;
+      });
       await next.beat(again.control);
       t.is((await fleet.call(again, '/a/x', { method: 'POST', body: 'hold' })).status, 200);
+      next.close();
     }),
   );
 });
