--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,6 +29,7 @@
 export * from './errors/errorKind.js';
 export * from './membership/memberView.js';
 export * from './membership/targetDirectory.js';
+export * from './membership/targetLife.js';
 export * from './membership/targetRecord.js';
 export * from './procedures/attempt.js';
 export * from './procedures/callContext.js';
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -8,6 +8,7 @@
  */
 
 import {
+  type Announcement,
   type GatedCall,
   GateLevel,
   type GateRefusal,
@@ -18,11 +19,12 @@
   type RepeatBound,
   RepeatBudget,
   SlotGate,
+  TargetLife,
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { PeerCall } from '../client/peerMessages.js';
 import { type Run, type RunEnd, TargetClient } from '../client/targetClient.js';
-import type { Announcement, HeaderNames } from '../ports.js';
+import type { HeaderNames } from '../ports.js';
 import type { EventLog } from './eventLog.js';
 import type { MeshMetrics, MetricsView } from './meshMetrics.js';
 
@@ -33,9 +35,6 @@
 /** Longest time after which a refused caller may come back, in milliseconds. */
 const kMaxRetryAfterMs = 2_000;
 
-/** Instances whose end is remembered; late heartbeats are seconds late, and a host does not see as many targets in that time. */
-const kMaxEnded = 20;
-
 /** Called once with the end of an offered call. */
 export type OfferDone = (end: CallEnd, report: GateReport) => void;
 
@@ -76,15 +75,7 @@
   private readonly _gate: SlotGate<Waiting>;
   private readonly _budget: RepeatBudget;
   private _client: TargetClient | undefined;
-  private _instance = '';
-  private _service = '';
-  private _address = '';
-  private _slots = 0;
-  private _state: TargetRecord['state'] = 'unknown';
-  private _sequence = -1;
-  /** Instances that have left or were replaced, the oldest first. */
-  private readonly _endedInstances = new Set<string>();
-  private _coldMs = 0;
+  private readonly _life: TargetLife;
   private _held = true;
   private _stopping = false;
   private _nextId = 1;
@@ -94,6 +85,7 @@
   private _expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _deps: TargetGateDeps) {
+    this._life = new TargetLife(_deps.address);
     this._budget = new RepeatBudget(_deps.bound);
     this._gate = new SlotGate<Waiting>({
       onStart: (waiting) => {
@@ -113,8 +105,8 @@
 
   /** State of the target as other daemons should see it. */
   get view(): Pick<TargetRecord, 'instance' | 'service' | 'state' | 'slots'> {
-    const state = this._state === 'ready' && (this._held || this._stopping) ? 'unknown' : this._state;
-    return { instance: this._instance, service: this._service, state, slots: this._slots };
+    const { instance, service, state, slots } = this._life.known;
+    return { instance, service, state: state === 'ready' && (this._held || this._stopping) ? 'unknown' : state, slots };
   }
 
   /** Load and level, for the metrics. */
@@ -138,80 +130,27 @@
 
   /** Takes an announcement of the target; true when it changed anything. */
   announce(word: Announcement): boolean {
-    if (!this._isNews(word)) {
+    const before = this._life.known.instance;
+    if (!this._life.announce(word)) {
       return false;
     }
-    const before = `${this._instance} ${this._state} ${this._slots}`;
-    if (word.instance !== this._instance) {
-      this._replace(word);
-    }
-    this._sequence = Math.max(this._sequence, word.sequence);
-    if (word.details) {
-      this._slots = word.details.slots;
-      this._coldMs = word.details.coldMs;
-    }
-    if (rankOf(word.state) > rankOf(this._state)) {
-      this._state = word.state;
-    }
-    if (before === `${this._instance} ${this._state} ${this._slots}`) {
-      return false;
+    const { instance, state, slots } = this._life.known;
+    if (instance !== before) {
+      void this._client?.close();
+      this._client = undefined;
     }
-    this._deps.events.notable('target', `The target is ${this._state}.`, {
-      instance: this._instance,
-      state: this._state,
-      slots: this._slots,
-    });
+    this._deps.events.notable('target', `The target is ${state}.`, { instance, state, slots });
     this._apply();
     return true;
   }
 
-  /** What is over for an instance stays over: its heartbeats may come late, also after another one took its place. */
-  private _isNews({ instance, state, sequence }: Announcement): boolean {
-    if (this._endedInstances.has(instance)) {
-      return false;
-    }
-    if (state !== 'gone') {
-      return instance !== this._instance || sequence > this._sequence;
-    }
-    if (instance !== this._instance && this._instance !== '') {
-      this._endInstance(instance);
-      return false;
-    }
-    return true;
-  }
-
-  private _endInstance(instance: string): void {
-    this._endedInstances.add(instance);
-    if (this._endedInstances.size > kMaxEnded) {
-      const [oldest = ''] = this._endedInstances;
-      this._endedInstances.delete(oldest);
-    }
-  }
-
-  /**
-   * Takes what others remember of this host's target, until it speaks itself. A leaving one stays leaving, whoever acknowledged it.
-   * A daemon that stops as planned says "unknown" last of a target that is well, so that one is used again; should it be another
-   * instance by now, it refuses what was meant for this one. "Ready" is not believed: the daemon that said so was killed, and may
-   * have acknowledged since that the target leaves, with nobody left who knows.
-   */
-  remember({ instance, service, state, slots }: TargetRecord): void {
-    const other = this._endedInstances.has(instance) || (this._instance !== '' && instance !== this._instance);
-    if (instance === '' || other || state === 'ready') {
-      return;
-    }
-    const remembered = state === 'unknown' ? 'ready' : state;
-    if (rankOf(remembered) <= rankOf(this._state)) {
-      return;
-    }
-    if (this._instance === '') {
-      this._instance = instance;
-      this._service = service;
-      this._slots = slots;
-      this._address = this._deps.address;
+  /** Takes what others remember of this host's target. */
+  remember(record: TargetRecord): void {
+    if (this._life.remember(record)) {
+      const { instance, state } = this._life.known;
+      this._deps.events.notable('target', `Others remember that the target is ${state}.`, { instance });
+      this._apply();
     }
-    this._state = remembered;
-    this._deps.events.notable('target', `Others remember that the target is ${remembered}.`, { instance });
-    this._apply();
   }
 
   /** Lets calls in once this daemon has heard what others remember of its target. */
@@ -299,37 +238,26 @@
   }
 
   private _refusalAtOnce(call: PeerCall): GateRefusal | undefined {
-    if (call.service !== this._service || call.instance !== this._instance) {
+    const { service, instance } = this._life.known;
+    if (call.service !== service || call.instance !== instance) {
       return 'not_accepting';
     }
     if (!call.repeat) {
       this._budget.earn(this._heightOf(call.route));
       return undefined;
     }
-    if (!this._budget.spend(this._deps.targets(this._service), call.inner)) {
+    if (!this._budget.spend(this._deps.targets(service), call.inner)) {
       return 'repeat_budget';
     }
     this._deps.metrics.repeated();
     return undefined;
   }
 
-  private _replace(word: Announcement): void {
-    if (this._instance !== '') {
-      this._endInstance(this._instance);
-    }
-    this._instance = word.instance;
-    this._state = 'unknown';
-    this._sequence = -1;
-    this._service = word.details?.service ?? this._service;
-    this._address = word.details?.address ?? this._address;
-    void this._client?.close();
-    this._client = undefined;
-  }
-
   private _apply(): void {
-    if (this._state === 'ready' && !this._held && !this._stopping) {
-      this._client ??= new TargetClient(this._address, this._instance, this._deps.maxConnections(this._service), this._deps.names);
-      this._gate.open(this._slots, this._coldMs);
+    const { state, instance, service, address, slots, coldMs } = this._life.known;
+    if (state === 'ready' && !this._held && !this._stopping) {
+      this._client ??= new TargetClient(address, instance, this._deps.maxConnections(service), this._deps.names);
+      this._gate.open(slots, coldMs);
     } else {
       this._gate.close();
     }
@@ -376,17 +304,3 @@
     return { kind: 'not_run', reason, retryAfterMs: Math.min(kMaxRetryAfterMs, drainMs) };
   }
 }
-
-/** A target's states only go forward. */
-function rankOf(state: TargetRecord['state']): number {
-  switch (state) {
-    case 'unknown':
-      return 0;
-    case 'ready':
-      return 1;
-    case 'draining':
-      return 2;
-    case 'gone':
-      return 3;
-  }
-}
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -5,7 +5,7 @@
 
 /** What a routing daemon needs of the platform that it runs on. Adapters implement these; nothing here knows one. */
 
-import type { TargetRecord } from '@gentiandrum/core';
+import type { Announcement, TargetRecord } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 
 /** Names of the HTTP headers by which callers, daemons and targets speak, all in lower case. */
@@ -24,16 +24,6 @@
   callerService: string;
 }
 
-/** One word of a target to the daemon on its host. */
-export interface Announcement {
-  instance: string;
-  state: 'ready' | 'draining' | 'gone';
-  /** Grows with each word of the instance; a late one is smaller. */
-  sequence: number;
-  /** What a `gone` leaves out. */
-  details?: { service: string; address: string; slots: number; coldMs: number };
-}
-
 /** How the platform's HTTP requests are read and written. */
 export interface Dialect {
   headers: HeaderNames;
--- /dev/null
+++ b/tests/membership/targetLife.spec.ts
@@ -0,0 +1,88 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { type Announcement, TargetLife } from '@gentiandrum/core';
+import fc from 'fast-check';
+import { describe, it } from '../support/describe.js';
+
+const kDetails = { service: 'reads', address: '10.0.0.1:80', slots: 16, coldMs: 0 };
+const kRecord = { instance: 'a', service: 'reads', slots: 16 };
+
+function word(instance: string, state: 'ready' | 'draining', sequence: number): Announcement {
+  return { instance, state, sequence, details: kDetails };
+}
+
+function goodbye(instance: string): Announcement {
+  return { instance, state: 'gone', sequence: 0 };
+}
+
+describe('life of a target', () => {
+  it('should follow its words, and report only what changed', (t) => {
+    const life = new TargetLife('10.0.0.1:80');
+    t.true(life.announce(word('a', 'ready', 1)));
+    t.false(life.announce(word('a', 'ready', 2)));
+    t.true(life.announce(word('a', 'draining', 3)));
+    t.false(life.announce(word('a', 'ready', 2)));
+    t.is(life.known.state, 'draining');
+    t.true(life.announce(goodbye('a')));
+    t.is(life.known.state, 'gone');
+  });
+
+  it('should keep a goodbye that is the first word of its instance', (t) => {
+    const life = new TargetLife('10.0.0.1:80');
+    t.true(life.announce(goodbye('a')));
+    t.false(life.announce(word('a', 'ready', 9)));
+    t.is(life.known.state, 'gone');
+  });
+
+  it('should take up a new instance, and none that it took the place of', (t) => {
+    const life = new TargetLife('10.0.0.1:80');
+    life.announce(word('a', 'ready', 5));
+    t.true(life.announce(word('b', 'ready', 1)));
+    t.false(life.announce(word('a', 'ready', 6)));
+    t.false(life.announce(goodbye('a')));
+    t.is(life.known.instance, 'b');
+    t.is(life.known.state, 'ready');
+  });
+
+  it('should believe the memory of others of a planned stop and of leaving, but not that a target is ready', (t) => {
+    const killed = new TargetLife('10.0.0.1:80');
+    t.false(killed.remember({ ...kRecord, state: 'ready' }));
+    t.is(killed.known.state, 'unknown');
+    const stopped = new TargetLife('10.0.0.1:80');
+    t.true(stopped.remember({ ...kRecord, state: 'unknown' }));
+    t.deepEqual(stopped.known, { ...kRecord, address: '10.0.0.1:80', coldMs: 0, state: 'ready' });
+    t.true(stopped.remember({ ...kRecord, state: 'draining' }));
+    t.false(stopped.announce(word('a', 'ready', 1)));
+    t.is(stopped.known.state, 'draining');
+    t.false(stopped.remember({ ...kRecord, instance: 'other', state: 'gone' }));
+  });
+
+  it('should never be ready again once an instance was said to leave, whatever comes in whatever order', (t) => {
+    const instances = fc.constantFrom('a', 'b', 'c');
+    const words = fc.oneof(
+      fc.record({ instance: instances, state: fc.constantFrom('ready', 'draining'), sequence: fc.nat(9), details: fc.constant(kDetails) }),
+      instances.map(goodbye),
+    );
+    fc.assert(
+      fc.property(fc.array(words as fc.Arbitrary<Announcement>, { maxLength: 30 }), (said) => {
+        const life = new TargetLife('10.0.0.1:80');
+        const left = new Set<string>();
+        for (const one of said) {
+          const current = life.known.instance;
+          life.announce(one);
+          // A word of leaving counts when it is heard in order, or ends the instance for good.
+          if (one.state === 'gone' || (life.known.instance === one.instance && life.known.state === 'draining')) {
+            left.add(one.instance);
+          }
+          if (current !== '' && current !== life.known.instance) {
+            left.add(current);
+          }
+          t.false(life.known.state === 'ready' && left.has(life.known.instance));
+        }
+      }),
+    );
+  });
+});
