--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -33,6 +33,8 @@
 /** The same for a call of a target: refused, it would cost the work above it, so it may wait longer. */
 const kInnerWaitShare = 0.5;
 
+const kNoOffers: readonly FailedOffer[] = [];
+
 /** What an exchange uses of its daemon. */
 export interface ExchangeDeps {
   candidates(service: string): readonly TargetRecord[];
@@ -57,6 +59,16 @@
   deadline: number;
 }
 
+/** An offer that brought no success: where it went, how it ended, and the load that the gate there reported with its end. */
+export interface FailedOffer {
+  host: string;
+  end: string;
+  ms: number;
+  inFlight: number;
+  queued: number;
+  limit: number;
+}
+
 /** Final answer, or that time ran out before one came. */
 export type ExchangeEnd = RouteEnd | { kind: 'timed_out' };
 
@@ -67,6 +79,7 @@
   private readonly _takenAt = monotonicMs();
   private _handle: OfferHandle | undefined;
   private _offers = 0;
+  private _failed: FailedOffer[] | undefined;
   private _ended = false;
 
   constructor(
@@ -94,6 +107,11 @@
     return this._offers;
   }
 
+  /** Offers that brought no success, in their order. */
+  get failed(): readonly FailedOffer[] {
+    return this._failed ?? kNoOffers;
+  }
+
   /** Time since the request was taken, in milliseconds. */
   get ageMs(): number {
     return monotonicMs() - this._takenAt;
@@ -145,6 +163,7 @@
 
   private _note(target: TargetRecord, end: CallEnd, report: GateReport, tookMs: number): void {
     const answered = end.kind === 'answered';
+    this._remember(target, end, report, tookMs);
     const failed = end.kind === 'lost' ? end.reason !== 'cancelled' : answered && end.answer.status >= 500;
     // A gate that takes nothing, or is another host's by now, says nothing of the target that was meant.
     const load = report.limit > 0 && !(end.kind === 'not_run' && end.reason === 'not_accepting') ? report : undefined;
@@ -159,6 +178,15 @@
     });
   }
 
+  private _remember({ host }: TargetRecord, end: CallEnd, { inFlight, queued, limit }: GateReport, tookMs: number): void {
+    if (end.kind === 'answered' && end.answer.status < 500) {
+      return;
+    }
+    const text = end.kind === 'answered' ? `status ${end.answer.status}` : `${end.kind}: ${end.reason}`;
+    this._failed ??= [];
+    this._failed.push({ host, end: text, ms: Math.round(tookMs), inFlight, queued, limit });
+  }
+
   private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
     const { route, callerService, requestId, method, path, headers, body } = this._req;
     const remainingMs = Math.max(1, this._remainingMs());
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -5,6 +5,7 @@
 
 /** The routing daemon, for callers that speak plain HTTP. */
 
+export * from './app/callExchange.js';
 export * from './app/eventLog.js';
 export * from './app/meshDaemon.js';
 export * from './app/runMesh.js';
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -282,7 +282,13 @@
   }
 
   private _logEnd(exchange: CallExchange, route: Route, end: ExchangeEnd, requestId: string): void {
-    const fields = (): EventFields => ({ req: requestId, route: route.name, offers: exchange.offers, ms: Math.round(exchange.ageMs) });
+    const fields = (): EventFields => ({
+      req: requestId,
+      route: route.name,
+      offers: exchange.offers,
+      ms: Math.round(exchange.ageMs),
+      ...(exchange.failed.length > 0 ? { failed: exchange.failed } : {}),
+    });
     if (end.kind === 'answered') {
       const { status } = end.answer;
       if (status < 500) {
--- /dev/null
+++ b/tests/mesh/callExchange.spec.ts
@@ -0,0 +1,82 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { type CallEnd, ChainModel, type GateReport, type TargetRecord } from '@gentiandrum/core';
+import { CallExchange, type ExchangeDeps, type ExchangeEnd, type RoutedRequest } from '@gentiandrum/mesh';
+import type { Route } from '@gentiandrum/protocol';
+import { describe, it } from '../support/describe.js';
+
+const kFull: GateReport = { inFlight: 15, queued: 9, limit: 15, meanMs: 40, level: 0, inner: undefined, height: 0, chargeMs: 0 };
+const kRoute: Route = {
+  name: 'search',
+  host: 'app.example',
+  prefix: '/a/',
+  destinations: [{ service: 'reads', weight: 1 }],
+  idempotent: true,
+  timeoutMs: 2_000,
+  latencyTargetMs: 200,
+  maxAttempts: 2,
+  priority: 0,
+};
+
+function target(host: string): TargetRecord {
+  return { host, zone: 'z1', peers: '', service: 'reads', instance: `i-${host}`, state: 'ready', slots: 16, epoch: 1, revision: 1 };
+}
+
+function run(ends: CallEnd[]): { exchange: CallExchange; end: ExchangeEnd | undefined } {
+  const targets = ends.map((_, i) => target(`h${i + 1}`));
+  const result: { end: ExchangeEnd | undefined } = { end: undefined };
+  let next = 0;
+  const deps: ExchangeDeps = {
+    candidates: () => targets,
+    choose: (candidates, excluded) => candidates.find(({ host }) => !excluded.has(host)),
+    offer: (_target, _call, done) => {
+      done(ends[next++] ?? { kind: 'lost', reason: 'no more ends' }, kFull);
+      return { cancel: () => undefined };
+    },
+    chains: new ChainModel(),
+    sent: () => undefined,
+    ended: () => undefined,
+  };
+  const req: RoutedRequest = {
+    route: kRoute,
+    service: 'reads',
+    callerService: 'front',
+    requestId: 'a1',
+    method: 'GET',
+    path: '/a/x',
+    headers: [],
+    body: Buffer.alloc(0),
+    deadline: performance.now() + 1_000,
+  };
+  const exchange = new CallExchange(req, deps, (end) => {
+    result.end = end;
+  });
+  exchange.start();
+  return { exchange, end: result.end };
+}
+
+describe('an exchange', () => {
+  it('should tell of each offer without success where it went, how it ended, and how full the gate was', (t) => {
+    const { exchange, end } = run([
+      { kind: 'not_run', reason: 'overloaded', retryAfterMs: 50 },
+      { kind: 'answered', answer: { status: 500, headers: [], body: Buffer.alloc(0) } },
+      { kind: 'answered', answer: { status: 200, headers: [], body: Buffer.alloc(0) } },
+    ]);
+    t.is(end?.kind, 'answered');
+    t.deepEqual(
+      exchange.failed.map(({ host, end: how, inFlight, queued, limit }) => ({ host, how, inFlight, queued, limit })),
+      [
+        { host: 'h1', how: 'not_run: overloaded', inFlight: 15, queued: 9, limit: 15 },
+        { host: 'h2', how: 'status 500', inFlight: 15, queued: 9, limit: 15 },
+      ],
+    );
+  });
+
+  it('should keep nothing of one that went well at once', (t) => {
+    const { exchange } = run([{ kind: 'answered', answer: { status: 200, headers: [], body: Buffer.alloc(0) } }]);
+    t.deepEqual(exchange.failed, []);
+  });
+});
