--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -222,19 +222,40 @@
   }
 }
 
-/** Addresses on the loopback that are free at the moment. */
+/**
+ * Ports for daemons: below the range from which the system takes ports of outgoing connections, which could otherwise be given one
+ * between its choice and its use; each test process begins at another block.
+ */
+const kFirstPort = 12_000;
+const kPorts = 20_000;
+const kPortsOfProcess = 200;
+let nextPort = (process.pid * kPortsOfProcess) % kPorts;
+
+/** Addresses on the loopback that are free, and that no other test process chooses. */
 async function freeAddresses(count: number): Promise<string[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-      return server;
-    }),
-  );
-  const addresses = servers.map((server) => {
-    const address = server.address();
-    return `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
-  });
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const addresses: string[] = [];
+  while (addresses.length < count) {
+    const port = kFirstPort + nextPort;
+    nextPort = (nextPort + 1) % kPorts;
+    if (await isFree(port)) {
+      addresses.push(`127.0.0.1:${port}`);
+    }
+  }
   return addresses;
 }
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  const listening = await new Promise<boolean>((resolve) => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      resolve(true);
+    });
+  });
+  if (listening) {
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return listening;
+}
