--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,6 +29,7 @@
 export * from './config/mergePatch.js';
 export * from './errors/errorKind.js';
 export * from './membership/memberView.js';
+export * from './membership/readerRank.js';
 export * from './membership/targetDirectory.js';
 export * from './membership/targetLife.js';
 export * from './membership/targetRecord.js';
--- a/packages/core/src/membership/targetDirectory.ts
+++ b/packages/core/src/membership/targetDirectory.ts
@@ -5,6 +5,7 @@
 
 /** What a daemon believes of all hosts: the latest record of each, whichever way it came. */
 
+import { createHash } from 'node:crypto';
 import { isLaterRecord, type TargetRecord } from './targetRecord.js';
 
 const kNone: readonly TargetRecord[] = [];
@@ -14,6 +15,7 @@
   private readonly _records = new Map<string, TargetRecord>();
   /** Ready targets by service; a list is never changed, but replaced, so that what is worked out from one holds as long as it does. */
   private readonly _ready = new Map<string, readonly TargetRecord[]>();
+  private readonly _digests = new Map<string, number>();
 
   /** Takes a record; true when it is news. */
   learn(record: TargetRecord): boolean {
@@ -38,6 +40,7 @@
     const known = this._records.get(host);
     if (known) {
       this._records.delete(host);
+      this._countIn(known);
       this._unlist(known);
     }
   }
@@ -67,6 +70,14 @@
     return this._ready.get(service) ?? kNone;
   }
 
+  /**
+   * A number for the records of each zone, the same in two daemons that hold the same ones: thus they compare what they know in some
+   * bytes instead of 180 a host. Hosts that are gone don't count, as some daemons forget them sooner.
+   */
+  get digests(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this._digests);
+  }
+
   /** Whether any host's record names the service. */
   knows(service: string): boolean {
     return this.all().some((record) => record.service === service);
@@ -74,6 +85,8 @@
 
   private _put(record: TargetRecord, known: TargetRecord | undefined): void {
     this._records.set(record.host, record);
+    this._countIn(known);
+    this._countIn(record);
     if (known?.state === 'ready' && record.state === 'ready' && known.service === record.service) {
       this._replace(known, record);
       return;
@@ -86,6 +99,15 @@
     }
   }
 
+  /** Exclusive or: a record that is counted twice is out again. */
+  private _countIn(record: TargetRecord | undefined): void {
+    if (record && record.state !== 'gone') {
+      const { host, zone, epoch, revision } = record;
+      const hash = createHash('sha1').update(`${host}\0${epoch}\0${revision}`).digest().readUInt32BE(0);
+      this._digests.set(zone, ((this._digests.get(zone) ?? 0) ^ hash) >>> 0);
+    }
+  }
+
   private _replace(known: TargetRecord, record: TargetRecord): void {
     const list = this.ready(record.service).map((listed) => (listed.host === known.host ? record : listed));
     this._ready.set(record.service, list);
--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -31,7 +31,10 @@
   revision: number;
 }
 
+/** What orders the records of one host. */
+export type RecordOrder = Pick<TargetRecord, 'epoch' | 'revision'>;
+
 /** Whether `a` is a later word of its host than `b`. */
-export function isLaterRecord(a: TargetRecord, b: TargetRecord): boolean {
+export function isLaterRecord(a: RecordOrder, b: RecordOrder): boolean {
   return a.epoch !== b.epoch ? a.epoch > b.epoch : a.revision > b.revision;
 }
--- a/packages/mesh/src/app/configHolder.ts
+++ b/packages/mesh/src/app/configHolder.ts
@@ -11,6 +11,8 @@
 
 /** Time that a newer version gets to come from its source before a daemon that has it is asked, in milliseconds. */
 const kPatienceMs = 100;
+/** Time that a daemon gets to send the version that it was asked for before the next one is asked, in milliseconds. */
+const kAskAgainMs = 300;
 /** Faults of a configuration that a log line names. */
 const kNamedFaults = 3;
 
@@ -19,6 +21,8 @@
   private _config: MeshConfig | undefined;
   private _routes: RouteTable | undefined;
   private _takenAt = 0;
+  private _askedFor = -1;
+  private _askedAt = -Infinity;
 
   /** @param _onTaken called with each configuration that comes into force */
   constructor(
@@ -64,15 +68,27 @@
     this._onTaken(checked.data);
   }
 
-  /** Hears that another daemon has a version; asks it when the source doesn't bring that version first. */
-  hear(version: number, ask: () => void): void {
+  /** Hears that another daemon has a version; asks it, at once or when the own source doesn't bring that version first. */
+  hear(version: number, hasSource: boolean, ask: () => void): void {
     if (version <= this.version) {
       return;
     }
+    if (!hasSource) {
+      this._ask(version, ask);
+      return;
+    }
     setTimeout(() => {
-      if (version > this.version) {
-        ask();
-      }
+      this._ask(version, ask);
     }, kPatienceMs);
   }
+
+  private _ask(version: number, ask: () => void): void {
+    const now = monotonicMs();
+    const asked = version <= this._askedFor && now - this._askedAt < kAskAgainMs;
+    if (version > this.version && !asked) {
+      this._askedFor = version;
+      this._askedAt = now;
+      ask();
+    }
+  }
 }
--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -9,16 +9,11 @@
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { RecordChange, RecordLog } from '../ports.js';
 import type { EventLog } from './eventLog.js';
+import type { LogDuty } from './logDuty.js';
 import type { TargetGate } from './targetGate.js';
 
 /** Longest wait at a start for what others remember of this host's target, in milliseconds. */
 const kRecallMs = 3_000;
-/**
- * Time after which the own record in the log is compared with the newest one, in milliseconds: a write without an answer may
- * take effect seconds later, behind a newer one.
- */
-const kCompareMs = 2_000;
-
 /** Difference of a ratio from which on it is told anew, as a share of it: well above the noise of the fit. */
 const kToldDifference = 0.3;
 
@@ -30,6 +25,7 @@
   placement: Placement;
   chains: ChainModel;
   log: RecordLog;
+  duty: () => LogDuty;
   /** Tells linked daemons. */
   broadcast(record: TargetRecord): void;
   events: EventLog;
@@ -41,10 +37,8 @@
   private _revision = 0;
   private _recalled = false;
   private _learned: LearnedChains | undefined;
-  private _inLog: number | undefined;
   private _published: Promise<boolean> = Promise.resolve(true);
   private _recallTimer: NodeJS.Timeout | undefined;
-  private _compareTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _deps: HostRecordsDeps) {}
 
@@ -76,17 +70,12 @@
     };
   }
 
-  /** Begins to follow the log. */
+  /** Begins to take what the log has. */
   start(): void {
     this._deps.directory.learn(this.own);
-    this._deps.log.watch(
-      (change) => {
-        this._takeChange(change);
-      },
-      () => {
-        this._recall('the log');
-      },
-    );
+    this._deps.log.onChanges((changes, complete) => {
+      this._takeChanges(changes, complete);
+    });
     this._recallTimer = setTimeout(() => {
       this._recall('nobody in time');
     }, kRecallMs);
@@ -95,7 +84,6 @@
   /** Ends timers. */
   stop(): void {
     clearTimeout(this._recallTimer);
-    clearTimeout(this._compareTimer);
   }
 
   /** Makes the state of the own target known: to linked daemons at once, and in the log. */
@@ -104,10 +92,18 @@
     const record = this.own;
     this._deps.directory.learn(record);
     this._deps.broadcast(record);
-    // A daemon that stops tells its peers alone: it will be back in a moment, or its host is taken away.
-    if (record.state !== 'unknown') {
-      this._published = this._deps.log.publish(record);
+    // Others may have to act on a leaving after this daemon's end, so it is written at once; the zone's reader writes the rest.
+    if (record.state === 'draining' || record.state === 'gone') {
+      this._published = this._publish(record);
+    }
+  }
+
+  private async _publish(record: TargetRecord): Promise<boolean> {
+    const durable = await this._deps.log.publish(record);
+    if (durable) {
+      this._deps.duty().ownLogged(record.epoch, record.revision);
     }
+    return durable;
   }
 
   /** Makes known what was learned of the routes that run here, when it differs from what the record says; called now and then. */
@@ -131,23 +127,46 @@
     }
   }
 
+  /** Forgets hosts whose records were removed from the log. */
+  erase(hosts: readonly string[]): void {
+    for (const host of hosts) {
+      this._deps.duty().erased(host, false);
+      this._forget(host);
+    }
+  }
+
+  private _forget(host: string): void {
+    if (host !== this._deps.settings.id) {
+      this._deps.directory.forget(host);
+    }
+  }
+
+  private _takeChanges(changes: RecordChange[], complete: boolean): void {
+    if (complete) {
+      this._deps.duty().beginReading();
+    }
+    for (const change of changes) {
+      this._takeChange(change);
+    }
+    if (complete) {
+      this._recall('the log');
+    }
+  }
+
   private _takeChange(change: RecordChange): void {
-    const own = this._deps.settings.id;
+    const { settings, duty } = this._deps;
     switch (change.kind) {
       case 'record':
-        if (change.record.host === own) {
+        duty().inLog(change.record);
+        if (change.record.host === settings.id) {
           this._takeOwn(change.record);
-          this._noteInLog(change.record.epoch === this._epoch ? change.record.revision : -1);
         } else {
           this._takeOther(change.record);
         }
         return;
       case 'erased':
-        if (change.host === own) {
-          this._noteInLog(-1);
-        } else {
-          this._deps.directory.forget(change.host);
-        }
+        duty().erased(change.host, true);
+        this._forget(change.host);
     }
   }
 
@@ -158,11 +177,13 @@
     if (!directory.learn(record)) {
       return;
     }
+    this._deps.duty().learned(record);
     const replaced = before?.instance !== record.instance;
     if (before && replaced) {
       placement.forget(record.host);
     }
-    if (replaced || before.state !== record.state) {
+    // The first records of a start are no changes: one line says how many hosts there are.
+    if (before && (replaced || before.state !== record.state)) {
       const { host, state, instance, service } = record;
       events.notable('peers', `The target on ${host} is ${state}.`, { peer: host, state, instance, service });
     }
@@ -197,18 +218,6 @@
     }
   }
 
-  /** The last own record of the log must be the newest one, or daemons that start later would believe an old one. */
-  private _noteInLog(revision: number): void {
-    this._inLog = revision;
-    this._compareTimer ??= setTimeout(() => {
-      this._compareTimer = undefined;
-      if (this._inLog !== undefined && this._inLog < this._revision) {
-        this._deps.events.notable('log', 'An older record of this host came last in the log; writing the newest again.');
-        this.tell();
-      }
-    }, kCompareMs);
-  }
-
   private _recall(from: string): void {
     if (!this._recalled) {
       this._recalled = true;
--- /dev/null
+++ b/packages/mesh/src/app/logDuty.ts
@@ -0,0 +1,241 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * What this daemon reads from the platform's log and writes there: as one of its zone's readers for all of them, otherwise only when
+ * no reader is known to follow the log. The calls of a fleet grow with its zones and its changes, not with its hosts.
+ */
+
+import { monotonicMs, ReaderRank, type ReaderPlace, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import type { MeshSettings } from '@gentiandrum/protocol';
+import type { PeerMessage } from '../client/peerMessages.js';
+import type { ConfigSource, RecordLog } from '../ports.js';
+import type { EventLog } from './eventLog.js';
+import { LogWriter } from './logWriter.js';
+
+/**
+ * Share of the time for a configuration to be in force after which a reader without a report is passed over: what is left is for
+ * the own look, two answers of the log and the way to the others.
+ */
+const kWindowShare = 0.5;
+/** Reports of a reader in that time. */
+const kReportsInWindow = 3;
+/** Age of the latest answer from which on the log counts as silent, in milliseconds: the longest read and the time for its answer. */
+const kSilentLogMs = 5_500;
+/** Pause between two own looks while no reader is known, as multiples of the window; doubled while the log does not answer. */
+const kLookSpread = 0.3;
+const kMaxLookMs = 8_000;
+/** Age of the records known from which on an own look reads them too, in milliseconds. */
+const kRecordsAgeMs = 4_000;
+/** Time over which the first looks of a new deployment are spread, in milliseconds: each then finds those before it in the log. */
+const kFirstLooksMs = 1_500;
+/** Pause before a first look is repeated that had no answer, in milliseconds, at first and at most. */
+const kRetryLookMs = 200;
+const kMaxRetryLookMs = 1_600;
+
+/** What the duty uses of its daemon. */
+export interface LogDutyDeps {
+  settings: MeshSettings;
+  directory: TargetDirectory;
+  configs: ConfigSource;
+  records: RecordLog;
+  own(): TargetRecord;
+  /** Version of the configuration in force. */
+  version(): number;
+  /** Sends to every linked daemon of the own zone. */
+  sendZone(message: PeerMessage): void;
+  sendTo(host: string, message: PeerMessage): void;
+  events: EventLog;
+}
+
+/** The duty of one daemon towards the log. */
+export class LogDuty {
+  private readonly _rank: ReaderRank;
+  private readonly _windowMs: number;
+  private readonly _writer: LogWriter;
+  private readonly _down = new Set<string>();
+  private _place: ReaderPlace = { kind: 'member', readers: [], ahead: [] };
+  private _looked = false;
+  private _lookTimer: NodeJS.Timeout | undefined;
+  private _reportAt = 0;
+  private _lookAt: number | undefined;
+  private _lookMs: number;
+  private _news = new Map<string, TargetRecord>();
+  private _erased = new Set<string>();
+
+  constructor(private readonly _deps: LogDutyDeps) {
+    const { settings } = _deps;
+    this._windowMs = settings.inForceMs * kWindowShare;
+    this._lookMs = this._windowMs;
+    this._rank = new ReaderRank(settings.zone, settings.id, this._windowMs);
+    this._writer = new LogWriter(_deps);
+  }
+
+  /** Whether this daemon follows the log for its zone. */
+  get reads(): boolean {
+    return this._place.kind === 'reader';
+  }
+
+  /** Whether the log, as far as this daemon uses it, answers. */
+  get answered(): boolean {
+    const { configs } = this._deps;
+    return !configs.failing && monotonicMs() - configs.answeredAt < kSilentLogMs;
+  }
+
+  /** Begins with one look at the hosts' records. */
+  start(): void {
+    const delay = this._deps.settings.log.firstStart ? Math.random() * kFirstLooksMs : 0;
+    this._firstLook(delay, kRetryLookMs);
+  }
+
+  /** Ends timers. */
+  stop(): void {
+    clearTimeout(this._lookTimer);
+    this._looked = false;
+  }
+
+  /** Whether a link to a host is of use for the duty. */
+  wantsLink({ host, zone }: TargetRecord): boolean {
+    if (zone !== this._deps.settings.zone) {
+      return false;
+    }
+    return this._place.kind === 'reader' || this._place.ahead.includes(host);
+  }
+
+  /** Another daemon reports whether the log answers it. */
+  reported(host: string, well: boolean): void {
+    this._rank.reported(host, well, monotonicMs());
+  }
+
+  /** A host can be reached, or can't. */
+  reached(host: string, up: boolean): void {
+    if (up) {
+      this._down.delete(host);
+    } else {
+      this._down.add(host);
+    }
+  }
+
+  /** A record that this daemon did not have; the first reader passes it on to its zone. */
+  learned(record: TargetRecord): void {
+    this._news.set(record.host, record);
+  }
+
+  /** A host whose record was removed from the log; `passOn` when the log itself said so. */
+  erased(host: string, passOn: boolean): void {
+    this._writer.erased(host);
+    if (passOn) {
+      this._erased.add(host);
+    }
+  }
+
+  /** A record as the log has it. */
+  inLog(record: TargetRecord): void {
+    this._writer.inLog(record);
+  }
+
+  /** A complete reading of the records begins; its records follow. */
+  beginReading(): void {
+    this._writer.beginReading();
+    this._looked = true;
+  }
+
+  /** A reader says that the log has the own record. */
+  ownLogged(epoch: number, revision: number): void {
+    const { host } = this._deps.own();
+    this._writer.inLog({ host, epoch, revision });
+  }
+
+  /** Takes up, goes on with and ends what is due; called a few times a second. */
+  check(): void {
+    if (!this._looked) {
+      return;
+    }
+    const now = monotonicMs();
+    this._takePlace(now);
+    if (this._place.kind === 'reader') {
+      this._report(now);
+    } else {
+      this._lookWithoutReader(now);
+    }
+    const first = this._place.kind === 'reader' && this._place.first;
+    if (first) {
+      this._passOn();
+    }
+    this._news.clear();
+    this._erased.clear();
+    this._writer.check(now, first, this._members());
+  }
+
+  private _firstLook(delayMs: number, retryMs: number): void {
+    this._lookTimer = setTimeout(() => {
+      void this._deps.records.look().then((answered) => {
+        if (!answered && !this._looked) {
+          // Others may have told everything meanwhile; then the duty begins without the log.
+          this._looked = this._deps.directory.size > 1;
+          this._firstLook(retryMs, Math.min(kMaxRetryLookMs, retryMs * 2));
+        }
+      });
+    }, delayMs);
+  }
+
+  private _members(): TargetRecord[] {
+    const { directory, settings } = this._deps;
+    return [...directory.values()].filter(({ zone, state }) => zone === settings.zone && state !== 'gone');
+  }
+
+  private _takePlace(now: number): void {
+    const before = this._place;
+    this._place = this._rank.place(this._members(), (host) => this._down.has(host), now);
+    const first = this._place.kind === 'reader' && this._place.first;
+    if (before.kind !== this._place.kind) {
+      this._deps.events.notable('log', this.reads ? 'Follows the log for its zone.' : 'Leaves the log to other readers of its zone.');
+    }
+    this._deps.configs.follow(this.reads);
+    this._deps.records.follow(first);
+  }
+
+  /** Members take a report for a sign that they need not look, so there is none before the log has answered or failed. */
+  private _report(now: number): void {
+    const { configs, directory, sendZone, version } = this._deps;
+    const known = configs.failing || configs.answeredAt > -Infinity;
+    if (known && now - this._reportAt >= this._windowMs / kReportsInWindow) {
+      this._reportAt = now;
+      sendZone({ type: 'reading', well: this.answered, version: version(), digests: directory.digests });
+    }
+  }
+
+  private _passOn(): void {
+    if (this._news.size > 0) {
+      this._deps.sendZone({ type: 'records', records: [...this._news.values()] });
+    }
+    if (this._erased.size > 0) {
+      this._deps.sendZone({ type: 'erased', hosts: [...this._erased] });
+    }
+  }
+
+  private _lookWithoutReader(now: number): void {
+    if (this._rank.served(now)) {
+      this._lookMs = this._windowMs;
+      this._lookAt = now + this._windowMs * Math.random() * kLookSpread;
+      return;
+    }
+    this._lookAt ??= now + this._windowMs * Math.random() * kLookSpread;
+    if (now < this._lookAt + this._lookMs) {
+      return;
+    }
+    this._lookAt = now + this._lookMs * Math.random() * kLookSpread;
+    void this._look();
+  }
+
+  private async _look(): Promise<void> {
+    const { configs, records } = this._deps;
+    const answered = await configs.look();
+    if (answered && monotonicMs() - records.answeredAt > kRecordsAgeMs) {
+      await records.look();
+    }
+    this._lookMs = answered ? this._windowMs : Math.min(kMaxLookMs, this._lookMs * 2);
+  }
+}
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -8,7 +8,8 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
-import type { PeerCall } from '../client/peerMessages.js';
+import type { PeerLink } from '../client/peerLink.js';
+import type { Digests, PeerCall } from '../client/peerMessages.js';
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
 import type { Platform } from '../ports.js';
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
@@ -17,6 +18,7 @@
 import { Deadlines } from './deadlines.js';
 import type { EventLog } from './eventLog.js';
 import { HostRecords } from './hostRecords.js';
+import { LogDuty } from './logDuty.js';
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
@@ -42,6 +44,10 @@
 const kLearnedMs = 10_000;
 /** How often the totals are logged, in milliseconds: a few lines a minute. */
 const kTotalsMs = 10_000;
+/** Daemons that one which reads nothing itself tells of a new version. */
+const kSpread = 4;
+/** Shortest time between two requests for records that others know differently, in milliseconds. */
+const kCompareMs = 2_000;
 /** Connections to a target until its service's limit is known. */
 const kAssumedConnections = 100;
 
@@ -52,6 +58,7 @@
   private readonly _chains = new ChainModel();
   private readonly _configs: ConfigHolder;
   private readonly _records: HostRecords;
+  private readonly _duty: LogDuty;
   private readonly _gate: TargetGate;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
@@ -60,6 +67,7 @@
   private readonly _ready: HostServer;
   private readonly _announcements: HostServer;
   private _stopping = false;
+  private _comparedAt = -Infinity;
   private readonly _deadlines = new Deadlines();
   private _tickTimer: NodeJS.Timeout | undefined;
   private _totalsTimer: NodeJS.Timeout | undefined;
@@ -80,8 +88,23 @@
     }));
     this._configs = new ConfigHolder((cfg) => {
       this._calls.configure(cfg);
-      this._network.broadcast({ type: 'version', version: cfg.version });
+      this._spreadVersion(cfg.version);
     }, _events);
+    this._duty = new LogDuty({
+      settings: _settings,
+      directory: this._directory,
+      configs: _platform.configs,
+      records: _platform.records,
+      own: () => this._records.own,
+      version: () => this._configs.version,
+      sendZone: (message) => {
+        this._network.sendZone(_settings.zone, message);
+      },
+      sendTo: (host, message) => {
+        this._network.sendTo(host, message);
+      },
+      events: _events,
+    });
     this._records = new HostRecords({
       settings: _settings,
       gate: () => this._gate,
@@ -89,6 +112,7 @@
       placement: this._placement,
       chains: this._chains,
       log: _platform.records,
+      duty: () => this._duty,
       broadcast: (record) => {
         this._network.broadcast({ type: 'records', records: [record] });
       },
@@ -140,10 +164,11 @@
       this._announcements.listen(listen.announcements),
       ...(listen.metrics !== undefined ? [this._metricsServer.listen(listen.metrics)] : []),
     ]);
-    this._platform.configs.watch((cfg) => {
+    this._platform.configs.onConfig((cfg) => {
       this._configs.take(cfg, 'log');
     });
     this._records.start();
+    this._duty.start();
     this._tickTimer = setInterval(() => {
       this._tick();
     }, kTickMs);
@@ -180,6 +205,7 @@
   /** Ends timers and connections. */
   close(): void {
     this._records.stop();
+    this._duty.stop();
     clearInterval(this._tickTimer);
     clearInterval(this._totalsTimer);
     clearInterval(this._learnedTimer);
@@ -195,6 +221,7 @@
 
   private _tick(): void {
     this._gate.check(kTickMs);
+    this._duty.check();
     this._network.check();
     this._deadlines.check();
     this._calls.check();
@@ -207,10 +234,22 @@
         this._records.take(records);
       },
       onVersion: (version, link) => {
-        this._configs.hear(version, () => {
+        this._configs.hear(version, this._duty.reads, () => {
           link.send({ type: 'config_wanted' });
         });
       },
+      onErased: (hosts) => {
+        this._records.erase(hosts);
+      },
+      onLogged: (epoch, revision) => {
+        this._duty.ownLogged(epoch, revision);
+      },
+      onDigests: (digests, link) => {
+        this._compare(digests, link);
+      },
+      onReading: (host, well) => {
+        this._duty.reported(host, well);
+      },
       onConfig: (cfg) => {
         this._configs.take(cfg, 'peer');
       },
@@ -220,7 +259,14 @@
       onReach: (host, reached) => {
         this._hearReach(host, reached);
       },
-      hello: () => ({ type: 'hello', host: this._settings.id, version: this._configs.version, records: this._directory.all() }),
+      hello: () => ({
+        type: 'hello',
+        host: this._settings.id,
+        version: this._configs.version,
+        record: this._records.own,
+        digests: this._directory.digests,
+      }),
+      wantsLink: (record) => this._duty.wantsLink(record),
       config: () => this._configs.config,
     };
   }
@@ -302,7 +348,27 @@
     };
   }
 
+  /** Readers tell their whole zone, others a few: those may be in reach of daemons that no reader reaches. */
+  private _spreadVersion(version: number): void {
+    if (this._duty.reads) {
+      this._network.sendZone(this._settings.zone, { type: 'version', version });
+    }
+    this._network.sendSome(kSpread, { type: 'version', version });
+  }
+
+  /** Asks for the records of the zones that another daemon knows differently, but not of every daemon that does. */
+  private _compare(digests: Digests, link: PeerLink): void {
+    const own = this._directory.digests;
+    const zones = [...new Set([...Object.keys(digests), ...Object.keys(own)])].filter((zone) => (digests[zone] ?? 0) !== (own[zone] ?? 0));
+    const now = monotonicMs();
+    if (zones.length > 0 && now - this._comparedAt > kCompareMs) {
+      this._comparedAt = now;
+      link.send({ type: 'records_wanted', zones });
+    }
+  }
+
   private _hearReach(host: string, reached: boolean): void {
+    this._duty.reached(host, reached);
     if (reached) {
       this._placement.reached(host);
     } else {
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -41,9 +41,13 @@
   body: Buffer;
 }
 
+/** What a daemon knows of each zone's hosts, as one number a zone. */
+export type Digests = Readonly<Record<string, number>>;
+
 /** What one daemon says to another. */
 export type PeerMessage =
-  | { type: 'hello'; host: string; version: number; records: TargetRecord[] }
+  /** First on each link: who speaks, its version of the configuration, its record, and what it knows of each zone in short. */
+  | { type: 'hello'; host: string; version: number; record: TargetRecord; digests: Digests }
   | { type: 'call'; id: number; call: PeerCall }
   | { type: 'cancel'; id: number }
   | { type: 'answer'; id: number; answer: WholeAnswer; load: GateReport }
@@ -53,6 +57,14 @@
   | { type: 'version'; version: number }
   | { type: 'config_wanted' }
   | { type: 'config'; config: MeshConfig }
+  /** Asks for all records of some zones. */
+  | { type: 'records_wanted'; zones: string[] }
+  /** Hosts whose records were removed from the log. */
+  | { type: 'erased'; hosts: string[] }
+  /** The log has the receiver's own record up to this one. */
+  | { type: 'logged'; epoch: number; revision: number }
+  /** A reader follows the log, and whether the log answers it. */
+  | { type: 'reading'; well: boolean; version: number; digests: Digests }
   | { type: 'ping' }
   | { type: 'pong' };
 
@@ -70,6 +82,10 @@
   'config',
   'ping',
   'pong',
+  'records_wanted',
+  'erased',
+  'logged',
+  'reading',
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
@@ -141,7 +157,7 @@
   const type = kTypes.indexOf(message.type);
   switch (message.type) {
     case 'hello':
-      return [type, message.host, message.version, message.records];
+      return [type, message.host, message.version, message.record, message.digests];
     case 'call':
       return [type, message.id, ...callFields(message.call, names)];
     case 'cancel':
@@ -165,6 +181,14 @@
       return [type, message.version];
     case 'config':
       return [type, message.config];
+    case 'records_wanted':
+      return [type, message.zones];
+    case 'erased':
+      return [type, message.hosts];
+    case 'logged':
+      return [type, message.epoch, message.revision];
+    case 'reading':
+      return [type, message.well, message.version, message.digests];
     case 'config_wanted':
     case 'ping':
     case 'pong':
@@ -213,7 +237,13 @@
   }
   switch (type) {
     case 'hello':
-      return { type, host: fields[1] as string, version: fields[2] as number, records: fields[3] as TargetRecord[] };
+      return {
+        type,
+        host: fields[1] as string,
+        version: fields[2] as number,
+        record: fields[3] as TargetRecord,
+        digests: fields[4] as Digests,
+      };
     case 'call':
       return { type, id, call: callFrom(fields, names) };
     case 'cancel':
@@ -232,6 +262,14 @@
       return { type, version: fields[1] as number };
     case 'config':
       return { type, config: fields[1] as MeshConfig };
+    case 'records_wanted':
+      return { type, zones: fields[1] as string[] };
+    case 'erased':
+      return { type, hosts: fields[1] as string[] };
+    case 'logged':
+      return { type, epoch: fields[1] as number, revision: fields[2] as number };
+    case 'reading':
+      return { type, well: fields[1] as boolean, version: fields[2] as number, digests: fields[3] as Digests };
     case 'config_wanted':
     case 'ping':
     case 'pong':
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -14,21 +14,30 @@
 import type { EventLog } from '../app/eventLog.js';
 import type { OfferDone, OfferHandle } from '../app/targetGate.js';
 import { PeerLink } from './peerLink.js';
-import type { PeerCall, PeerMessage } from './peerMessages.js';
+import type { Digests, PeerCall, PeerMessage } from './peerMessages.js';
 
 /** Time for a connection to another host, in milliseconds: far above a round trip within a region. */
 const kConnectMs = 700;
 /** Pause before a lost link is opened again, in milliseconds, at first and at most. */
 const kRedialMs = 100;
 const kMaxRedialMs = 1_600;
-/** Daemons to which links are kept without need; enough for news to reach everybody in a few hops. */
-const kKeptLinks = 16;
+/** Hosts up to which a daemon keeps links to all others: they cost next to nothing, and calls find them open. */
+const kWholeFleet = 17;
+/** Links of a larger fleet that are kept without need: over them a version gets around while the zone's readers are cut off. */
+const kKeptLinks = 6;
 
 /** What the network tells, and asks of, its daemon. */
 export interface PeerNetworkEvents {
   /** A call for the target on this host. */
   onCall(call: PeerCall, done: OfferDone): OfferHandle;
   onRecords(records: TargetRecord[]): void;
+  onErased(hosts: string[]): void;
+  /** The log has the own record up to this one. */
+  onLogged(epoch: number, revision: number): void;
+  /** Another daemon knows this of each zone. */
+  onDigests(digests: Digests, link: PeerLink): void;
+  /** A reader reports whether the log answers it. */
+  onReading(host: string, well: boolean): void;
   /** Another daemon has this version. */
   onVersion(version: number, link: PeerLink): void;
   onConfig(cfg: MeshConfig): void;
@@ -38,6 +47,8 @@
   onReach(host: string, reached: boolean): void;
   /** What this daemon tells first on each link. */
   hello(): Extract<PeerMessage, { type: 'hello' }>;
+  /** Whether a link is of use beyond the calls on it. */
+  wantsLink(record: TargetRecord): boolean;
   config(): MeshConfig | undefined;
 }
 
@@ -125,6 +136,29 @@
     }
   }
 
+  /** Tells the linked daemons of a zone. */
+  sendZone(zone: string, message: PeerMessage): void {
+    for (const [host, link] of this._links) {
+      if (this._directory.get(host)?.zone === zone) {
+        link.send(message);
+      }
+    }
+  }
+
+  /** Tells some linked daemons, drawn anew each time. */
+  sendSome(count: number, message: PeerMessage): void {
+    const links = [...this._links.values()];
+    const from = Math.floor(Math.random() * links.length);
+    for (let i = 0; i < Math.min(count, links.length); i++) {
+      links[(from + i) % links.length]?.send(message);
+    }
+  }
+
+  /** Tells a daemon, if it is linked. */
+  sendTo(host: string, message: PeerMessage): void {
+    this._links.get(host)?.send(message);
+  }
+
   /** Ends all links. */
   close(): void {
     this._server.close();
@@ -240,10 +274,7 @@
   private _take(link: PeerLink, message: PeerMessage): void {
     switch (message.type) {
       case 'hello':
-        this._identify(link, message.host);
-        this._events.onRecords(message.records);
-        this._register(link);
-        this._events.onVersion(message.version, link);
+        this._greet(link, message);
         return;
       case 'call':
         this._takeCall(link, message.id, message.call);
@@ -263,6 +294,20 @@
       case 'records':
         this._events.onRecords(message.records);
         return;
+      case 'records_wanted':
+        link.send({ type: 'records', records: [...this._directory.values()].filter(({ zone }) => message.zones.includes(zone)) });
+        return;
+      case 'erased':
+        this._events.onErased(message.hosts);
+        return;
+      case 'logged':
+        this._events.onLogged(message.epoch, message.revision);
+        return;
+      case 'reading':
+        this._events.onReading(link.host, message.well);
+        this._events.onVersion(message.version, link);
+        this._events.onDigests(message.digests, link);
+        return;
       case 'version':
         this._events.onVersion(message.version, link);
         return;
@@ -278,6 +323,19 @@
     }
   }
 
+  /** A daemon that has started again is told what it said before, as that may still bind its target. */
+  private _greet(link: PeerLink, { host, record, version, digests }: Extract<PeerMessage, { type: 'hello' }>): void {
+    this._identify(link, host);
+    const known = this._directory.get(host);
+    if (known && known.epoch !== record.epoch) {
+      link.send({ type: 'records', records: [known] });
+    }
+    this._events.onRecords([record]);
+    this._register(link);
+    this._events.onVersion(version, link);
+    this._events.onDigests(digests, link);
+  }
+
   /** The other end is who it says it is: addresses of hosts that are gone are given to others. */
   private _identify(link: PeerLink, host: string): void {
     const expected = link.host;
@@ -347,8 +405,9 @@
       link.check();
     }
     let kept = this._links.size;
-    for (const record of this._directory.all()) {
-      const wanted = kept < kKeptLinks || (this._dials.get(record.host)?.failed ?? false);
+    const keptLinks = this._directory.size <= kWholeFleet ? kWholeFleet : kKeptLinks;
+    for (const record of this._directory.values()) {
+      const wanted = kept < keptLinks || (this._dials.get(record.host)?.failed ?? false) || this._events.wantsLink(record);
       if (wanted && record.host !== this._self && record.state !== 'gone' && !this._links.has(record.host)) {
         this._dial(record);
         kept++;
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -33,25 +33,38 @@
   readAnnouncement(method: string, path: string, body: Buffer): Announcement | undefined;
 }
 
-/** Where the operators' configuration comes from. */
-export interface ConfigSource {
-  /** Calls back with each configuration found, in any order, also twice. */
-  watch(onConfig: (cfg: MeshConfig) => void): void;
+/** A topic of the platform's log as one daemon reads it. Each call to the log has its price, so most daemons read now and then. */
+export interface LogView {
+  /** Time of the latest answer of the log, on the monotonic clock; `-Infinity` before the first. */
+  readonly answeredAt: number;
+  /** Whether the latest call had no answer of use. */
+  readonly failing: boolean;
+  /** Begins or ends to wait for records as they come. */
+  follow(on: boolean): void;
+  /** Reads what is there, once; true when the log answered. */
+  look(): Promise<boolean>;
   stop(): void;
 }
 
+/** Where the operators' configuration comes from. */
+export interface ConfigSource extends LogView {
+  /** Sets what is called with each configuration found, in any order, also twice. */
+  onConfig(take: (cfg: MeshConfig) => void): void;
+}
+
 /** A change in the shared records. */
 export type RecordChange = { kind: 'record'; record: TargetRecord } | { kind: 'erased'; host: string };
 
 /** The hosts' records in the platform's log. */
-export interface RecordLog {
-  /** Calls back with what is there, and then with changes; `onRead` after each complete reading. */
-  watch(onChange: (change: RecordChange) => void, onRead: () => void): void;
+export interface RecordLog extends LogView {
+  /** Sets what is called with the changes of one answer, and whether that was a complete reading. */
+  onChanges(take: (changes: RecordChange[], complete: boolean) => void): void;
+  /** Appends records of several hosts, all or none; true once they are durable. Tries once. */
+  append(records: readonly TargetRecord[]): Promise<boolean>;
   /** Writes the record of this host; resolves once it is durable, and gives up when a newer one is published. */
   publish(record: TargetRecord): Promise<boolean>;
   /** Removes the record of this host for good. */
   erase(host: string): Promise<boolean>;
-  stop(): void;
 }
 
 /** The platform as a whole. */
--- a/packages/protocol/src/meshSettingsSchema.ts
+++ b/packages/protocol/src/meshSettingsSchema.ts
@@ -29,7 +29,13 @@
     metrics: addressSchema.optional(),
   }),
   target: z.strictObject({ address: addressSchema, service: z.string().min(1) }),
-  log: z.strictObject({ address: addressSchema }),
+  log: z.strictObject({
+    address: addressSchema,
+    /** Whether the whole deployment starts for the first time: daemons then look one after the other, and find each other. */
+    firstStart: z.boolean().default(false),
+  }),
+  /** Time within which an accepted configuration has to be in force at every daemon, in milliseconds. */
+  inForceMs: z.number().min(500).default(2_000),
   retries: z
     .strictObject({
       /** Repeats per first arrival that a service may get, all daemons together. */
