--- a/packages/mesh/src/app/logDuty.ts
+++ b/packages/mesh/src/app/logDuty.ts
@@ -199,11 +199,11 @@
 
   /** Members take a report for a sign that they need not look, so there is none before the log has answered or failed. */
   private _report(now: number): void {
-    const { configs, directory, sendZone, version } = this._deps;
+    const { configs, directory } = this._deps;
     const known = configs.failing || configs.answeredAt > -Infinity;
     if (known && now - this._reportAt >= this._windowMs / kReportsInWindow) {
       this._reportAt = now;
-      sendZone({ type: 'reading', well: this.answered, version: version(), digests: directory.digests });
+      this._deps.sendZone({ type: 'reading', well: this.answered, version: this._deps.version(), digests: directory.digests });
     }
   }
 
--- a/packages/mesh/src/app/logWriter.ts
+++ b/packages/mesh/src/app/logWriter.ts
@@ -13,28 +13,33 @@
 
 /** Time over which records are gathered for one call, in milliseconds. */
 const kGatherMs = 500;
+/** The same for records that tell nothing new of the target, only what was learned of its calls. */
+const kGatherLearnedMs = 5_000;
 /** Pause after a call that failed, in milliseconds. */
 const kRetryMs = 1_000;
 /** Time after which a host writes its own record when no reader has said that it is in the log, in milliseconds, and its spread. */
 const kOwnWriteMs = 3_000;
 const kOwnWriteSpreadMs = 3_000;
 
-/** What orders the records of a host. */
-type RecordPlace = Pick<TargetRecord, 'host' | 'epoch' | 'revision'>;
+/** What is known of a record in the log; only its order when its host was told that it was written. */
+type LoggedRecord = Pick<TargetRecord, 'host' | 'epoch' | 'revision'> & Partial<Pick<TargetRecord, 'instance' | 'state'>>;
 
 /** Writer of records. */
 export class LogWriter {
-  private readonly _inLog = new Map<string, RecordPlace>();
+  private readonly _inLog = new Map<string, LoggedRecord>();
   /** Whether `_inLog` has all that the log had at some time; what came since comes before anything is written for the zone. */
   private _complete = false;
   private _writing = false;
-  private _notBefore = 0;
+  private _retryAt = 0;
+  /** Since when some record is to be written, and one that tells something new of its target. */
+  private _dueSince: number | undefined;
+  private _changedSince: number | undefined;
   private _ownDue: number | undefined;
 
   constructor(private readonly _deps: LogDutyDeps) {}
 
   /** A record as the log has it. */
-  inLog(record: RecordPlace): void {
+  inLog(record: LoggedRecord): void {
     this._inLog.set(record.host, record);
   }
 
@@ -69,31 +74,40 @@
       return;
     }
     const due = members.filter((record) => this._lacks(record));
-    if (due.length === 0) {
-      this._notBefore = Math.max(this._notBefore, now + kGatherMs);
-      return;
-    }
-    // Alone in its zone, as far as it knows: those that look next should find it.
-    if (now >= this._notBefore || members.length === 1) {
-      this._notBefore = now + kGatherMs;
+    this._dueSince = due.length === 0 ? undefined : (this._dueSince ?? now);
+    this._changedSince = due.some((record) => this._changed(record)) ? (this._changedSince ?? now) : undefined;
+    if (due.length > 0 && now >= this._retryAt && this._gathered(now, members)) {
       void this._write(now, due);
     }
   }
 
+  private _gathered(now: number, members: readonly TargetRecord[]): boolean {
+    // Alone in its zone, as far as it knows: those that look next should find it.
+    const alone = members.length === 1;
+    const changed = this._changedSince !== undefined && now - this._changedSince >= kGatherMs;
+    return alone || changed || now - (this._dueSince ?? now) >= kGatherLearnedMs;
+  }
+
+  private _changed({ host, instance, state }: TargetRecord): boolean {
+    const logged = this._inLog.get(host);
+    return logged?.instance !== instance || logged.state !== state;
+  }
+
   private async _write(now: number, due: readonly TargetRecord[]): Promise<void> {
-    const { records, events, sendTo, settings } = this._deps;
+    const { records, events, settings } = this._deps;
     this._writing = true;
     const durable = await records.append(due);
     this._writing = false;
     if (!durable) {
-      this._notBefore = now + kRetryMs;
+      this._retryAt = now + kRetryMs;
       return;
     }
     events.notable('log', `Wrote ${due.length} records of this zone.`, { hosts: due.map(({ host }) => host) });
-    for (const { host, epoch, revision } of due) {
-      this.inLog({ host, epoch, revision });
+    for (const record of due) {
+      const { host, epoch, revision } = record;
+      this.inLog(record);
       if (host !== settings.id) {
-        sendTo(host, { type: 'logged', epoch, revision });
+        this._deps.sendTo(host, { type: 'logged', epoch, revision });
       }
     }
   }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -18,7 +18,7 @@
 import { Deadlines } from './deadlines.js';
 import type { EventLog } from './eventLog.js';
 import { HostRecords } from './hostRecords.js';
-import { LogDuty } from './logDuty.js';
+import { LogDuty, type LogDutyDeps } from './logDuty.js';
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
@@ -90,21 +90,7 @@
       this._calls.configure(cfg);
       this._spreadVersion(cfg.version);
     }, _events);
-    this._duty = new LogDuty({
-      settings: _settings,
-      directory: this._directory,
-      configs: _platform.configs,
-      records: _platform.records,
-      own: () => this._records.own,
-      version: () => this._configs.version,
-      sendZone: (message) => {
-        this._network.sendZone(_settings.zone, message);
-      },
-      sendTo: (host, message) => {
-        this._network.sendTo(host, message);
-      },
-      events: _events,
-    });
+    this._duty = new LogDuty(this._dutyDeps());
     this._records = new HostRecords({
       settings: _settings,
       gate: () => this._gate,
@@ -227,6 +213,24 @@
     this._calls.check();
   }
 
+  private _dutyDeps(): LogDutyDeps {
+    return {
+      settings: this._settings,
+      directory: this._directory,
+      configs: this._platform.configs,
+      records: this._platform.records,
+      own: () => this._records.own,
+      version: () => this._configs.version,
+      sendZone: (message) => {
+        this._network.sendZone(this._settings.zone, message);
+      },
+      sendTo: (host, message) => {
+        this._network.sendTo(host, message);
+      },
+      events: this._events,
+    };
+  }
+
   private _networkEvents(): PeerNetworkEvents {
     return {
       onCall: (call, done) => this._gate.offer(call, done),
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -8,6 +8,7 @@
 export * from './app/callExchange.js';
 export * from './app/deadlines.js';
 export * from './app/eventLog.js';
+export * from './app/logDuty.js';
 export * from './app/meshDaemon.js';
 export * from './app/runMesh.js';
 export * from './client/peerLink.js';
--- /dev/null
+++ b/tests/membership/readerRank.spec.ts
@@ -0,0 +1,112 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { ReaderRank, type ReaderPlace } from '@gentiandrum/core';
+import { describe, it } from '../support/describe.js';
+
+const kWindowMs = 1_000;
+const kHosts = Array.from({ length: 40 }, (_, i) => ({ host: `host-${i}` }));
+const kUp = (): boolean => false;
+
+/** The ranks of all hosts of one zone, with reports that reach all of them. */
+class Zone {
+  private readonly _ranks = new Map(kHosts.map(({ host }) => [host, new ReaderRank('zone-1', host, kWindowMs)]));
+
+  report(host: string, well: boolean, now: number): void {
+    this._ranks.forEach((rank) => {
+      rank.reported(host, well, now);
+    });
+  }
+
+  place(host: string, now: number, isDown: (host: string) => boolean = kUp): ReaderPlace {
+    const rank = this._ranks.get(host);
+    if (!rank) {
+      throw new Error(`expected a host of the zone, got ${host}`);
+    }
+    return rank.place(kHosts, isDown, now);
+  }
+
+  /** Hosts that take themselves for readers, the first one first. */
+  readers(now: number, isDown: (host: string) => boolean = kUp): string[] {
+    const places = kHosts.map(({ host }) => ({ host, place: this.place(host, now, isDown) }));
+    return places
+      .filter(({ place }) => place.kind === 'reader')
+      .sort((a, b) => Number(b.place.kind === 'reader' && b.place.first) - Number(a.place.kind === 'reader' && a.place.first))
+      .map(({ host }) => host);
+  }
+}
+
+describe('readers of a zone', () => {
+  it('should be the same two hosts at every daemon, and one of them the first', (t) => {
+    const zone = new Zone();
+    const [first = '', second = '', ...more] = zone.readers(0);
+    t.deepEqual(more, []);
+    for (const { host } of kHosts) {
+      const place = zone.place(host, 0);
+      t.deepEqual(place.kind === 'member' ? place.readers : [first, second], [first, second]);
+    }
+  });
+
+  it('should differ from zone to zone', (t) => {
+    const firsts = Array.from(
+      { length: 20 },
+      (_, i) => kHosts.find(({ host }) => new ReaderRank(`zone-${i}`, host, kWindowMs).place(kHosts, kUp, 0).kind === 'reader')?.host,
+    );
+    t.true(new Set(firsts).size > 5);
+  });
+
+  it('should be replaced at once when they can not be reached', (t) => {
+    const zone = new Zone();
+    const [first, second] = zone.readers(0);
+    const isDown = (host: string): boolean => host === first || host === second;
+    const replaced = kHosts.filter(({ host }) => !isDown(host) && zone.place(host, 0, isDown).kind === 'reader');
+    t.is(replaced.length, 2);
+  });
+
+  it('should be replaced when they report nothing for a while, and take their place again when they do', (t) => {
+    const zone = new Zone();
+    const [first = '', second = ''] = zone.readers(0);
+    zone.report(second, true, 900);
+    t.is(zone.readers(900).length, 2);
+    zone.report(second, true, 1_500);
+    t.deepEqual(zone.readers(1_600).filter((host) => host !== first).length, 2);
+    zone.report(first, true, 1_700);
+    t.deepEqual(zone.readers(1_700), [first, second]);
+  });
+
+  it('should be replaced when the log turns them away, by one other each', (t) => {
+    const zone = new Zone();
+    const [first = '', second = ''] = zone.readers(0);
+    zone.report(first, false, 100);
+    const readers = zone.readers(100);
+    t.true(readers.includes(first), 'the one that is turned away goes on trying');
+    t.true(readers.includes(second));
+    t.is(readers.length, 3);
+  });
+
+  it('should not become more than a few when the log answers nobody', (t) => {
+    const zone = new Zone();
+    const tried = new Set<string>();
+    for (let now = 0; now < 60_000; now += 500) {
+      for (const host of zone.readers(now)) {
+        tried.add(host);
+      }
+      tried.forEach((host) => {
+        zone.report(host, false, now);
+      });
+    }
+    t.true(tried.size <= 5, String(tried.size));
+  });
+
+  it('should be told to members by their reports, for the time of one window', (t) => {
+    const rank = new ReaderRank('zone-1', 'host-1', kWindowMs);
+    t.false(rank.served(0));
+    rank.reported('host-2', false, 100);
+    t.false(rank.served(200));
+    rank.reported('host-3', true, 200);
+    t.true(rank.served(1_100));
+    t.false(rank.served(1_300));
+  });
+});
--- /dev/null
+++ b/tests/mesh/logDuty.spec.ts
@@ -0,0 +1,345 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Calls to the platform's log by a zone of daemons, and what reaches them when readers or the log fail. No network: virtual time. */
+
+import { monotonicMs, type TargetRecord, TargetDirectory } from '@gentiandrum/core';
+import { type ConfigSource, EventLog, LogDuty, type PeerMessage, type RecordLog } from '@gentiandrum/mesh';
+import { type MeshSettings, meshSettingsSchema } from '@gentiandrum/protocol';
+import { describe, itAlone } from '../support/describe.js';
+import { VirtualTime } from '../support/virtualTime.js';
+
+const kZone = 'z1';
+const kTickMs = 100;
+const kReadMs = 3_000;
+const kInForceMs = 2_000;
+/** Daemons that one tells of a version that is new to it. */
+const kSpread = 4;
+
+function settingsOf(id: string): MeshSettings {
+  return meshSettingsSchema.parse({
+    id,
+    zone: kZone,
+    listen: { calls: '127.0.0.1:1', peers: '127.0.0.1:2', ready: '127.0.0.1:3', announcements: '127.0.0.1:4' },
+    target: { address: '127.0.0.1:5', service: 'reads' },
+    log: { address: '127.0.0.1:6' },
+    inForceMs: kInForceMs,
+  });
+}
+
+/** The log: how many calls it took, the version of its configuration, and the hosts that it turns away. */
+class FakeLog {
+  calls = 0;
+  appends = 0;
+  version = 1;
+  readonly refused = new Set<string>();
+  readonly written = new Map<string, TargetRecord>();
+}
+
+/** One topic as a daemon reads it: each answered read takes `kReadMs`, and a new version ends it at once. */
+class FakeView {
+  answeredAt = -Infinity;
+  failing = false;
+  following = false;
+  private _nextRead = 0;
+
+  constructor(
+    private readonly _log: FakeLog,
+    private readonly _host: string,
+    private readonly _time: VirtualTime,
+    private readonly _onAnswer: () => void,
+  ) {}
+
+  follow(on: boolean): void {
+    this.following = on;
+  }
+
+  look(): Promise<boolean> {
+    return Promise.resolve(this._call());
+  }
+
+  stop(): void {
+    this.following = false;
+  }
+
+  /** Goes on with a read that waits; called often. */
+  step(): void {
+    if (this.following && this._time.now >= this._nextRead) {
+      this._nextRead = this._time.now + (this._call() ? kReadMs : 1_200);
+    } else if (this.following && !this.failing) {
+      this._onAnswer();
+    }
+  }
+
+  private _call(): boolean {
+    this._log.calls++;
+    this.failing = this._log.refused.has(this._host);
+    if (!this.failing) {
+      this.answeredAt = monotonicMs();
+      this._onAnswer();
+    }
+    return !this.failing;
+  }
+}
+
+class FakeDaemon {
+  readonly directory = new TargetDirectory();
+  readonly duty: LogDuty;
+  readonly configs: FakeView;
+  readonly records: FakeView;
+  version = 0;
+  alive = true;
+
+  constructor(
+    readonly host: string,
+    zone: FakeZone,
+    log: FakeLog,
+    time: VirtualTime,
+  ) {
+    this.configs = new FakeView(log, host, time, () => {
+      this.take(log.version, zone);
+    });
+    this.records = new FakeView(log, host, time, () => undefined);
+    const source: ConfigSource = Object.assign(this.configs, { onConfig: () => undefined });
+    const recordLog: RecordLog = Object.assign(this.records, {
+      onChanges: () => undefined,
+      append: (records: readonly TargetRecord[]) => {
+        log.calls++;
+        log.appends++;
+        records.forEach((record) => log.written.set(record.host, record));
+        return Promise.resolve(!log.refused.has(host));
+      },
+      publish: () => Promise.resolve(true),
+      erase: () => Promise.resolve(true),
+    });
+    this.duty = new LogDuty({
+      settings: settingsOf(host),
+      directory: this.directory,
+      configs: source,
+      records: recordLog,
+      own: () => this.directory.get(host) ?? zone.recordOf(host, 1),
+      version: () => this.version,
+      sendZone: (message) => {
+        zone.deliver(this, message);
+      },
+      sendTo: (to, message) => {
+        zone.deliver(this, message, to);
+      },
+      events: new EventLog(host, 0, 0),
+    });
+  }
+
+  /** Passes a version on that it did not have. */
+  take(version: number, zone: FakeZone): void {
+    if (version > this.version) {
+      this.version = version;
+      zone.spread(this);
+    }
+  }
+}
+
+/** Daemons of one zone, each linked with all others. */
+class FakeZone {
+  readonly log = new FakeLog();
+  readonly daemons: FakeDaemon[];
+  now = 0;
+
+  constructor(
+    count: number,
+    private readonly _time: VirtualTime,
+  ) {
+    this.daemons = Array.from({ length: count }, (_, i) => new FakeDaemon(`host-${i}`, this, this.log, _time));
+    for (const daemon of this.daemons) {
+      this.daemons.forEach(({ host }) => daemon.directory.learn(this.recordOf(host, 1)));
+      daemon.duty.beginReading();
+    }
+  }
+
+  recordOf(host: string, revision: number): TargetRecord {
+    return { host, zone: kZone, peers: '', service: 'reads', instance: `i-${host}`, state: 'ready', slots: 5, epoch: 1, revision };
+  }
+
+  get readers(): FakeDaemon[] {
+    return this.daemons.filter(({ alive, duty }) => alive && duty.reads);
+  }
+
+  /** Ends a daemon without a word; `seen` when the others' connections to it were reset. */
+  kill(daemon: FakeDaemon, seen: boolean): void {
+    daemon.alive = false;
+    if (seen) {
+      this.daemons.forEach(({ duty }) => {
+        duty.reached(daemon.host, false);
+      });
+    }
+  }
+
+  deliver(from: FakeDaemon, message: PeerMessage, to?: string): void {
+    for (const daemon of this.daemons) {
+      if (daemon !== from && daemon.alive && (to === undefined || daemon.host === to)) {
+        this._take(daemon, from, message);
+      }
+    }
+  }
+
+  /** Tells the daemons that come next of a version. */
+  spread(from: FakeDaemon): void {
+    const at = this.daemons.indexOf(from);
+    for (let i = 1; i <= kSpread; i++) {
+      const to = this.daemons[(at + i * i) % this.daemons.length];
+      if (to?.alive) {
+        to.take(from.version, this);
+      }
+    }
+  }
+
+  /** Lets time go on; promises settle between the ticks. */
+  async run(ms: number): Promise<void> {
+    const end = this.now + ms;
+    while (this.now < end) {
+      this.now += kTickMs;
+      this._time.runUntil(this.now);
+      for (const daemon of this.daemons.filter(({ alive }) => alive)) {
+        daemon.duty.check();
+        daemon.configs.step();
+        daemon.records.step();
+      }
+      await new Promise(setImmediate);
+    }
+  }
+
+  private _take(daemon: FakeDaemon, from: FakeDaemon, message: PeerMessage): void {
+    switch (message.type) {
+      case 'reading':
+        daemon.duty.reported(from.host, message.well);
+        daemon.take(message.version, this);
+        return;
+      case 'logged':
+        daemon.duty.ownLogged(message.epoch, message.revision);
+        return;
+      default:
+    }
+  }
+}
+
+async function withZone(count: number, body: (zone: FakeZone) => Promise<void>): Promise<void> {
+  const time = new VirtualTime();
+  try {
+    const zone = new FakeZone(count, time);
+    await zone.run(3_000);
+    await body(zone);
+  } finally {
+    time.restore();
+  }
+}
+
+describe('the calls of a zone to the log', () => {
+  itAlone('should hardly grow with its hosts', async (t) => {
+    const calls: number[] = [];
+    for (const count of [10, 40]) {
+      await withZone(count, async (zone) => {
+        zone.log.calls = 0;
+        await zone.run(30_000);
+        calls.push(zone.log.calls);
+      });
+    }
+    const [few = 0, many = 0] = calls;
+    t.true(few <= 35, String(few));
+    t.true(many <= few + 5, String(many));
+  });
+
+  itAlone('should bring the records of all hosts in a few appends, and say so to the hosts', (t) =>
+    withZone(40, async (zone) => {
+      await zone.run(10_000);
+      t.is(zone.log.written.size, 40);
+      t.true(zone.log.appends <= 3, String(zone.log.appends));
+    }),
+  );
+
+  itAlone('should stay few while the log answers nobody', (t) =>
+    withZone(40, async (zone) => {
+      zone.daemons.forEach(({ host }) => zone.log.refused.add(host));
+      await zone.run(5_000);
+      zone.log.calls = 0;
+      await zone.run(20_000);
+      // 200 of readers that go on trying, and 39 members that look less and less often.
+      t.true(zone.log.calls <= 260, String(zone.log.calls));
+    }),
+  );
+});
+
+describe('a new version', () => {
+  /** Longest time until every living daemon has it, in milliseconds. */
+  async function spreadMs(zone: FakeZone): Promise<number> {
+    const from = zone.now;
+    zone.log.version++;
+    while (zone.daemons.some(({ alive, version }) => alive && version < zone.log.version)) {
+      await zone.run(kTickMs);
+      if (zone.now - from > 20_000) {
+        return Infinity;
+      }
+    }
+    return zone.now - from;
+  }
+
+  itAlone('should reach all while all is well, though most read nothing', (t) =>
+    withZone(40, async (zone) => {
+      t.is(zone.readers.length, 2);
+      t.true((await spreadMs(zone)) <= 700);
+    }),
+  );
+
+  itAlone('should be in time when one reader is killed or freezes', async (t) => {
+    for (const seen of [true, false]) {
+      await withZone(40, async (zone) => {
+        const [reader] = zone.readers;
+        if (reader) {
+          zone.kill(reader, seen);
+        }
+        t.true((await spreadMs(zone)) < kInForceMs);
+      });
+    }
+  });
+
+  itAlone('should be in time when both readers are killed, and when both freeze', async (t) => {
+    for (const seen of [true, false]) {
+      await withZone(40, async (zone) => {
+        zone.readers.forEach((reader) => {
+          zone.kill(reader, seen);
+        });
+        t.true((await spreadMs(zone)) < kInForceMs);
+      });
+    }
+  });
+
+  itAlone('should be in time when the log turns the readers away, and a third of the others', (t) =>
+    withZone(40, async (zone) => {
+      zone.readers.forEach(({ host }) => zone.log.refused.add(host));
+      zone.daemons.filter((_, i) => i % 3 === 0).forEach(({ host }) => zone.log.refused.add(host));
+      await zone.run(4_000);
+      t.true((await spreadMs(zone)) < kInForceMs);
+    }),
+  );
+
+  itAlone('should reach all within seconds once the log is back', (t) =>
+    withZone(40, async (zone) => {
+      zone.daemons.forEach(({ host }) => zone.log.refused.add(host));
+      await zone.run(15_000);
+      zone.log.refused.clear();
+      t.true((await spreadMs(zone)) <= 2_500);
+    }),
+  );
+});
+
+describe('a record that no reader writes', () => {
+  itAlone('should be written by its own host', (t) =>
+    withZone(10, async (zone) => {
+      await zone.run(5_000);
+      const lone = zone.daemons.find(({ duty }) => !duty.reads);
+      lone?.directory.learn(zone.recordOf(lone.host, 2));
+      await zone.run(8_000);
+      t.is(zone.log.written.get(lone?.host ?? '')?.revision, 2);
+    }),
+  );
+});
