--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -37,6 +37,8 @@
  * the time that a change of a level takes to show; on one timer, as waking up costs more than the look.
  */
 const kTickMs = 100;
+/** The same while no call is under way: waking up is half of what an idle daemon costs. */
+const kIdleTickMs = 200;
 /**
  * How often what was learned of chains is compared with the record of this host, in milliseconds. Daemons that started together do
  * so together, and their records are read at once.
@@ -155,9 +157,7 @@
     });
     this._records.start();
     this._duty.start();
-    this._tickTimer = setInterval(() => {
-      this._tick();
-    }, kTickMs);
+    this._tickLater(kTickMs);
     this._learnedTimer = setInterval(() => {
       this._records.tellLearned();
     }, kLearnedMs);
@@ -192,7 +192,7 @@
   close(): void {
     this._records.stop();
     this._duty.stop();
-    clearInterval(this._tickTimer);
+    clearTimeout(this._tickTimer);
     clearInterval(this._totalsTimer);
     clearInterval(this._learnedTimer);
     this._platform.configs.stop();
@@ -205,8 +205,16 @@
     this._gate.close();
   }
 
-  private _tick(): void {
-    this._gate.check(kTickMs);
+  private _tickLater(ms: number): void {
+    const startedAt = monotonicMs();
+    this._tickTimer = setTimeout(() => {
+      this._tick(monotonicMs() - startedAt);
+      this._tickLater(this._calls.inFlight + this._gate.pending > 0 ? kTickMs : kIdleTickMs);
+    }, ms);
+  }
+
+  private _tick(elapsedMs: number): void {
+    this._gate.check(elapsedMs);
     this._duty.check();
     this._network.check();
     this._deadlines.check();
@@ -333,7 +341,13 @@
 
   private async _logTotals(): Promise<void> {
     const totals = await this._metrics.totals();
-    this._events.notable('calls', 'Totals since the start.', { ...totals, gate: this._gate.state, configVersion: this._configs.version });
+    this._events.notable('calls', 'Totals since the start.', {
+      ...totals,
+      gate: this._gate.state,
+      configVersion: this._configs.version,
+      logCalls: Object.fromEntries(this._platform.logCalls()),
+      reads: this._duty.reads,
+    });
   }
 
   private _view(): MetricsView {
@@ -349,6 +363,8 @@
       configAge: this._configs.ageSeconds,
       inFlight: this._calls.inFlight,
       omittedLines: this._events.omitted,
+      logCalls: this._platform.logCalls(),
+      reads: this._duty.reads,
     };
   }
 
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -23,6 +23,10 @@
   configAge: number;
   /** Requests without an answer at this ingress. */
   inFlight: number;
+  /** Calls made to the platform's log, by kind. */
+  logCalls: ReadonlyMap<string, number>;
+  /** Whether this daemon follows the log for its zone. */
+  reads: boolean;
   /** Log lines left out since the start. */
   omittedLines: number;
 }
@@ -106,7 +110,7 @@
   /** Everything as text. */
   async text(): Promise<string> {
     this._handOver();
-    const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines } = this._view();
+    const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines, logCalls, reads } = this._view();
     const values: [string, number][] = [
       ['gate_in_flight', gate.inFlight],
       ['gate_queued', gate.queued],
@@ -118,6 +122,8 @@
       ['config_age_seconds', configAge],
       ['requests_in_flight', inFlight],
       ['log_lines_omitted', omittedLines],
+      ['reads_log', reads ? 1 : 0],
+      ...[...logCalls].map(([kind, count]): [string, number] => [`log_calls_${kind}`, count]),
       ...[...hosts].map(([state, count]): [string, number] => [`hosts_${state}`, count]),
     ];
     this._gauge.reset();
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -72,4 +72,6 @@
   dialect: Dialect;
   configs: ConfigSource;
   records: RecordLog;
+  /** Calls made to the log since the start, by kind; each has its price. */
+  logCalls(): ReadonlyMap<string, number>;
 }
