--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -142,6 +142,11 @@
     return this._network.reachable;
   }
 
+  /** Whether a record of a host is known. */
+  knows(host: string): boolean {
+    return this._directory.get(host) !== undefined;
+  }
+
   /** Listens, and begins to learn. */
   async start(): Promise<void> {
     const { listen } = this._settings;
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -128,6 +128,11 @@
     return this._start(settings, target, place, options.beat !== false);
   }
 
+  /** Starts the daemon of a host that was prepared; its target says nothing yet. */
+  async startPrepared({ settings, target, host }: PreparedHost): Promise<FleetHost> {
+    return this._start(settings, target, host, false);
+  }
+
   /** Starts a daemon again where it was, beside the same target, which says nothing yet. */
   async restart({ settings, target, ...place }: FleetHost): Promise<FleetHost> {
     return this._start(settings, target, place, false);
