--- a/packages/core/src/membership/targetDirectory.ts
+++ b/packages/core/src/membership/targetDirectory.ts
@@ -5,7 +5,7 @@
 
 /** What a daemon believes of all hosts: the latest record of each, whichever way it came. */
 
-import { createHash } from 'node:crypto';
+import { hashText } from '../util/hashText.js';
 import { isLaterRecord, type TargetRecord } from './targetRecord.js';
 
 const kNone: readonly TargetRecord[] = [];
@@ -103,7 +103,7 @@
   private _countIn(record: TargetRecord | undefined): void {
     if (record && record.state !== 'gone') {
       const { host, zone, epoch, revision } = record;
-      const hash = createHash('sha1').update(`${host}\0${epoch}\0${revision}`).digest().readUInt32BE(0);
+      const hash = hashText(`${host}\0${epoch}\0${revision}`);
       this._digests.set(zone, ((this._digests.get(zone) ?? 0) ^ hash) >>> 0);
     }
   }
--- a/packages/core/src/util/rendezvous.ts
+++ b/packages/core/src/util/rendezvous.ts
@@ -8,7 +8,7 @@
  * no other host's rank.
  */
 
-import { createHash } from 'node:crypto';
+import { hashText } from './hashText.js';
 
 /** Ranks hosts for one key; keeps their weights, as hashing takes ten times as long as comparing. */
 export class RendezvousRank {
@@ -27,7 +27,7 @@
   private _weightOf(host: string): number {
     let weight = this._weights.get(host);
     if (weight === undefined) {
-      weight = createHash('sha1').update(`${this._key}\0${host}`).digest().readUInt32BE(0);
+      weight = hashText(`${this._key}\0${host}`);
       this._weights.set(host, weight);
     }
     return weight;
--- a/packages/mesh/src/app/logDuty.ts
+++ b/packages/mesh/src/app/logDuty.ts
@@ -21,7 +21,7 @@
  */
 const kWindowShare = 0.5;
 /** Reports of a reader in that time. */
-const kReportsInWindow = 3;
+const kReportsInWindow = 2;
 /** Age of the latest answer from which on the log counts as silent, in milliseconds: the longest read and the time for its answer. */
 const kSilentLogMs = 5_500;
 /** Pause between two own looks while no reader is known, as multiples of the window; doubled while the log does not answer. */
--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -43,9 +43,13 @@
   format: 'cjs',
   alias: {
     undici: './utils/leanUndici.cjs',
+    'prom-client': './utils/leanPromClient.cjs',
+    // Optional native code for long texts: daemons' messages are short, and loading it takes as long as loading the bundle.
+    'msgpackr-extract': './utils/absentModule.cjs',
+    // undici's client of HTTP/2, which the log does not speak.
+    'node:http2': './utils/absentHttp2.cjs',
     'undici/lib/llhttp/llhttp-wasm.js': './node_modules/undici/lib/llhttp/llhttp-wasm.js',
   },
-  external: ['msgpackr-extract'],
   logLevel: 'warning',
 });
 copyFileSync(`${kRoot}/utils/startBundle.cjs`, `${kRoot}/target/gentiandrumd.cjs`);
