--- a/bench/arrival/main.ts
+++ b/bench/arrival/main.ts
@@ -29,7 +29,7 @@
 /** Ticks of the processor clock in one second, as Linux counts them for processes. */
 const kTicksPerSecond = 100;
 /** Flags of the runtime to try, in place of those of the deploy file. */
-const kFlags = process.env.ARRIVAL_NODE_FLAGS?.split(' ') ?? ['--max-semi-space-size=2', '--liftoff-only'];
+const kFlags = process.env.ARRIVAL_NODE_FLAGS?.split(' ') ?? ['--max-semi-space-size=2', '--liftoff-only', '--no-memory-reducer'];
 const kProfileOption = process.argv.indexOf('--profile');
 const kProfileDir = kProfileOption < 0 ? undefined : process.argv[kProfileOption + 1];
 
--- /dev/null
+++ b/packages/mesh/src/client/peerDialer.ts
@@ -0,0 +1,134 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Opens connections to other daemons: one try at a time for each host, with growing pauses after failures. */
+
+import { connect, type Socket } from 'node:net';
+import type { TargetRecord } from '@gentiandrum/core';
+import { splitAddress } from '../app/addresses.js';
+import type { PeerLink } from './peerLink.js';
+
+/** Time for a connection to another host, in milliseconds: far above a round trip within a region. */
+const kConnectMs = 700;
+/** Pause before a lost link is opened again, in milliseconds, at first and at most. */
+const kRedialMs = 100;
+const kMaxRedialMs = 1_600;
+
+/** Called with the link once it is open, or with nothing when it could not be opened. */
+export type LinkUse = (link: PeerLink | undefined) => void;
+
+/** What the dialer tells its owner. */
+export interface PeerDialerEvents {
+  /** A connection to a host was opened; returns the link over it. */
+  onOpen(host: string, socket: Socket): PeerLink;
+  /** A host could not be reached; returns a link to it that was opened from the other end meanwhile. */
+  onFailed(host: string, reason: string): PeerLink | undefined;
+}
+
+interface Dial {
+  socket: Socket | undefined;
+  notBefore: number;
+  pauseMs: number;
+  /** Whether the last try failed; such a host is tried again until it answers, as calls avoid it meanwhile. */
+  failed: boolean;
+  waiting: LinkUse[];
+}
+
+/** Dialer of one daemon. */
+export class PeerDialer {
+  private readonly _dials = new Map<string, Dial>();
+
+  constructor(private readonly _events: PeerDialerEvents) {}
+
+  /** Whether the latest try to reach a host failed. */
+  failed(host: string): boolean {
+    return this._dials.get(host)?.failed ?? false;
+  }
+
+  /** Begins to open a link, unless that failed a moment ago. */
+  dial(record: TargetRecord): void {
+    this._begin(record);
+  }
+
+  /** The same, and calls back with the link. */
+  dialFor(record: TargetRecord, use: LinkUse): void {
+    const dial = this._begin(record);
+    if (dial.socket) {
+      dial.waiting.push(use);
+    } else {
+      use(undefined);
+    }
+  }
+
+  /** Ends all tries. */
+  close(): void {
+    for (const dial of this._dials.values()) {
+      dial.socket?.destroy();
+    }
+  }
+
+  private _begin(record: TargetRecord): Dial {
+    const dial = this._of(record.host);
+    if (!dial.socket && performance.now() >= dial.notBefore) {
+      this._connect(record, dial);
+    }
+    return dial;
+  }
+
+  private _of(host: string): Dial {
+    let dial = this._dials.get(host);
+    if (!dial) {
+      dial = { socket: undefined, notBefore: 0, pauseMs: kRedialMs, failed: false, waiting: [] };
+      this._dials.set(host, dial);
+    }
+    return dial;
+  }
+
+  private _connect(record: TargetRecord, dial: Dial): void {
+    const socket = connect(splitAddress(record.peers));
+    dial.socket = socket;
+    const timer = setTimeout(() => {
+      fail(`no connection within ${kConnectMs} ms`);
+    }, kConnectMs);
+    const fail = (reason: string): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      this._fail(record.host, dial, reason);
+    };
+    const onError = (err: Error): void => {
+      fail(err.message);
+    };
+    socket.once('error', onError);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', onError);
+      this._open(record.host, dial, socket);
+    });
+  }
+
+  private _open(host: string, dial: Dial, socket: Socket): void {
+    dial.socket = undefined;
+    dial.pauseMs = kRedialMs;
+    dial.failed = false;
+    const link = this._events.onOpen(host, socket);
+    dial.waiting.splice(0).forEach((use) => {
+      use(link);
+    });
+  }
+
+  private _fail(host: string, dial: Dial, reason: string): void {
+    if (!dial.socket) {
+      return;
+    }
+    dial.socket = undefined;
+    dial.failed = true;
+    dial.notBefore = performance.now() + dial.pauseMs * (0.75 + Math.random() / 2);
+    dial.pauseMs = Math.min(kMaxRedialMs, dial.pauseMs * 2);
+    const link = this._events.onFailed(host, reason);
+    dial.waiting.splice(0).forEach((use) => {
+      use(link);
+    });
+  }
+}
