--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -8,7 +8,7 @@
  */
 
 import { createServer, type Server, type Socket } from 'node:net';
-import type { TargetDirectory, TargetRecord } from '@gentiandrum/core';
+import { RendezvousRank, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
@@ -56,6 +56,10 @@
   private readonly _calls: PeerCalls;
   private readonly _dialer: PeerDialer;
   private readonly _server: Server;
+  private readonly _rank: RendezvousRank;
+  /** Hosts that links are kept to without need, and how many hosts were known when they were chosen. */
+  private _kept = new Set<string>();
+  private _ranked = 0;
 
   constructor(
     private readonly _self: string,
@@ -63,6 +67,7 @@
     private readonly _events: PeerNetworkEvents,
     private readonly _log: EventLog,
   ) {
+    this._rank = new RendezvousRank(_self);
     this._calls = new PeerCalls((call, done) => _events.onCall(call, done));
     this._dialer = new PeerDialer({
       onOpen: (host, socket) => this._dialed(host, socket),
@@ -278,14 +283,25 @@
     for (const link of this._all) {
       link.check();
     }
-    let kept = this._links.size;
-    const keptLinks = this._directory.size <= kWholeFleet ? kWholeFleet : kKeptLinks;
+    this._rankKept();
     for (const record of this._directory.values()) {
-      const wanted = kept < keptLinks || this._dialer.failed(record.host) || this._events.wantsLink(record);
-      if (wanted && record.host !== this._self && record.state !== 'gone' && !this._links.has(record.host)) {
+      const { host, state } = record;
+      const wanted = this._kept.has(host) || this._dialer.failed(host) || this._events.wantsLink(record);
+      if (wanted && host !== this._self && state !== 'gone' && !this._links.has(host)) {
         this._dialer.dial(record);
-        kept++;
       }
     }
   }
+
+  /** Ranked by the own name: if all kept links to the hosts that they knew first, those few would have one to everybody. */
+  private _rankKept(): void {
+    const { size } = this._directory;
+    if (size === this._ranked) {
+      return;
+    }
+    this._ranked = size;
+    const hosts = this._rank.order([...this._directory.values()].filter(({ host, state }) => host !== this._self && state !== 'gone'));
+    const count = size <= kWholeFleet ? hosts.length : kKeptLinks;
+    this._kept = new Set(hosts.slice(0, count).map(({ host }) => host));
+  }
 }
