--- a/packages/mesh/src/app/logDuty.ts
+++ b/packages/mesh/src/app/logDuty.ts
@@ -31,6 +31,11 @@
 const kRecordsAgeMs = 4_000;
 /** Time over which the first looks of a new deployment are spread, in milliseconds: each then finds those before it in the log. */
 const kFirstLooksMs = 1_500;
+/**
+ * Time after the start of a new deployment in which nobody reads for others, in milliseconds: as long as each daemon knows only those
+ * that looked before it, half of them would take themselves for readers.
+ */
+const kFirstDutyMs = 2_000;
 /** Pause before a first look is repeated that had no answer, in milliseconds, at first and at most. */
 const kRetryLookMs = 200;
 const kMaxRetryLookMs = 1_600;
@@ -58,6 +63,7 @@
   private readonly _down = new Set<string>();
   private _place: ReaderPlace = { kind: 'member', readers: [], ahead: [] };
   private _looked = false;
+  private _dutyFrom = 0;
   private _lookTimer: NodeJS.Timeout | undefined;
   private _reportAt = 0;
   private _lookAt: number | undefined;
@@ -86,8 +92,9 @@
 
   /** Begins with one look at the hosts' records. */
   start(): void {
-    const delay = this._deps.settings.log.firstStart ? Math.random() * kFirstLooksMs : 0;
-    this._firstLook(delay, kRetryLookMs);
+    const { firstStart } = this._deps.settings.log;
+    this._dutyFrom = firstStart ? monotonicMs() + kFirstDutyMs : 0;
+    this._firstLook(firstStart ? Math.random() * kFirstLooksMs : 0, kRetryLookMs);
   }
 
   /** Ends timers. */
@@ -155,6 +162,13 @@
     }
     const now = monotonicMs();
     this._takePlace(now);
+    const members = this._members();
+    if (now < this._dutyFrom) {
+      // Alone in its zone, as far as it knows: those that look next should find it.
+      this._writer.check(now, members.length === 1, members);
+      return;
+    }
+    this._follow();
     if (this._place.kind === 'reader') {
       this._report(now);
     } else {
@@ -166,7 +180,7 @@
     }
     this._news.clear();
     this._erased.clear();
-    this._writer.check(now, first, this._members());
+    this._writer.check(now, first, members);
   }
 
   private _firstLook(delayMs: number, retryMs: number): void {
@@ -189,12 +203,14 @@
   private _takePlace(now: number): void {
     const before = this._place;
     this._place = this._rank.place(this._members(), (host) => this._down.has(host), now);
-    const first = this._place.kind === 'reader' && this._place.first;
     if (before.kind !== this._place.kind) {
       this._deps.events.notable('log', this.reads ? 'Follows the log for its zone.' : 'Leaves the log to other readers of its zone.');
     }
+  }
+
+  private _follow(): void {
     this._deps.configs.follow(this.reads);
-    this._deps.records.follow(first);
+    this._deps.records.follow(this._place.kind === 'reader' && this._place.first);
   }
 
   /** Members take a report for a sign that they need not look, so there is none before the log has answered or failed. */
--- a/packages/mesh/src/app/logWriter.ts
+++ b/packages/mesh/src/app/logWriter.ts
@@ -82,7 +82,6 @@
   }
 
   private _gathered(now: number, members: readonly TargetRecord[]): boolean {
-    // Alone in its zone, as far as it knows: those that look next should find it.
     const alone = members.length === 1;
     const changed = this._changedSince !== undefined && now - this._changedSince >= kGatherMs;
     return alone || changed || now - (this._dueSince ?? now) >= kGatherLearnedMs;
