--- a/packages/mesh/src/app/logDuty.ts
+++ b/packages/mesh/src/app/logDuty.ts
@@ -64,6 +64,7 @@
   private _place: ReaderPlace = { kind: 'member', readers: [], ahead: [] };
   private _looked = false;
   private _dutyFrom = 0;
+  private _follows = false;
   private _lookTimer: NodeJS.Timeout | undefined;
   private _reportAt = 0;
   private _lookAt: number | undefined;
@@ -201,14 +202,14 @@
   }
 
   private _takePlace(now: number): void {
-    const before = this._place;
     this._place = this._rank.place(this._members(), (host) => this._down.has(host), now);
-    if (before.kind !== this._place.kind) {
-      this._deps.events.notable('log', this.reads ? 'Follows the log for its zone.' : 'Leaves the log to other readers of its zone.');
-    }
   }
 
   private _follow(): void {
+    if (this._follows !== this.reads) {
+      this._follows = this.reads;
+      this._deps.events.notable('log', this.reads ? 'Follows the log for its zone.' : 'Leaves the log to other readers of its zone.');
+    }
     this._deps.configs.follow(this.reads);
     this._deps.records.follow(this._place.kind === 'reader' && this._place.first);
   }
--- a/tests/mesh/logDuty.spec.ts
+++ b/tests/mesh/logDuty.spec.ts
@@ -18,13 +18,13 @@
 /** Daemons that one tells of a version that is new to it. */
 const kSpread = 4;
 
-function settingsOf(id: string): MeshSettings {
+function settingsOf(id: string, firstStart: boolean): MeshSettings {
   return meshSettingsSchema.parse({
     id,
     zone: kZone,
     listen: { calls: '127.0.0.1:1', peers: '127.0.0.1:2', ready: '127.0.0.1:3', announcements: '127.0.0.1:4' },
     target: { address: '127.0.0.1:5', service: 'reads' },
-    log: { address: '127.0.0.1:6' },
+    log: { address: '127.0.0.1:6', firstStart },
     inForceMs: kInForceMs,
   });
 }
@@ -115,7 +115,7 @@
       erase: () => Promise.resolve(true),
     });
     this.duty = new LogDuty({
-      settings: settingsOf(host),
+      settings: settingsOf(host, zone.firstStart),
       directory: this.directory,
       configs: source,
       records: recordLog,
@@ -149,10 +149,12 @@
   constructor(
     count: number,
     private readonly _time: VirtualTime,
+    readonly firstStart = false,
   ) {
     this.daemons = Array.from({ length: count }, (_, i) => new FakeDaemon(`host-${i}`, this, this.log, _time));
     for (const daemon of this.daemons) {
       this.daemons.forEach(({ host }) => daemon.directory.learn(this.recordOf(host, 1)));
+      daemon.duty.start();
       daemon.duty.beginReading();
     }
   }
@@ -229,11 +231,32 @@
     const zone = new FakeZone(count, time);
     await zone.run(3_000);
     await body(zone);
+    zone.daemons.forEach(({ duty }) => {
+      duty.stop();
+    });
   } finally {
     time.restore();
   }
 }
 
+describe('the first start of a deployment', () => {
+  itAlone('should have nobody read for others while hosts are still finding each other', async (t) => {
+    const time = new VirtualTime();
+    try {
+      const zone = new FakeZone(40, time, true);
+      await zone.run(1_900);
+      t.false(zone.daemons.some(({ configs, records }) => configs.following || records.following));
+      await zone.run(1_000);
+      t.is(zone.daemons.filter(({ configs }) => configs.following).length, 2);
+      zone.daemons.forEach(({ duty }) => {
+        duty.stop();
+      });
+    } finally {
+      time.restore();
+    }
+  });
+});
+
 describe('the calls of a zone to the log', () => {
   itAlone('should hardly grow with its hosts', async (t) => {
     const calls: number[] = [];
