--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -9,7 +9,7 @@
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { RecordChange, RecordLog } from '../ports.js';
 import type { EventLog } from './eventLog.js';
-import type { LogDuty } from './logDuty.js';
+import type { LogFollower } from './logFollower.js';
 import type { TargetGate } from './targetGate.js';
 
 /** Longest wait at a start for what others remember of this host's target, in milliseconds. */
@@ -25,7 +25,7 @@
   placement: Placement;
   chains: ChainModel;
   log: RecordLog;
-  duty: () => LogDuty;
+  follower: () => LogFollower;
   /** Tells linked daemons. */
   broadcast(record: TargetRecord): void;
   events: EventLog;
@@ -101,7 +101,7 @@
   private async _publish(record: TargetRecord): Promise<boolean> {
     const durable = await this._deps.log.publish(record);
     if (durable) {
-      this._deps.duty().ownLogged(record.epoch, record.revision);
+      this._deps.follower().ownLogged(record.epoch, record.revision);
     }
     return durable;
   }
@@ -130,7 +130,7 @@
   /** Forgets hosts whose records were removed from the log. */
   erase(hosts: readonly string[]): void {
     for (const host of hosts) {
-      this._deps.duty().erased(host, false);
+      this._deps.follower().erased(host, false);
       this._forget(host);
     }
   }
@@ -143,7 +143,7 @@
 
   private _takeChanges(changes: RecordChange[], complete: boolean): void {
     if (complete) {
-      this._deps.duty().beginReading();
+      this._deps.follower().beginReading();
     }
     for (const change of changes) {
       this._takeChange(change);
@@ -154,10 +154,10 @@
   }
 
   private _takeChange(change: RecordChange): void {
-    const { settings, duty } = this._deps;
+    const { settings, follower } = this._deps;
     switch (change.kind) {
       case 'record':
-        duty().inLog(change.record);
+        follower().inLog(change.record);
         if (change.record.host === settings.id) {
           this._takeOwn(change.record);
         } else {
@@ -165,7 +165,7 @@
         }
         return;
       case 'erased':
-        duty().erased(change.host, true);
+        follower().erased(change.host, true);
         this._forget(change.host);
     }
   }
@@ -177,7 +177,7 @@
     if (!directory.learn(record)) {
       return;
     }
-    this._deps.duty().learned(record);
+    this._deps.follower().updated(record);
     const replaced = before?.instance !== record.instance;
     if (before && replaced) {
       placement.forget(record.host);
--- a/packages/mesh/src/app/logDuty.ts
+++ b/packages/mesh/src/app/logFollower.ts
@@ -17,31 +17,31 @@
 
 /**
  * Share of the time for a configuration to be in force after which a reader without a report is passed over: what is left is for
- * the own look, two answers of the log and the way to the others.
+ * the own poll, two answers of the log and the way to the others.
  */
 const kWindowShare = 0.5;
 /** Reports of a reader in that time. */
 const kReportsInWindow = 2;
 /** Age of the latest answer from which on the log counts as silent, in milliseconds: the longest read and the time for its answer. */
 const kSilentLogMs = 5_500;
-/** Pause between two own looks while no reader is known, as multiples of the window; doubled while the log does not answer. */
-const kLookSpread = 0.3;
-const kMaxLookMs = 8_000;
-/** Age of the records known from which on an own look reads them too, in milliseconds. */
+/** Pause between two own polls while no reader is known, as multiples of the window; doubled while the log does not answer. */
+const kPollSpread = 0.3;
+const kMaxPollMs = 8_000;
+/** Age of the records known from which on an own poll reads them too, in milliseconds. */
 const kRecordsAgeMs = 4_000;
-/** Time over which the first looks of a new deployment are spread, in milliseconds: each then finds those before it in the log. */
-const kFirstLooksMs = 1_500;
+/** Time over which the first reads of a new deployment are spread, in milliseconds: each then finds those before it in the log. */
+const kFirstReadsMs = 1_500;
 /**
  * Time after the start of a new deployment in which nobody reads for others, in milliseconds: as long as each daemon knows only those
- * that looked before it, half of them would take themselves for readers.
+ * that read before it, half of them would take themselves for readers.
  */
-const kFirstDutyMs = 2_000;
-/** Pause before a first look is repeated that had no answer, in milliseconds, at first and at most. */
-const kRetryLookMs = 200;
-const kMaxRetryLookMs = 1_600;
+const kFirstActiveMs = 2_000;
+/** Pause before a first read is repeated that had no answer, in milliseconds, at first and at most. */
+const kRetryReadMs = 200;
+const kMaxRetryReadMs = 1_600;
 
-/** What the duty uses of its daemon. */
-export interface LogDutyDeps {
+/** What the follower uses of its daemon. */
+export interface LogFollowerDeps {
   settings: MeshSettings;
   directory: TargetDirectory;
   configs: ConfigSource;
@@ -55,27 +55,27 @@
   events: EventLog;
 }
 
-/** The duty of one daemon towards the log. */
-export class LogDuty {
+/** The part of one daemon in reading and writing the log. */
+export class LogFollower {
   private readonly _rank: ReaderRank;
   private readonly _windowMs: number;
   private readonly _writer: LogWriter;
   private readonly _down = new Set<string>();
   private _place: ReaderPlace = { kind: 'member', readers: [], ahead: [] };
-  private _looked = false;
-  private _dutyFrom = 0;
+  private _hasRead = false;
+  private _activeFrom = 0;
   private _follows = false;
-  private _lookTimer: NodeJS.Timeout | undefined;
+  private _readTimer: NodeJS.Timeout | undefined;
   private _reportAt = 0;
-  private _lookAt: number | undefined;
-  private _lookMs: number;
-  private _news = new Map<string, TargetRecord>();
+  private _pollAt: number | undefined;
+  private _pollMs: number;
+  private _updates = new Map<string, TargetRecord>();
   private _erased = new Set<string>();
 
-  constructor(private readonly _deps: LogDutyDeps) {
+  constructor(private readonly _deps: LogFollowerDeps) {
     const { settings } = _deps;
     this._windowMs = settings.inForceMs * kWindowShare;
-    this._lookMs = this._windowMs;
+    this._pollMs = this._windowMs;
     this._rank = new ReaderRank(settings.zone, settings.id, this._windowMs);
     this._writer = new LogWriter(_deps);
   }
@@ -91,20 +91,20 @@
     return !configs.failing && monotonicMs() - configs.answeredAt < kSilentLogMs;
   }
 
-  /** Begins with one look at the hosts' records. */
+  /** Begins with one reading of the hosts' records. */
   start(): void {
     const { firstStart } = this._deps.settings.log;
-    this._dutyFrom = firstStart ? monotonicMs() + kFirstDutyMs : 0;
-    this._firstLook(firstStart ? Math.random() * kFirstLooksMs : 0, kRetryLookMs);
+    this._activeFrom = firstStart ? monotonicMs() + kFirstActiveMs : 0;
+    this._firstRead(firstStart ? Math.random() * kFirstReadsMs : 0, kRetryReadMs);
   }
 
   /** Ends timers. */
   stop(): void {
-    clearTimeout(this._lookTimer);
-    this._looked = false;
+    clearTimeout(this._readTimer);
+    this._hasRead = false;
   }
 
-  /** Whether a link to a host is of use for the duty. */
+  /** Whether a link to a host is of use for following the log, or for those that do. */
   wantsLink({ host, zone }: TargetRecord): boolean {
     if (zone !== this._deps.settings.zone) {
       return false;
@@ -126,15 +126,15 @@
     }
   }
 
-  /** A record that this daemon did not have; the first reader passes it on to its zone. */
-  learned(record: TargetRecord): void {
-    this._news.set(record.host, record);
+  /** A record that this daemon did not have; the first reader relays it to its zone. */
+  updated(record: TargetRecord): void {
+    this._updates.set(record.host, record);
   }
 
-  /** A host whose record was removed from the log; `passOn` when the log itself said so. */
-  erased(host: string, passOn: boolean): void {
+  /** A host whose record was removed from the log; `relay` when the log itself said so. */
+  erased(host: string, relay: boolean): void {
     this._writer.erased(host);
-    if (passOn) {
+    if (relay) {
       this._erased.add(host);
     }
   }
@@ -147,7 +147,7 @@
   /** A complete reading of the records begins; its records follow. */
   beginReading(): void {
     this._writer.beginReading();
-    this._looked = true;
+    this._hasRead = true;
   }
 
   /** A reader says that the log has the own record. */
@@ -158,14 +158,14 @@
 
   /** Takes up, goes on with and ends what is due; called a few times a second. */
   check(): void {
-    if (!this._looked) {
+    if (!this._hasRead) {
       return;
     }
     const now = monotonicMs();
     this._takePlace(now);
     const members = this._members();
-    if (now < this._dutyFrom) {
-      // Alone in its zone, as far as it knows: those that look next should find it.
+    if (now < this._activeFrom) {
+      // Alone in its zone, as far as it knows: those that read next should find it.
       this._writer.check(now, members.length === 1, members);
       return;
     }
@@ -173,24 +173,24 @@
     if (this._place.kind === 'reader') {
       this._report(now);
     } else {
-      this._lookWithoutReader(now);
+      this._pollWithoutReader(now);
     }
     const first = this._place.kind === 'reader' && this._place.first;
     if (first) {
-      this._passOn();
+      this._relay();
     }
-    this._news.clear();
+    this._updates.clear();
     this._erased.clear();
     this._writer.check(now, first, members);
   }
 
-  private _firstLook(delayMs: number, retryMs: number): void {
-    this._lookTimer = setTimeout(() => {
-      void this._deps.records.look().then((answered) => {
-        if (!answered && !this._looked) {
-          // Others may have told everything meanwhile; then the duty begins without the log.
-          this._looked = this._deps.directory.size > 1;
-          this._firstLook(retryMs, Math.min(kMaxRetryLookMs, retryMs * 2));
+  private _firstRead(delayMs: number, retryMs: number): void {
+    this._readTimer = setTimeout(() => {
+      void this._deps.records.readNewest().then((answered) => {
+        if (!answered && !this._hasRead) {
+          // Other daemons may have sent everything meanwhile; then this one goes on without the log.
+          this._hasRead = this._deps.directory.size > 1;
+          this._firstRead(retryMs, Math.min(kMaxRetryReadMs, retryMs * 2));
         }
       });
     }, delayMs);
@@ -214,7 +214,7 @@
     this._deps.records.follow(this._place.kind === 'reader' && this._place.first);
   }
 
-  /** Members take a report for a sign that they need not look, so there is none before the log has answered or failed. */
+  /** Members take a report for a sign that they need not poll, so there is none before the log has answered or failed. */
   private _report(now: number): void {
     const { configs, directory } = this._deps;
     const known = configs.failing || configs.answeredAt > -Infinity;
@@ -224,35 +224,35 @@
     }
   }
 
-  private _passOn(): void {
-    if (this._news.size > 0) {
-      this._deps.sendZone({ type: 'records', records: [...this._news.values()] });
+  private _relay(): void {
+    if (this._updates.size > 0) {
+      this._deps.sendZone({ type: 'records', records: [...this._updates.values()] });
     }
     if (this._erased.size > 0) {
       this._deps.sendZone({ type: 'erased', hosts: [...this._erased] });
     }
   }
 
-  private _lookWithoutReader(now: number): void {
+  private _pollWithoutReader(now: number): void {
     if (this._rank.served(now)) {
-      this._lookMs = this._windowMs;
-      this._lookAt = now + this._windowMs * Math.random() * kLookSpread;
+      this._pollMs = this._windowMs;
+      this._pollAt = now + this._windowMs * Math.random() * kPollSpread;
       return;
     }
-    this._lookAt ??= now + this._windowMs * Math.random() * kLookSpread;
-    if (now < this._lookAt + this._lookMs) {
+    this._pollAt ??= now + this._windowMs * Math.random() * kPollSpread;
+    if (now < this._pollAt + this._pollMs) {
       return;
     }
-    this._lookAt = now + this._lookMs * Math.random() * kLookSpread;
-    void this._look();
+    this._pollAt = now + this._pollMs * Math.random() * kPollSpread;
+    void this._pollOnce();
   }
 
-  private async _look(): Promise<void> {
+  private async _pollOnce(): Promise<void> {
     const { configs, records } = this._deps;
-    const answered = await configs.look();
+    const answered = await configs.readNewest();
     if (answered && monotonicMs() - records.answeredAt > kRecordsAgeMs) {
-      await records.look();
+      await records.readNewest();
     }
-    this._lookMs = answered ? this._windowMs : Math.min(kMaxLookMs, this._lookMs * 2);
+    this._pollMs = answered ? this._windowMs : Math.min(kMaxPollMs, this._pollMs * 2);
   }
 }
--- a/packages/mesh/src/app/logWriter.ts
+++ b/packages/mesh/src/app/logWriter.ts
@@ -9,7 +9,7 @@
  */
 
 import { isLaterRecord, type TargetRecord } from '@gentiandrum/core';
-import type { LogDutyDeps } from './logDuty.js';
+import type { LogFollowerDeps } from './logFollower.js';
 
 /** Time over which records are gathered for one call, in milliseconds. */
 const kGatherMs = 500;
@@ -36,7 +36,7 @@
   private _changedSince: number | undefined;
   private _ownDue: number | undefined;
 
-  constructor(private readonly _deps: LogDutyDeps) {}
+  constructor(private readonly _deps: LogFollowerDeps) {}
 
   /** A record as the log has it. */
   inLog(record: LoggedRecord): void {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -18,7 +18,7 @@
 import { Deadlines } from './deadlines.js';
 import type { EventLog } from './eventLog.js';
 import { HostRecords } from './hostRecords.js';
-import { LogDuty, type LogDutyDeps } from './logDuty.js';
+import { LogFollower, type LogFollowerDeps } from './logFollower.js';
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
@@ -60,7 +60,7 @@
   private readonly _chains = new ChainModel();
   private readonly _configs: ConfigHolder;
   private readonly _records: HostRecords;
-  private readonly _duty: LogDuty;
+  private readonly _follower: LogFollower;
   private readonly _gate: TargetGate;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
@@ -92,7 +92,7 @@
       this._calls.configure(cfg);
       this._spreadVersion(cfg.version);
     }, _events);
-    this._duty = new LogDuty(this._dutyDeps());
+    this._follower = new LogFollower(this._followerDeps());
     this._records = new HostRecords({
       settings: _settings,
       gate: () => this._gate,
@@ -100,7 +100,7 @@
       placement: this._placement,
       chains: this._chains,
       log: _platform.records,
-      duty: () => this._duty,
+      follower: () => this._follower,
       broadcast: (record) => {
         this._network.broadcast({ type: 'records', records: [record] });
       },
@@ -161,7 +161,7 @@
       this._configs.take(cfg, 'log');
     });
     this._records.start();
-    this._duty.start();
+    this._follower.start();
     this._tickLater(kTickMs);
     this._learnedTimer = setInterval(() => {
       this._records.tellLearned();
@@ -196,7 +196,7 @@
   /** Ends timers and connections. */
   close(): void {
     this._records.stop();
-    this._duty.stop();
+    this._follower.stop();
     clearTimeout(this._tickTimer);
     clearInterval(this._totalsTimer);
     clearInterval(this._learnedTimer);
@@ -220,13 +220,13 @@
 
   private _tick(elapsedMs: number): void {
     this._gate.check(elapsedMs);
-    this._duty.check();
+    this._follower.check();
     this._network.check();
     this._deadlines.check();
     this._calls.check();
   }
 
-  private _dutyDeps(): LogDutyDeps {
+  private _followerDeps(): LogFollowerDeps {
     return {
       settings: this._settings,
       directory: this._directory,
@@ -251,7 +251,7 @@
         this._records.take(records);
       },
       onVersion: (version, link) => {
-        this._configs.hear(version, this._duty.reads, () => {
+        this._configs.hear(version, this._follower.reads, () => {
           link.send({ type: 'config_wanted' });
         });
       },
@@ -259,13 +259,13 @@
         this._records.erase(hosts);
       },
       onLogged: (epoch, revision) => {
-        this._duty.ownLogged(epoch, revision);
+        this._follower.ownLogged(epoch, revision);
       },
       onDigests: (digests, link) => {
         this._compare(digests, link);
       },
       onReading: (host, well) => {
-        this._duty.reported(host, well);
+        this._follower.reported(host, well);
       },
       onConfig: (cfg) => {
         this._configs.take(cfg, 'peer');
@@ -283,7 +283,7 @@
         record: this._records.own,
         digests: this._directory.digests,
       }),
-      wantsLink: (record) => this._duty.wantsLink(record),
+      wantsLink: (record) => this._follower.wantsLink(record),
       config: () => this._configs.config,
     };
   }
@@ -351,7 +351,7 @@
       gate: this._gate.state,
       configVersion: this._configs.version,
       logCalls: Object.fromEntries(this._platform.logCalls()),
-      reads: this._duty.reads,
+      reads: this._follower.reads,
     });
   }
 
@@ -369,13 +369,13 @@
       inFlight: this._calls.inFlight,
       omittedLines: this._events.omitted,
       logCalls: this._platform.logCalls(),
-      reads: this._duty.reads,
+      reads: this._follower.reads,
     };
   }
 
   /** Readers tell their whole zone, others a few: those may be in reach of daemons that no reader reaches. */
   private _spreadVersion(version: number): void {
-    if (this._duty.reads) {
+    if (this._follower.reads) {
       this._network.sendZone(this._settings.zone, { type: 'version', version });
     }
     this._network.sendSome(kSpread, { type: 'version', version });
@@ -393,7 +393,7 @@
   }
 
   private _hearReach(host: string, reached: boolean): void {
-    this._duty.reached(host, reached);
+    this._follower.reached(host, reached);
     if (reached) {
       this._placement.reached(host);
     } else {
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -185,7 +185,7 @@
   private _take(link: PeerLink, message: PeerMessage): void {
     switch (message.type) {
       case 'hello':
-        this._greet(link, message);
+        this._takeHello(link, message);
         return;
       case 'call':
         this._calls.take(link, message.id, message.call);
@@ -235,7 +235,7 @@
   }
 
   /** A daemon that has started again is told what it said before, as that may still bind its target. */
-  private _greet(link: PeerLink, { host, record, version, digests }: Extract<PeerMessage, { type: 'hello' }>): void {
+  private _takeHello(link: PeerLink, { host, record, version, digests }: Extract<PeerMessage, { type: 'hello' }>): void {
     this._identify(link, host);
     const known = this._directory.get(host);
     if (known && known.epoch !== record.epoch) {
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -42,7 +42,7 @@
   /** Begins or ends to wait for records as they come. */
   follow(on: boolean): void;
   /** Reads what is there, once; true when the log answered. */
-  look(): Promise<boolean>;
+  readNewest(): Promise<boolean>;
   stop(): void;
 }
 
--- a/packages/protocol/src/meshSettingsSchema.ts
+++ b/packages/protocol/src/meshSettingsSchema.ts
@@ -31,7 +31,7 @@
   target: z.strictObject({ address: addressSchema, service: z.string().min(1) }),
   log: z.strictObject({
     address: addressSchema,
-    /** Whether the whole deployment starts for the first time: daemons then look one after the other, and find each other. */
+    /** Whether the whole deployment starts for the first time: daemons then read the log one after the other, and find each other. */
     firstStart: z.boolean().default(false),
   }),
   /** Time within which an accepted configuration has to be in force at every daemon, in milliseconds. */
--- a/tests/mesh/logDuty.spec.ts
+++ b/tests/mesh/logFollower.spec.ts
@@ -6,7 +6,7 @@
 /** Calls to the platform's log by a zone of daemons, and what reaches them when readers or the log fail. No network: virtual time. */
 
 import { monotonicMs, type TargetRecord, TargetDirectory } from '@gentiandrum/core';
-import { type ConfigSource, EventLog, LogDuty, type PeerMessage, type RecordLog } from '@gentiandrum/mesh';
+import { type ConfigSource, EventLog, LogFollower, type PeerMessage, type RecordLog } from '@gentiandrum/mesh';
 import { type MeshSettings, meshSettingsSchema } from '@gentiandrum/protocol';
 import { describe, itAlone } from '../support/describe.js';
 import { VirtualTime } from '../support/virtualTime.js';
@@ -56,7 +56,7 @@
     this.following = on;
   }
 
-  look(): Promise<boolean> {
+  readNewest(): Promise<boolean> {
     return Promise.resolve(this._call());
   }
 
@@ -86,7 +86,7 @@
 
 class FakeDaemon {
   readonly directory = new TargetDirectory();
-  readonly duty: LogDuty;
+  readonly follower: LogFollower;
   readonly configs: FakeView;
   readonly records: FakeView;
   version = 0;
@@ -114,7 +114,7 @@
       publish: () => Promise.resolve(true),
       erase: () => Promise.resolve(true),
     });
-    this.duty = new LogDuty({
+    this.follower = new LogFollower({
       settings: settingsOf(host, zone.firstStart),
       directory: this.directory,
       configs: source,
@@ -154,8 +154,8 @@
     this.daemons = Array.from({ length: count }, (_, i) => new FakeDaemon(`host-${i}`, this, this.log, _time));
     for (const daemon of this.daemons) {
       this.daemons.forEach(({ host }) => daemon.directory.learn(this.recordOf(host, 1)));
-      daemon.duty.start();
-      daemon.duty.beginReading();
+      daemon.follower.start();
+      daemon.follower.beginReading();
     }
   }
 
@@ -164,15 +164,15 @@
   }
 
   get readers(): FakeDaemon[] {
-    return this.daemons.filter(({ alive, duty }) => alive && duty.reads);
+    return this.daemons.filter(({ alive, follower }) => alive && follower.reads);
   }
 
   /** Ends a daemon without a word; `seen` when the others' connections to it were reset. */
   kill(daemon: FakeDaemon, seen: boolean): void {
     daemon.alive = false;
     if (seen) {
-      this.daemons.forEach(({ duty }) => {
-        duty.reached(daemon.host, false);
+      this.daemons.forEach(({ follower }) => {
+        follower.reached(daemon.host, false);
       });
     }
   }
@@ -203,7 +203,7 @@
       this.now += kTickMs;
       this._time.runUntil(this.now);
       for (const daemon of this.daemons.filter(({ alive }) => alive)) {
-        daemon.duty.check();
+        daemon.follower.check();
         daemon.configs.step();
         daemon.records.step();
       }
@@ -214,11 +214,11 @@
   private _take(daemon: FakeDaemon, from: FakeDaemon, message: PeerMessage): void {
     switch (message.type) {
       case 'reading':
-        daemon.duty.reported(from.host, message.well);
+        daemon.follower.reported(from.host, message.well);
         daemon.take(message.version, this);
         return;
       case 'logged':
-        daemon.duty.ownLogged(message.epoch, message.revision);
+        daemon.follower.ownLogged(message.epoch, message.revision);
         return;
       default:
     }
@@ -231,8 +231,8 @@
     const zone = new FakeZone(count, time);
     await zone.run(3_000);
     await body(zone);
-    zone.daemons.forEach(({ duty }) => {
-      duty.stop();
+    zone.daemons.forEach(({ follower }) => {
+      follower.stop();
     });
   } finally {
     time.restore();
@@ -248,8 +248,8 @@
       t.false(zone.daemons.some(({ configs, records }) => configs.following || records.following));
       await zone.run(1_000);
       t.is(zone.daemons.filter(({ configs }) => configs.following).length, 2);
-      zone.daemons.forEach(({ duty }) => {
-        duty.stop();
+      zone.daemons.forEach(({ follower }) => {
+        follower.stop();
       });
     } finally {
       time.restore();
@@ -359,7 +359,7 @@
   itAlone('should be written by its own host', (t) =>
     withZone(10, async (zone) => {
       await zone.run(5_000);
-      const lone = zone.daemons.find(({ duty }) => !duty.reads);
+      const lone = zone.daemons.find(({ follower }) => !follower.reads);
       lone?.directory.learn(zone.recordOf(lone.host, 2));
       await zone.run(8_000);
       t.is(zone.log.written.get(lone?.host ?? '')?.revision, 2);
