--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -8,8 +8,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
-import type { PeerLink } from '../client/peerLink.js';
-import type { Digests, PeerCall } from '../client/peerMessages.js';
+import type { PeerCall } from '../client/peerMessages.js';
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
 import type { Platform } from '../ports.js';
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
@@ -20,6 +19,7 @@
 import { HostRecords } from './hostRecords.js';
 import { LogFollower, type LogFollowerDeps } from './logFollower.js';
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
+import { RecordSync } from './recordSync.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
 
 /** Longest time for which the answer to a leaving target waits until others know of it, in milliseconds: below one second. */
@@ -48,14 +48,13 @@
 const kTotalsMs = 10_000;
 /** Daemons that one which reads nothing itself tells of a new version. */
 const kSpread = 4;
-/** Shortest time between two requests for records that others know differently, in milliseconds. */
-const kCompareMs = 2_000;
 /** Connections to a target until its service's limit is known. */
 const kAssumedConnections = 100;
 
 /** One routing daemon. */
 export class MeshDaemon {
   private readonly _directory = new TargetDirectory();
+  private readonly _sync = new RecordSync(this._directory);
   private readonly _placement: Placement;
   private readonly _chains = new ChainModel();
   private readonly _configs: ConfigHolder;
@@ -69,7 +68,6 @@
   private readonly _ready: HostServer;
   private readonly _announcements: HostServer;
   private _stopping = false;
-  private _comparedAt = -Infinity;
   private readonly _deadlines = new Deadlines();
   private _tickTimer: NodeJS.Timeout | undefined;
   private _totalsTimer: NodeJS.Timeout | undefined;
@@ -262,7 +260,7 @@
         this._follower.ownLogged(epoch, revision);
       },
       onDigests: (digests, link) => {
-        this._compare(digests, link);
+        this._sync.compare(digests, link);
       },
       onReading: (host, well) => {
         this._follower.reported(host, well);
@@ -381,17 +379,6 @@
     this._network.sendSome(kSpread, { type: 'version', version });
   }
 
-  /** Asks for the records of the zones that another daemon knows differently, but not of every daemon that does. */
-  private _compare(digests: Digests, link: PeerLink): void {
-    const own = this._directory.digests;
-    const zones = [...new Set([...Object.keys(digests), ...Object.keys(own)])].filter((zone) => (digests[zone] ?? 0) !== (own[zone] ?? 0));
-    const now = monotonicMs();
-    if (zones.length > 0 && now - this._comparedAt > kCompareMs) {
-      this._comparedAt = now;
-      link.send({ type: 'records_wanted', zones });
-    }
-  }
-
   private _hearReach(host: string, reached: boolean): void {
     this._follower.reached(host, reached);
     if (reached) {
--- /dev/null
+++ b/packages/mesh/src/app/recordSync.ts
@@ -0,0 +1,39 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Finds out that another daemon knows other records, by one number a zone, and asks it for those zones. */
+
+import { monotonicMs, type TargetDirectory } from '@gentiandrum/core';
+import type { PeerLink } from '../client/peerLink.js';
+import type { Digests } from '../client/peerMessages.js';
+
+/** Shortest time between two requests, in milliseconds: records on their way make digests differ for a moment at every daemon. */
+const kRequestMs = 2_000;
+
+/** Keeps the records of one daemon like those of others. */
+export class RecordSync {
+  private _requestedAt = -Infinity;
+
+  constructor(private readonly _directory: TargetDirectory) {}
+
+  /** Takes the digests of the daemon at the other end of a link. */
+  compare(digests: Digests, link: PeerLink): void {
+    const now = monotonicMs();
+    if (now - this._requestedAt <= kRequestMs) {
+      return;
+    }
+    const zones = this._differing(digests);
+    if (zones.length > 0) {
+      this._requestedAt = now;
+      link.send({ type: 'records_wanted', zones });
+    }
+  }
+
+  private _differing(digests: Digests): string[] {
+    const own = this._directory.digests;
+    const zones = new Set([...Object.keys(digests), ...Object.keys(own)]);
+    return [...zones].filter((zone) => (digests[zone] ?? 0) !== (own[zone] ?? 0));
+  }
+}
