--- /dev/null
+++ b/tests/platform/topicReader.spec.ts
@@ -0,0 +1,103 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** The records of hosts in the store, as a daemon reads and writes them: each call has its price. */
+
+import type { TargetRecord } from '@gentiandrum/core';
+import { EventLog, type RecordChange } from '@gentiandrum/mesh';
+import { StoreClient, StoredRecords } from '@gentiandrum/platform';
+import { describe, itAlone } from '../support/describe.js';
+import { StoreStandin } from './storeStandin.js';
+
+const kTopic = 'keyed.gentiandrum-hosts';
+const kLookMs = 10;
+const kWaitMs = 10_000;
+
+function recordOf(host: string, revision = 1): TargetRecord {
+  return { host, zone: 'z1', peers: '127.0.0.1:1', service: 's', instance: `i-${host}`, state: 'ready', slots: 5, epoch: 1, revision };
+}
+
+async function withRecords(body: (store: StoreStandin, records: StoredRecords, seen: RecordChange[]) => Promise<void>): Promise<void> {
+  const store = new StoreStandin();
+  const client = new StoreClient(await store.start());
+  const records = new StoredRecords(client, new EventLog('h1', 0, 0));
+  const seen: RecordChange[] = [];
+  records.onChanges((changes) => seen.push(...changes));
+  try {
+    await body(store, records, seen);
+  } finally {
+    records.stop();
+    store.close();
+    await client.close();
+  }
+}
+
+async function until(what: string, holds: () => boolean): Promise<void> {
+  const end = performance.now() + kWaitMs;
+  while (!holds()) {
+    if (performance.now() > end) {
+      throw new Error(`expected ${what}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, kLookMs));
+  }
+}
+
+describe('records in the store', () => {
+  itAlone('should be appended together in one call, and read back whole', (t) =>
+    withRecords(async (store, records, seen) => {
+      t.true(await records.append([recordOf('h1'), recordOf('h2'), recordOf('h3')]));
+      t.is(store.calls, 1);
+      t.true(await records.readNewest());
+      t.is(store.calls, 2);
+      t.deepEqual(
+        seen.map((change) => (change.kind === 'record' ? change.record : undefined)),
+        [recordOf('h1'), recordOf('h2'), recordOf('h3')],
+      );
+    }),
+  );
+
+  itAlone('should not be called for while nobody asks', (t) =>
+    withRecords(async (store, records) => {
+      await records.readNewest();
+      store.put(kTopic, 'h1', JSON.stringify(recordOf('h1')));
+      t.is(store.calls, 1);
+      t.false(records.failing);
+    }),
+  );
+
+  itAlone('should be read once for several that ask at the same time', (t) =>
+    withRecords(async (store, records) => {
+      t.deepEqual(await Promise.all([records.readNewest(), records.readNewest(), records.readNewest()]), [true, true, true]);
+      t.is(store.calls, 1);
+    }),
+  );
+
+  itAlone('should come while they are followed, those of the time before the first read included', (t) =>
+    withRecords(async (store, records, seen) => {
+      store.put(kTopic, 'h1', JSON.stringify(recordOf('h1')));
+      records.follow(true);
+      await until('the first record', () => seen.length === 1);
+      store.put(kTopic, 'h2', JSON.stringify(recordOf('h2')));
+      await until('the second record', () => seen.length === 2);
+      store.put(kTopic, 'h1', '');
+      await until('the erasure', () => seen.length === 3);
+      t.deepEqual(seen.at(-1), { kind: 'erased', host: 'h1' });
+    }),
+  );
+
+  itAlone('should be known to fail, and to be answered again', (t) =>
+    withRecords(async (store, records) => {
+      store.mode = 'busy';
+      t.false(await records.readNewest());
+      t.true(records.failing);
+      t.is(records.answeredAt, -Infinity);
+      t.false(await records.append([recordOf('h1')]));
+      store.mode = 'serving';
+      t.true(await records.readNewest());
+      t.false(records.failing);
+      t.true(records.answeredAt > 0);
+    }),
+  );
+});
