--- a/packages/mesh/src/app/logFollower.ts
+++ b/packages/mesh/src/app/logFollower.ts
@@ -24,8 +24,9 @@
 const kReportsInWindow = 2;
 /** Age of the latest answer from which on the log counts as silent, in milliseconds: the longest read and the time for its answer. */
 const kSilentLogMs = 5_500;
-/** Pause between two own polls while no reader is known, as multiples of the window; doubled while the log does not answer. */
+/** Spread of the own polls while no reader is known, as a share of the pause between two of them: members should not poll together. */
 const kPollSpread = 0.3;
+/** Longest pause between two own polls, in milliseconds; it begins at the window, and is doubled while the log does not answer. */
 const kMaxPollMs = 8_000;
 /** Age of the records known from which on an own poll reads them too, in milliseconds. */
 const kRecordsAgeMs = 4_000;
@@ -60,15 +61,19 @@
   private readonly _rank: ReaderRank;
   private readonly _windowMs: number;
   private readonly _writer: LogWriter;
+  /** Hosts that can't be reached from here. */
   private readonly _down = new Set<string>();
   private _place: ReaderPlace = { kind: 'member', readers: [], ahead: [] };
   private _hasRead = false;
+  /** Until then this daemon only makes itself known. */
   private _activeFrom = 0;
   private _follows = false;
   private _readTimer: NodeJS.Timeout | undefined;
   private _reportAt = 0;
+  /** From when on the pause until the next own poll counts. */
   private _pollAt: number | undefined;
   private _pollMs: number;
+  /** What the next relay to the zone carries. */
   private _updates = new Map<string, TargetRecord>();
   private _erased = new Set<string>();
 
@@ -162,8 +167,8 @@
       return;
     }
     const now = monotonicMs();
-    this._takePlace(now);
     const members = this._members();
+    this._place = this._rank.place(members, (host) => this._down.has(host), now);
     if (now < this._activeFrom) {
       // Alone in its zone, as far as it knows: those that read next should find it.
       this._writer.check(now, members.length === 1, members);
@@ -201,10 +206,6 @@
     return [...directory.values()].filter(({ zone, state }) => zone === settings.zone && state !== 'gone');
   }
 
-  private _takePlace(now: number): void {
-    this._place = this._rank.place(this._members(), (host) => this._down.has(host), now);
-  }
-
   private _follow(): void {
     if (this._follows !== this.reads) {
       this._follows = this.reads;
