A target that takes no connections is unreachable in its record; limits are read when used, and refusals for want of room raise the level

Cause: eight hosts of 71 whose targets had crashed stayed ready in every record, 300 offers a second went there in vain, each of them an attempt of its request; and the limit on connections was taken once, before the configuration was known, so that a gate let 120 calls in where its client opened 100 connections and answered the rest as not run, with its level at 0. Change: TargetReach (a refused connection outweighs heartbeats, probes with backoff), a record state, vain offers with a bound of their own, gates of the dead last; limit of a gate is the lesser of slots and connections at the time of use; refusals for want of room beyond a tenth raise the level whatever the slots show. Ruled out: heartbeats as proof of life, as late ones come after a crash.

--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -29,6 +29,15 @@
 const kLeastShare = 0.25;
 /** Largest excess that counts either way, so that a short rush doesn't close everything. */
 const kMaxExcess = 0.7;
+/**
+ * Share of arrivals that may be refused for want of room while the level stays as it is. Beyond it the level rises by the excess, however
+ * little work the slots seem to have: without this a limit that no slot shows (100 connections where 120 calls were let in) had a
+ * service refuse six calls of ten for the rest of a day with its level at 0.
+ */
+const kToleratedRefusals = 0.1;
+/** Time in which the weight of an arrival in that share is halved, in milliseconds, and the fewest arrivals that it is told from. */
+const kRefusalHalfLifeMs = 500;
+const kLeastArrivals = 5;
 /** Weight of the newest call in the mean time that calls may wait. */
 const kToleratedWeight = 0.02;
 
@@ -38,6 +47,8 @@
   private _workMs = 0;
   private _toleratedMs = 0;
   private _waitMs = 0;
+  private _arrivals = 0;
+  private _refused = 0;
 
   /** The level as of the last step. */
   get current(): number {
@@ -46,6 +57,7 @@
 
   /** Notes a call that came; `toleratedMs` is the time that it may wait. */
   came(toleratedMs: number): void {
+    this._arrivals++;
     this._toleratedMs += (toleratedMs - this._toleratedMs) * (this._toleratedMs === 0 ? 1 : kToleratedWeight);
   }
 
@@ -54,16 +66,31 @@
     this._workMs += ms;
   }
 
+  /** Notes a call that the gate could not start; `ms` is the work that it would have been, as for {@link work}. */
+  refused(ms: number): void {
+    this._refused++;
+    this.work(ms);
+  }
+
   /** Steers over the time since the last step; `waitMs` is the time that a call at the end of the queue would wait. */
   step(waitMs: number, elapsedMs: number): void {
     const offered = (this._workMs + waitMs - this._waitMs) / elapsedMs;
     const aimedMs = this._toleratedMs * kAimedWaitShare;
     const wait = aimedMs > 0 ? Math.min(kMaxWait, waitMs / aimedMs) : 0;
     const excess = offered - 1 + kWaitWeight * (wait - 1);
-    const bounded = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess));
+    const bounded = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess, this._refusalExcess(elapsedMs)));
     const gain = kGain * Math.max(kLeastShare, 1 - this._level);
     this._level = Math.min(1, Math.max(0, this._level + (gain * bounded * elapsedMs) / 1_000));
     this._workMs = 0;
     this._waitMs = waitMs;
   }
+
+  /** Share of lately refused arrivals beyond the tolerated one; `-Infinity` when there is none. */
+  private _refusalExcess(elapsedMs: number): number {
+    const share = this._arrivals >= kLeastArrivals ? this._refused / this._arrivals : 0;
+    const retained = 0.5 ** (elapsedMs / kRefusalHalfLifeMs);
+    this._arrivals *= retained;
+    this._refused *= retained;
+    return share > kToleratedRefusals ? share - kToleratedRefusals : -Infinity;
+  }
 }
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -22,7 +22,7 @@
 const kColdShares = [0.5, 0.75] as const;
 
 /** Why a gate refuses a call. None of these has run. */
-export type GateRefusal = 'not_accepting' | 'overloaded' | 'repeat_budget' | 'wait_too_long';
+export type GateRefusal = 'not_accepting' | 'unreachable' | 'overloaded' | 'repeat_budget' | 'wait_too_long';
 
 /** A call that asks to be let in. */
 export interface GatedCall {
@@ -43,11 +43,16 @@
   private readonly _queue: T[] = [];
   private readonly _running = new Set<number>();
   private _slots = 0;
-  private _accepting = false;
+  /** Why nothing is taken; undefined while calls are. */
+  private _closedFor: GateRefusal | undefined = 'not_accepting';
   private _meanMs = 0;
   private _warmFrom = 0;
 
-  constructor(private readonly _events: SlotGateEvents<T>) {}
+  /** @param _connections how many connections the target accepts, as known now: each running call takes one */
+  constructor(
+    private readonly _events: SlotGateEvents<T>,
+    private readonly _connections: () => number = () => Infinity,
+  ) {}
 
   /** Calls at the target. */
   get inFlight(): number {
@@ -59,9 +64,9 @@
     return this._queue.length;
   }
 
-  /** Calls that may run at once. */
+  /** Calls that may run at once: no more than there are slots and connections for. */
   get limit(): number {
-    return Math.max(1, Math.floor(this._slots * kUsedSlots * this._coldShare()));
+    return Math.max(1, Math.min(Math.floor(this._slots * kUsedSlots * this._coldShare()), this._connections()));
   }
 
   /** Mean time of a run, in milliseconds; 0 until one ended. */
@@ -73,22 +78,22 @@
   open(slots: number, coldMs: number): void {
     this._slots = slots;
     this._warmFrom = monotonicMs() + coldMs;
-    this._accepting = true;
+    this._closedFor = undefined;
     this._startWaiting();
   }
 
   /** Takes no new calls, and refuses those that wait. What runs is left to end. */
-  close(): void {
-    this._accepting = false;
+  close(reason: GateRefusal = 'not_accepting'): void {
+    this._closedFor = reason;
     for (const call of this._queue.splice(0)) {
-      this._events.onRefuse(call, 'not_accepting');
+      this._events.onRefuse(call, reason);
     }
   }
 
   /** Decides on a call; `started` and `refused` are final, a queued call is reported later. */
   offer(call: T): { kind: 'started' } | { kind: 'queued' } | { kind: 'refused'; reason: GateRefusal } {
-    if (!this._accepting) {
-      return { kind: 'refused', reason: 'not_accepting' };
+    if (this._closedFor) {
+      return { kind: 'refused', reason: this._closedFor };
     }
     if (this._queue.length === 0 && this._running.size < this.limit) {
       this._running.add(call.id);
--- a/packages/core/src/membership/targetLife.ts
+++ b/packages/core/src/membership/targetLife.ts
@@ -8,7 +8,7 @@
  * out of order; what was once said of an instance's end stays true.
  */
 
-import type { TargetIntakeState, TargetRecord } from './targetRecord.js';
+import type { TargetLifeState, TargetRecord } from './targetRecord.js';
 
 /** Instances whose end is remembered; late heartbeats are seconds late, and a host does not see as many targets in that time. */
 const kMaxEnded = 20;
@@ -32,7 +32,7 @@
   slots: number;
   /** How much longer it stays slow after its start, in milliseconds. */
   coldMs: number;
-  state: TargetIntakeState;
+  state: TargetLifeState;
 }
 
 /** Follows one target after another on the same host. */
@@ -68,15 +68,16 @@
   /**
    * Takes what others remember of the target, until it speaks itself; true when it changed anything. A leaving one stays leaving,
    * whoever acknowledged it. A daemon that stops as planned says "unknown" last of a target that is well, so that one is used again;
-   * should it be another instance by now, it refuses what was meant for this one. "Ready" is not believed: the daemon that said so
-   * was killed, and may have acknowledged since that the target leaves, with nobody left who knows.
+   * should it be another instance by now, it refuses what was meant for this one. So is one that took no connections: whether it does
+   * now shows with the first call. "Ready" is not believed: the daemon that said so was killed, and may have acknowledged since that
+   * the target leaves, with nobody left who knows.
    */
   remember({ instance, service, state, slots }: Pick<TargetRecord, 'instance' | 'service' | 'state' | 'slots'>): boolean {
     const other = this._ended.has(instance) || (this._known.instance !== '' && instance !== this._known.instance);
     if (instance === '' || other || state === 'ready') {
       return false;
     }
-    const remembered = state === 'unknown' ? 'ready' : state;
+    const remembered = state === 'unknown' || state === 'unreachable' ? 'ready' : state;
     if (rankOf(remembered) <= rankOf(this._known.state)) {
       return false;
     }
@@ -119,14 +120,14 @@
   }
 
   /** A target's states only go forward. */
-  private _advance(state: TargetIntakeState): void {
+  private _advance(state: TargetLifeState): void {
     if (rankOf(state) > rankOf(this._known.state)) {
       this._known = { ...this._known, state };
     }
   }
 }
 
-function rankOf(state: TargetIntakeState): number {
+function rankOf(state: TargetLifeState): number {
   switch (state) {
     case 'unknown':
       return 0;
--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -7,8 +7,11 @@
 
 import type { LearnedChains } from '../admission/learnedChains.js';
 
-/** Intake of a target: `gone` is final for its instance, `unknown` holds until the target has spoken. */
-export type TargetIntakeState = 'ready' | 'draining' | 'gone' | 'unknown';
+/** Life of a target by its own announcements: `gone` is final for its instance, `unknown` holds until the target has spoken. */
+export type TargetLifeState = 'ready' | 'draining' | 'gone' | 'unknown';
+
+/** Intake of a target as other daemons should see it: `unreachable` while it takes no connections, whatever it announced. */
+export type TargetIntakeState = TargetLifeState | 'unreachable';
 
 /** The record of one host. Only the daemon on that host changes it. */
 export interface TargetRecord {
--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -11,10 +11,15 @@
 
 import type { Route } from '@gentiandrum/protocol';
 import type { TargetRecord } from '../membership/targetRecord.js';
-import type { GateRefusal } from '../admission/slotGate.js';
+import type { NotRunReason } from '../admission/notRunReason.js';
 
 /** Most offers of one request, refusals included: refusals cost little, but not nothing. */
 const kMaxOffers = 4;
+/**
+ * Most offers of one request beyond these that met a gate without a target behind it: such a one says nothing of the others, and with
+ * a tenth of the targets gone a request that counts them has four vain offers one time in ten thousand instead of being served.
+ */
+const kMaxVainOffers = 4;
 
 /** A whole answer of a target. */
 export interface WholeAnswer {
@@ -24,9 +29,6 @@
   body: Buffer;
 }
 
-/** Why a call is known not to have run. */
-export type NotRunReason = GateRefusal | 'target_refused' | 'unreachable' | 'wrong_instance' | 'cancelled';
-
 /** How one offer ended. */
 export type CallEnd =
   | { kind: 'answered'; answer: WholeAnswer }
@@ -65,7 +67,8 @@
   const excluded = new Set<string>();
   let last: RouteEnd = { kind: 'not_run', reason: 'no_target', retryAfterMs: 0 };
   let arrivals = 0;
-  for (let offers = 0; offers < kMaxOffers; offers++) {
+  let vain = 0;
+  for (let offers = 0; offers - vain < kMaxOffers && vain <= kMaxVainOffers; offers++) {
     const target = around.choose(excluded);
     if (!target || (offers > 0 && around.remainingMs() < around.usefulMs())) {
       return last;
@@ -74,6 +77,8 @@
     excluded.add(target.host);
     if (reachedTarget(end)) {
       arrivals++;
+    } else if (isVain(end)) {
+      vain++;
     }
     last = arrivals > 0 ? worse(last, end) : end;
     if (isFinal(end, route, arrivals)) {
@@ -83,6 +88,11 @@
   return last;
 }
 
+/** Whether an offer ended where there is no target to be had, before anything was sent to one. */
+export function isVain(end: CallEnd): boolean {
+  return end.kind === 'not_run' && (end.reason === 'unreachable' || end.reason === 'not_accepting');
+}
+
 function reachedTarget(end: CallEnd): boolean {
   switch (end.kind) {
     case 'answered':
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -17,6 +17,7 @@
   type PlacedRoute,
   type CallEnd,
   type RouteEnd,
+  isVain,
   routeRequest,
   type TargetRecord,
 } from '@gentiandrum/core';
@@ -43,6 +44,8 @@
   deadlines: Deadlines;
   sent(target: TargetRecord, first: boolean): void;
   ended(host: string, route: string, end: PlacedEnd): void;
+  /** A host's gate has no target to offer: others come first for a while. */
+  avoid(host: string): void;
 }
 
 /** A request as the server hands it over. */
@@ -163,8 +166,12 @@
     const answered = end.kind === 'answered';
     this._remember(target, end, report, tookMs);
     const failed = end.kind === 'lost' ? end.reason !== 'cancelled' : answered && end.answer.status >= 500;
-    // A gate that takes nothing, or is another host's by now, says nothing of the target that was meant.
-    const load = report.limit > 0 && !(end.kind === 'not_run' && end.reason === 'not_accepting') ? report : undefined;
+    // A gate that takes nothing, or is another host's by now, says nothing of the target that was meant, and must not look empty.
+    const vain = isVain(end);
+    const load = report.limit > 0 && !vain ? report : undefined;
+    if (vain) {
+      this._deps.avoid(target.host);
+    }
     if (load) {
       this._deps.chains.learn(this._req.route.name, target.host, load);
     }
--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -181,6 +181,8 @@
     const replaced = before?.instance !== record.instance;
     if (before && replaced) {
       placement.forget(record.host);
+    } else if (record.state === 'ready' && before?.state !== 'ready') {
+      placement.reached(record.host);
     }
     // The first records of a start are no changes: one line says how many hosts there are.
     if (before && (replaced || before.state !== record.state)) {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -308,6 +308,9 @@
       ended: (host, route, end) => {
         this._placement.ended(host, route, end);
       },
+      avoid: (host) => {
+        this._placement.avoid(host);
+      },
     };
   }
 
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -16,10 +16,14 @@
   type ChainModel,
   monotonicMs,
   type CallEnd,
+  type ReachEvidence,
   type RepeatBound,
   RepeatBudget,
   SlotGate,
   TargetLife,
+  TargetReach,
+  isWantOfRoom,
+  type NotRunReason,
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { PeerCall } from '../client/peerMessages.js';
@@ -74,6 +78,7 @@
   private readonly _budget: RepeatBudget;
   private _client: TargetClient | undefined;
   private readonly _life: TargetLife;
+  private _reach = new TargetReach();
   private _held = true;
   private _stopping = false;
   private _nextId = 1;
@@ -84,21 +89,28 @@
   constructor(private readonly _deps: TargetGateDeps) {
     this._life = new TargetLife(_deps.address);
     this._budget = new RepeatBudget(_deps.bound);
-    this._gate = new SlotGate<Waiting>({
-      onStart: (waiting) => {
-        this._start(waiting);
-      },
-      onRefuse: (waiting, reason) => {
-        this._noteRefused();
-        this._refuse(waiting, reason);
+    this._gate = new SlotGate<Waiting>(
+      {
+        onStart: (waiting) => {
+          this._start(waiting);
+        },
+        onRefuse: (waiting, reason) => {
+          this._noteRefused(reason);
+          this._refuse(waiting, reason);
+        },
       },
-    });
+      () => _deps.maxConnections(this._life.known.service),
+    );
   }
 
   /** State of the target as other daemons should see it. */
   get view(): Pick<TargetRecord, 'instance' | 'service' | 'state' | 'slots'> {
     const { instance, service, state, slots } = this._life.known;
-    return { instance, service, state: state === 'ready' && (this._held || this._stopping) ? 'unknown' : state, slots };
+    if (state !== 'ready') {
+      return { instance, service, state, slots };
+    }
+    const usable = this._reach.reachable ? 'ready' : 'unreachable';
+    return { instance, service, state: this._held || this._stopping ? 'unknown' : usable, slots };
   }
 
   /** Load and level, for the metrics. */
@@ -122,18 +134,24 @@
 
   /** Takes an announcement of the target; true when it changed anything. */
   announce(word: Announcement): boolean {
-    const before = this._life.known.instance;
-    if (!this._life.announce(word)) {
-      return false;
-    }
-    const { instance, state, slots } = this._life.known;
-    if (instance !== before) {
+    const { instance: before, address } = this._life.known;
+    const changed = this._life.announce(word);
+    const { instance, state, slots, address: addressNow } = this._life.known;
+    if (instance !== before || address !== addressNow) {
       this._client?.close();
       this._client = undefined;
+      this._reach = new TargetReach();
     }
-    this._deps.events.notable('target', `The target is ${state}.`, { instance, state, slots });
-    this._apply();
-    return true;
+    if (word.instance === instance && word.state === 'ready') {
+      this._reach.note('heartbeat', monotonicMs());
+    }
+    // Also when nothing changed that others should know: how long the target stays slow may be told for the first time.
+    this._openOrClose();
+    if (changed) {
+      this._deps.events.notable('target', `The target is ${state}.`, { instance, state, slots });
+      this._deps.onChange();
+    }
+    return changed;
   }
 
   /** Takes what others remember of this host's target. */
@@ -165,6 +183,9 @@
     this._level.step((queued * meanMs) / limit, elapsedMs);
     this._deps.chains.step();
     this._client?.check();
+    if (this._reach.takeProbe(monotonicMs())) {
+      this._client?.probe();
+    }
   }
 
   /** Ends timers and connections. */
@@ -198,7 +219,7 @@
         this._start(waiting);
         break;
       case 'refused':
-        this._noteRefused();
+        this._noteRefused(decision.reason);
         this._refuse(waiting, decision.reason);
         break;
       case 'queued':
@@ -216,9 +237,11 @@
     done(this._refusal(reason), this.report(call.route));
   }
 
-  /** A refused call is work that the target had no slot for. */
-  private _noteRefused(): void {
-    this._level.work(this._gate.meanMs / this._gate.limit);
+  /** A call that could not be started for want of room is work beyond what the target can do. */
+  private _noteRefused(reason: NotRunReason): void {
+    if (isWantOfRoom(reason)) {
+      this._level.refused(this._gate.meanMs / this._gate.limit);
+    }
   }
 
   private _expireLater(): void {
@@ -253,14 +276,38 @@
   }
 
   private _apply(): void {
+    this._openOrClose();
+    this._deps.onChange();
+  }
+
+  private _openOrClose(): void {
     const { state, instance, service, address, slots, coldMs } = this._life.known;
-    if (state === 'ready' && !this._held && !this._stopping) {
-      this._client ??= new TargetClient(address, instance, this._deps.maxConnections(service), this._deps.names);
+    if (state !== 'ready' || this._held || this._stopping) {
+      this._gate.close();
+      return;
+    }
+    const limit = (): number => this._deps.maxConnections(service);
+    this._client ??= new TargetClient(address, instance, limit, this._deps.names, (evidence) => {
+      this._takeReach(instance, evidence);
+    });
+    if (this._reach.reachable) {
       this._gate.open(slots, coldMs);
     } else {
-      this._gate.close();
+      this._gate.close('unreachable');
     }
-    this._deps.onChange();
+  }
+
+  /** Others should know at once when the target takes no connections, or does again; a late report of an earlier target is none. */
+  private _takeReach(instance: string, evidence: ReachEvidence): void {
+    if (instance !== this._life.known.instance || !this._reach.note(evidence, monotonicMs())) {
+      return;
+    }
+    const { reachable } = this._reach;
+    this._deps.events.notable('target', reachable ? 'The target takes connections again.' : 'The target takes no connections.', {
+      instance,
+      evidence,
+    });
+    this._apply();
   }
 
   private _start(waiting: Waiting): void {
@@ -270,6 +317,7 @@
     const client = this._client;
     if (!client || remaining <= 0) {
       this._gate.ended(waiting.id);
+      this._noteRefused('wait_too_long');
       this._refuse(waiting, 'wait_too_long');
       return;
     }
@@ -282,7 +330,11 @@
   private _ended(waiting: Waiting, { end, answered }: RunEnd): void {
     const ran = answered && end.kind === 'answered' && end.answer.status < 400;
     const tookMs = monotonicMs() - waiting.startedAt;
-    this._level.work(tookMs / this._gate.limit);
+    if (end.kind === 'not_run' && isWantOfRoom(end.reason)) {
+      this._noteRefused(end.reason);
+    } else {
+      this._level.work(tookMs / this._gate.limit);
+    }
     this._gate.ended(waiting.id, ran ? tookMs : undefined);
     waiting.done(end, this.report(waiting.call.route));
   }
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -8,7 +8,7 @@
  * connection.
  */
 
-import { type CallEnd, monotonicMs } from '@gentiandrum/core';
+import { type CallEnd, monotonicMs, type ReachEvidence } from '@gentiandrum/core';
 import { Deadlines, type Due } from '../app/deadlines.js';
 import { HeaderReader } from '../http/headerReader.js';
 import { requestBytes } from '../http/messageText.js';
@@ -45,8 +45,10 @@
   constructor(
     private readonly _address: string,
     private readonly _instance: string,
-    private readonly _maxConnections: number,
+    /** Connections that the target accepts, as known now: the configuration may come after the first call. */
+    private readonly _maxConnections: () => number,
     private readonly _names: HeaderNames,
+    private readonly _onReach: (evidence: ReachEvidence) => void,
   ) {
     this._headers = new HeaderReader(_names);
   }
@@ -55,7 +57,7 @@
   run(call: PeerCall, remainingMs: number, done: (end: RunEnd) => void): Run {
     const connection = this._takeIdle() ?? this._open();
     if (!connection) {
-      setImmediate(done, { end: { kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 }, answered: false } satisfies RunEnd);
+      setImmediate(done, { end: { kind: 'not_run', reason: 'no_connection', retryAfterMs: 0 }, answered: false } satisfies RunEnd);
       return { abort: () => undefined };
     }
     const run = new TargetRun(connection, monotonicMs() + remainingMs + kOvertimeMs);
@@ -73,6 +75,13 @@
     return run;
   }
 
+  /** Tries a connection, to find out whether the target takes any; it is used for the next call. */
+  probe(): void {
+    if (this._idle.length === 0) {
+      this._open();
+    }
+  }
+
   /** Breaks off runs whose time is over, and ends connections that the target is about to close; called a few times a second. */
   check(): void {
     this._runs.check();
@@ -85,7 +94,7 @@
   /** Ends all connections. */
   close(): void {
     for (const connection of this._connections) {
-      connection.close('the target is another one');
+      connection.close('the target is another one', true);
     }
   }
 
@@ -112,10 +121,11 @@
   }
 
   private _open(): TargetConnection | undefined {
-    if (this._connections.size >= this._maxConnections) {
+    if (this._connections.size >= this._maxConnections()) {
       return undefined;
     }
     const connection = new TargetConnection(this._address, this._headers, {
+      onReach: this._onReach,
       onIdle: (idle) => {
         this._idle.push(idle);
       },
@@ -182,7 +192,7 @@
   abort(): void {
     if (!this.ended) {
       this.aborted = true;
-      this._connection.close('no longer wanted');
+      this._connection.close('no longer wanted', true);
     }
   }
 }
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -42,6 +42,8 @@
 
 /** What a connection tells its pool. */
 export interface TargetConnectionEvents {
+  /** The connection came about, or did not. */
+  onReach(evidence: 'connected' | 'refused' | 'timed_out'): void;
   /** The connection can take the next request. */
   onIdle(connection: TargetConnection): void;
   /** The connection takes no more requests. */
@@ -53,6 +55,7 @@
   private readonly _socket: Socket;
   private readonly _parser: MessageParser;
   private _connected = false;
+  private _refused = false;
   private _closed = false;
   private _done: ((outcome: ExchangeOutcome) => void) | undefined;
   private _toHead = false;
@@ -99,13 +102,13 @@
       },
     });
     this._socket.on('connect', () => {
-      this._connected = true;
-      this._socket.setTimeout(0);
+      this._takeConnect();
     });
     this._socket.on('timeout', () => {
       this.close('no connection in time');
     });
     this._socket.on('error', (err: NodeJS.ErrnoException) => {
+      this._refused = err.code === 'ECONNREFUSED';
       this.close(err.code ?? err.message);
     });
     this._socket.on('end', () => {
@@ -128,8 +131,8 @@
     writeParts(this._socket, parts);
   }
 
-  /** Ends the connection, and with it what is under way on it. */
-  close(reason: string): void {
+  /** Ends the connection, and with it what is under way on it; `aborted` when the target has no part in that. */
+  close(reason: string, aborted = false): void {
     if (this._closed) {
       return;
     }
@@ -137,9 +140,21 @@
     this._socket.destroy();
     this._parser.close();
     this._events.onClosed(this);
+    if (!this._connected && !aborted) {
+      this._events.onReach(this._refused ? 'refused' : 'timed_out');
+    }
     this._finish(this._connected ? { kind: 'broken', reason } : { kind: 'unreachable' });
   }
 
+  private _takeConnect(): void {
+    this._connected = true;
+    this._socket.setTimeout(0);
+    this._events.onReach('connected');
+    if (!this._done) {
+      this._rest(undefined);
+    }
+  }
+
   private _take(bytes: Buffer): void {
     if (this._closed) {
       return;
--- /dev/null
+++ b/tests/admission/refusalLevel.spec.ts
@@ -0,0 +1,84 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { GateLevel, isWantOfRoom, type NotRunReason, SlotGate } from '@gentiandrum/core';
+import { describe, it } from '../support/describe.js';
+
+/** All reasons; the type makes a new one miss here until it is named. */
+const kReasons: Record<NotRunReason, boolean> = {
+  overloaded: true,
+  wait_too_long: true,
+  no_connection: true,
+  not_accepting: false,
+  unreachable: false,
+  repeat_budget: false,
+  target_refused: false,
+  wrong_instance: false,
+  cancelled: false,
+};
+const kStepMs = 100;
+
+/** The level after `steps` in which a share of the arrivals is refused and the slots look idle. */
+function levelAfter(refusedShare: number, steps: number, meanMs: number): number {
+  const level = new GateLevel();
+  const perStep = 20;
+  for (let step = 0; step < steps; step++) {
+    for (let i = 0; i < perStep; i++) {
+      level.came(100);
+      if (i < refusedShare * perStep) {
+        level.refused(meanMs);
+      }
+    }
+    level.step(0, kStepMs);
+  }
+  return level.current;
+}
+
+describe('level of a gate that refuses', () => {
+  it('should count each reason as want of room, or say that it is none', (t) => {
+    for (const [reason, wanted] of Object.entries(kReasons)) {
+      t.is(isWantOfRoom(reason as NotRunReason), wanted, reason);
+    }
+  });
+
+  it('should not stay at 0 while more than a tenth of the arrivals is refused for want of room, however idle the slots look', (t) => {
+    t.true(levelAfter(0.2, 10, 0) > 0);
+    t.true(levelAfter(0.6, 10, 0) > levelAfter(0.2, 10, 0));
+    t.is(levelAfter(0.05, 10, 0), 0);
+  });
+
+  it('should fall again within seconds once nothing is refused', (t) => {
+    const level = new GateLevel();
+    for (let step = 0; step < 50; step++) {
+      for (let i = 0; i < 20; i++) {
+        level.came(100);
+        if (i < (step < 10 ? 10 : 0)) {
+          level.refused(0);
+        }
+      }
+      level.step(0, kStepMs);
+    }
+    t.is(level.current, 0);
+  });
+});
+
+describe('limit of a gate', () => {
+  it('should be the lesser of slots and connections, as known when it is used', (t) => {
+    let connections = 100;
+    const gate = new SlotGate({ onStart: () => undefined, onRefuse: () => undefined }, () => connections);
+    gate.open(200, 0);
+    t.is(gate.limit, 100);
+    connections = 500;
+    t.is(gate.limit, 190);
+  });
+
+  it('should say why a closed gate refuses', (t) => {
+    const gate = new SlotGate({ onStart: () => undefined, onRefuse: () => undefined });
+    t.deepEqual(gate.offer({ id: 1, waitUntil: 0 }), { kind: 'refused', reason: 'not_accepting' });
+    gate.open(2, 0);
+    gate.close('unreachable');
+    t.deepEqual(gate.offer({ id: 2, waitUntil: 0 }), { kind: 'refused', reason: 'unreachable' });
+  });
+});
--- a/tests/mesh/callExchange.spec.ts
+++ b/tests/mesh/callExchange.spec.ts
@@ -40,6 +40,7 @@
     deadlines: new Deadlines(),
     sent: () => undefined,
     ended: () => undefined,
+    avoid: () => undefined,
   };
   const req: RoutedRequest = {
     route: kRoute,
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -75,7 +75,7 @@
   }
 
   /** Writes a configuration; returns its version. */
-  configure(routes: TestRoute[], limits: Record<string, number> = {}): number {
+  configure(routes: TestRoute[], limits: Record<string, number> = {}, maxConnections = 50): number {
     this._version += 3;
     const services = [...new Set(routes.flatMap((route) => [route.service ?? '', ...(route.split ?? []).map(({ service }) => service)]))];
     this.store.put(
@@ -94,7 +94,7 @@
           priority: route.priority ?? 1,
           ...(route.split ? { traffic_split: route.split } : { service: route.service }),
         })),
-        services: services.filter((name) => name !== '').map((name) => ({ name, health_path: '/health', max_connections: 50 })),
+        services: services.filter((name) => name !== '').map((name) => ({ name, health_path: '/health', max_connections: maxConnections })),
         limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000, ...limits },
       }),
     );
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -49,6 +49,8 @@
   /** Requests whose connection closed before the answer. */
   left = 0;
   running = 0;
+  /** Most requests that ran at once. */
+  mostRunning = 0;
   address = '';
   /** Port to listen on; any free one when 0. */
   port = 0;
@@ -126,6 +128,7 @@
       return;
     }
     this.running++;
+    this.mostRunning = Math.max(this.mostRunning, this.running);
     await new Promise((resolve) => setTimeout(resolve, this.workMs));
     this.running--;
     if (res.destroyed) {
