--- a/packages/core/src/admission/callerMix.ts
+++ b/packages/core/src/admission/callerMix.ts
@@ -24,6 +24,8 @@
   private readonly _everyone = new Map<string, number>();
   /** Judgements from before this start, or of another host. */
   private readonly _recalled = new Map<string, boolean>();
+  /** Routes on which requests with keys came. */
+  private readonly _keyed = new Set<string>();
 
   /** Takes an earlier judgement; it counts until there are enough arrivals here. */
   recall(route: string, inner: boolean): void {
@@ -41,8 +43,11 @@
     );
   }
 
-  /** Notes an arrival on a route from a host of a service. */
-  note(route: string, callerService: string): void {
+  /** Notes an arrival on a route from a host of a service; `keyed` when it carried a key, as only people's requests do. */
+  note(route: string, callerService: string, keyed = false): void {
+    if (keyed) {
+      this._keyed.add(route);
+    }
     let callers = this._routes.get(route);
     if (!callers) {
       callers = { arrivals: 0, byService: new Map() };
@@ -60,6 +65,9 @@
 
   /** Whether only targets call the route; undefined while that isn't known. */
   inner(route: string): boolean | undefined {
+    if (this._keyed.has(route)) {
+      return false;
+    }
     const callers = this._routes.get(route);
     if (!callers || callers.arrivals < kJudgedAfter) {
       return this._recalled.get(route);
--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -63,8 +63,8 @@
   private _solvedAt = monotonicMs();
 
   /** Notes a call that came to the gate of this host. */
-  arrived(route: string, callerService: string): void {
-    this._mix.note(route, callerService);
+  arrived(route: string, callerService: string, keyed = false): void {
+    this._mix.note(route, callerService, keyed);
   }
 
   /** Notes that the target of this host began a run. */
--- a/packages/core/src/admission/notRunReason.ts
+++ b/packages/core/src/admission/notRunReason.ts
@@ -25,6 +25,7 @@
     case 'repeat_budget':
     case 'target_refused':
     case 'wrong_instance':
+    case 'key_not_valid':
     case 'cancelled':
       return false;
   }
--- a/packages/core/src/membership/targetDirectory.ts
+++ b/packages/core/src/membership/targetDirectory.ts
@@ -15,6 +15,7 @@
   private readonly _records = new Map<string, TargetRecord>();
   /** Ready targets by service; a list is never changed, but replaced, so that what is worked out from one holds as long as it does. */
   private readonly _ready = new Map<string, readonly TargetRecord[]>();
+  private _membersRevision = 0;
   private readonly _digests = new Map<string, number>();
   /** What each host adds to the digest of its zone. */
   private readonly _counted = new Map<string, { zone: string; hash: number }>();
@@ -42,12 +43,18 @@
   forget(host: string): void {
     const known = this._records.get(host);
     if (known) {
+      this._membersRevision++;
       this._records.delete(host);
       this._discount(host);
       this._unlist(known);
     }
   }
 
+  /** Changes whenever a host joins or leaves. */
+  get membersRevision(): number {
+    return this._membersRevision;
+  }
+
   /** The record of a host. */
   get(host: string): TargetRecord | undefined {
     return this._records.get(host);
@@ -89,6 +96,9 @@
 
   private _put(record: TargetRecord, known: TargetRecord | undefined): void {
     this._records.set(record.host, record);
+    if (known === undefined || (known.state === 'gone') !== (record.state === 'gone')) {
+      this._membersRevision++;
+    }
     if (known?.state === 'ready' && record.state === 'ready' && known.service === record.service) {
       this._replace(known, record);
       return;
--- /dev/null
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -0,0 +1,141 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Whether a request is let in where it enters: its route, its workspace, how fresh the configuration is that says so, its quota, and the
+ * load on its chain, in this order. A generator of questions to the owners of quotas; most requests need one or none.
+ */
+
+import type { Route } from '@gentiandrum/protocol';
+import type { RouteTable } from '../routing/routeTable.js';
+import type { PresentedKey } from '../workspaces/credentials.js';
+import type { QuotaEnd, TokenAnswer, TokenRequest } from '../workspaces/quotaAsker.js';
+import type { QuotaLimits, QuotaPart } from '../workspaces/quotaParts.js';
+import { keyHash, type WorkspaceTable } from '../workspaces/workspaceTable.js';
+
+/** A workspace's priority goes before that of routes, which are below this. */
+const kRanksPerWorkspace = 1_000;
+/** Time after which a request that was turned away may come back, as a share of its latency target. */
+const kShedRetryShare = 0.3;
+
+/** What decides of a request that came. */
+export interface ArrivedRequest {
+  host: string;
+  /** May carry a query. */
+  path: string;
+  presented: PresentedKey;
+}
+
+/** A configuration in force, ready for look-ups. */
+export interface RoutingTables {
+  version: number;
+  routes: RouteTable;
+  workspaces: WorkspaceTable;
+}
+
+/** Whose request it is, as gates need it. */
+export interface RequestWorkspace {
+  name: string;
+  keyHash: number;
+  /** Version of the configuration that said so. */
+  version: number;
+  /** Time for which that may be relied on, in milliseconds; infinite where revocation is not strict. */
+  validMs: number;
+  /** Where its token came from; undefined when the workspace has no limit. */
+  token: QuotaPart | undefined;
+}
+
+/** What became of a request where it entered. */
+export type EntryEnd =
+  | { kind: 'admitted'; route: Route; service: string; workspace: RequestWorkspace | undefined }
+  | { kind: 'no_configuration' }
+  | { kind: 'no_route' }
+  | { kind: 'no_key'; route: Route }
+  | { kind: 'unknown_key'; route: Route; key: string | undefined }
+  | { kind: 'stale_configuration'; route: Route }
+  | { kind: 'over_quota'; route: Route; workspace: string; retryAfterMs: number }
+  | { kind: 'quota_unknown'; route: Route; workspace: string; retryAfterMs: number }
+  | { kind: 'shed'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number };
+
+/** What the procedure asks of its surroundings. */
+export interface AdmitSurroundings {
+  tables(): RoutingTables | undefined;
+  /** Time for which the configuration may be relied on for keys, in milliseconds. */
+  validMs(): number;
+  takeToken(workspace: string, limits: QuotaLimits): Generator<TokenRequest, QuotaEnd, TokenAnswer>;
+  /** Whether a request of a rank is to be turned away for the load on its chain; 0 is the most urgent, `keyed` are people's. */
+  sheds(route: Route, rank: number, keyed: boolean): boolean;
+}
+
+/** Decides on one request. */
+export function* admitRequest(req: ArrivedRequest, around: AdmitSurroundings): Generator<TokenRequest, EntryEnd, TokenAnswer> {
+  const tables = around.tables();
+  if (!tables) {
+    return { kind: 'no_configuration' };
+  }
+  const { routes, workspaces } = tables;
+  const route = routes.find(req.host, req.path);
+  if (!route) {
+    return { kind: 'no_route' };
+  }
+  if (!workspaces.required || route.exempt) {
+    return letIn(route, undefined, route.priority, tables, around);
+  }
+  const identified = identify(route, req.presented, tables, around);
+  if (identified.kind !== 'identified') {
+    return identified;
+  }
+  const { workspace } = identified;
+  const { name, ratePerSecond, burst, priority } = identified.held;
+  if (ratePerSecond !== undefined) {
+    const quota = yield* around.takeToken(name, { ratePerSecond, burst });
+    if (quota.kind !== 'granted') {
+      return { kind: quota.kind, route, workspace: name, retryAfterMs: quota.retryAfterMs };
+    }
+    workspace.token = quota.part;
+  }
+  return letIn(route, workspace, priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority), tables, around);
+}
+
+type Identified =
+  | {
+      kind: 'identified';
+      held: { name: string; ratePerSecond?: number | undefined; burst: number; priority: number };
+      workspace: RequestWorkspace;
+    }
+  | Extract<EntryEnd, { kind: 'no_key' | 'unknown_key' | 'stale_configuration' }>;
+
+/** A key that isn't known to a daemon with an old configuration may be a new one, so that is no reason to call it unknown. */
+function identify(route: Route, presented: PresentedKey, { version, workspaces }: RoutingTables, around: AdmitSurroundings): Identified {
+  if (presented.kind === 'none') {
+    return { kind: 'no_key', route };
+  }
+  if (presented.kind === 'unreadable') {
+    return { kind: 'unknown_key', route, key: undefined };
+  }
+  const validMs = around.validMs();
+  if (validMs <= 0) {
+    return { kind: 'stale_configuration', route };
+  }
+  const { key } = presented;
+  const held = workspaces.find(key);
+  if (!held) {
+    return { kind: 'unknown_key', route, key };
+  }
+  return { kind: 'identified', held, workspace: { name: held.name, keyHash: keyHash(key), version, validMs, token: undefined } };
+}
+
+function letIn(
+  route: Route,
+  workspace: RequestWorkspace | undefined,
+  rank: number,
+  { routes }: RoutingTables,
+  around: AdmitSurroundings,
+): EntryEnd {
+  if (around.sheds(route, rank, workspace !== undefined)) {
+    return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryShare };
+  }
+  return { kind: 'admitted', route, service: routes.nextService(route), workspace };
+}
--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -21,6 +21,9 @@
  */
 const kMaxVainOffers = 4;
 
+/** Reasons that hold for every target. */
+const kFinalReasons: ReadonlySet<NotRunReason> = new Set(['cancelled', 'repeat_budget', 'key_not_valid']);
+
 /** A whole answer of a target. */
 export interface WholeAnswer {
   status: number;
@@ -110,7 +113,7 @@
     case 'lost':
       return !route.idempotent || arrivals >= route.maxAttempts;
     case 'not_run':
-      return end.reason === 'cancelled' || end.reason === 'repeat_budget' || arrivals >= route.maxAttempts;
+      return kFinalReasons.has(end.reason) || arrivals >= route.maxAttempts;
   }
 }
 
--- /dev/null
+++ b/packages/core/src/workspaces/credentials.ts
@@ -0,0 +1,22 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Which key a request carries, from the values of its `Authorization` headers. */
+
+/** `Bearer`, in any case, then white space and one key. */
+const kBearer = /^bearer[ \t]+([^ \t]+)$/i;
+
+/** The key that a request carries; `unreadable` is one without a readable key, or with two that differ. */
+export type PresentedKey = { kind: 'none' } | { kind: 'key'; key: string } | { kind: 'unreadable' };
+
+/** Reads the values of all `Authorization` headers of one request. */
+export function readCredentials(values: readonly string[]): PresentedKey {
+  const keys = new Set(values.map((value) => kBearer.exec(value.trim())?.[1]));
+  const [key] = keys;
+  if (values.length === 0) {
+    return { kind: 'none' };
+  }
+  return keys.size === 1 && key !== undefined ? { kind: 'key', key } : { kind: 'unreadable' };
+}
--- /dev/null
+++ b/packages/core/src/workspaces/freshness.ts
@@ -0,0 +1,137 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Until when a daemon may trust that no newer configuration has taken a key away. Only moments of the own monotonic clock are compared:
+ * a proof of another daemon counts from the moment at which it was asked for, so one that was held up on its way is old by itself.
+ */
+
+import type { RevocationSettings } from '@gentiandrum/protocol';
+
+/** Part of the time for a revocation for which a proof is trusted; the rest is for clocks that run at different rates. */
+const kTrustedShare = 0.9;
+/** Age from which on a proof is renewed, as shares of that time: from a reader of the own zone, and from anybody. */
+const kRenewShare = 0.15;
+const kWidenShare = 0.4;
+/** Pause between two requests for a proof, in milliseconds, and while there is none. */
+const kAskPauseMs = 500;
+const kStalePauseMs = 200;
+
+/** That the platform's log had this version as its newest at a moment of the own monotonic clock, in milliseconds. */
+export interface VersionProof {
+  at: number;
+  version: number;
+}
+
+/** A proof as another daemon sends it: the number of the request that it answers, and how old the proof was when it was sent. */
+export interface ProofReply {
+  id: number;
+  ageMs: number;
+  version: number;
+}
+
+/** Whom to ask for a newer proof: nobody now, the readers of the own zone, or daemons of any zone. */
+export type ProofRequest = 'none' | 'readers' | 'anyone';
+
+/** The proof of one daemon. */
+export class Freshness {
+  private _proof: VersionProof | undefined;
+  /** A later one, of a version that is not in force here yet. */
+  private _ahead: VersionProof | undefined;
+  private _askedAt = -Infinity;
+  /** When each request was made, by its number, the oldest first; numbers begin at random, so that none is another life's. */
+  private readonly _requests = new Map<number, number>();
+  private _nextId: number;
+
+  /** @param firstId a random number */
+  constructor(
+    private readonly _settings: RevocationSettings,
+    firstId: number,
+  ) {
+    this._nextId = firstId;
+  }
+
+  /** Whether requests with keys need a proof. */
+  get strict(): boolean {
+    return this._settings.strict;
+  }
+
+  /** Longest time for which a proof is trusted, in milliseconds. */
+  get trustedMs(): number {
+    return this._settings.withinMs * kTrustedShare;
+  }
+
+  /** Takes a proof; `inForce` is the version in force here. */
+  note(proof: VersionProof, inForce: number): void {
+    if (proof.version <= inForce) {
+      this._proof = later(this._proof, proof);
+    } else {
+      this._ahead = later(this._ahead, proof);
+    }
+  }
+
+  /** The number of a new request. */
+  request(now: number): number {
+    const id = this._nextId++;
+    this._requests.set(id, now);
+    for (const [oldId, at] of this._requests) {
+      if (now - at > this.trustedMs) {
+        this._requests.delete(oldId);
+      }
+    }
+    return id;
+  }
+
+  /** Takes the answer of another daemon; one to a request that this daemon did not make, or made too long ago, proves nothing. */
+  noteReply({ id, ageMs, version }: ProofReply, inForce: number): void {
+    const askedAt = this._requests.get(id);
+    if (askedAt !== undefined && ageMs >= 0) {
+      this.note({ at: askedAt - ageMs, version }, inForce);
+    }
+  }
+
+  /** A version came into force: what proves it counts from now on. */
+  inForce(version: number): void {
+    if (this._ahead && this._ahead.version <= version) {
+      this._proof = later(this._proof, this._ahead);
+      this._ahead = undefined;
+    }
+  }
+
+  /** Age of the proof, in milliseconds; infinite without one. */
+  ageMs(now: number): number {
+    return this._proof === undefined ? Infinity : now - this._proof.at;
+  }
+
+  /** Time for which requests with keys may still be let in, in milliseconds; none when it is not above zero. */
+  remainingMs(now: number): number {
+    return this.strict ? this.trustedMs - this.ageMs(now) : Infinity;
+  }
+
+  /** The answer to a request; undefined when this daemon has no proof of use. */
+  reply(id: number, now: number): ProofReply | undefined {
+    const proof = this._proof;
+    if (!proof || now - proof.at >= this.trustedMs) {
+      return undefined;
+    }
+    return { id, ageMs: now - proof.at, version: proof.version };
+  }
+
+  /** Whom to ask now; counts as done. A daemon that reads the log by itself asks only when that does not do. */
+  whomToAsk(now: number, reads: boolean): ProofRequest {
+    const age = this.ageMs(now);
+    const due = this.trustedMs * (reads ? kWidenShare : kRenewShare);
+    const pauseMs = age > this.trustedMs ? kStalePauseMs : kAskPauseMs;
+    if (!this.strict || age < due || now - this._askedAt < pauseMs) {
+      return 'none';
+    }
+    this._askedAt = now;
+    return age < this.trustedMs * kWidenShare ? 'readers' : 'anyone';
+  }
+}
+
+function later(a: VersionProof | undefined, b: VersionProof): VersionProof {
+  return a === undefined || b.at > a.at ? b : a;
+}
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -22,7 +22,7 @@
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
-import type { PeerCall } from '../client/peerMessages.js';
+import type { CallWorkspace, PeerCall } from '../client/peerMessages.js';
 import type { Deadlines, Due } from './deadlines.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
 
@@ -58,6 +58,8 @@
   path: string;
   headers: string[];
   body: Buffer;
+  /** Whose request it is, and until when its key may be relied on, on the monotonic clock. */
+  workspace: (Pick<CallWorkspace, 'name' | 'keyHash' | 'version'> & { validUntil: number }) | undefined;
   /** Time at which nobody waits any more, on the monotonic clock. */
   deadline: number;
 }
@@ -193,9 +195,9 @@
   }
 
   private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
-    const { route, callerService, requestId, method, path, headers, body } = this._req;
+    const { route, callerService, requestId, method, path, headers, body, workspace } = this._req;
     const remainingMs = Math.max(1, this._remainingMs());
-    const inner = this._deps.chains.inner(route.name) === true;
+    const inner = !workspace && this._deps.chains.inner(route.name) === true;
     return {
       route: route.name,
       service: target.service,
@@ -211,6 +213,12 @@
       path,
       headers,
       body,
+      workspace: workspace && {
+        name: workspace.name,
+        keyHash: workspace.keyHash,
+        version: workspace.version,
+        validMs: Math.max(0, workspace.validUntil - monotonicMs()),
+      },
     };
   }
 
--- a/packages/mesh/src/app/configHolder.ts
+++ b/packages/mesh/src/app/configHolder.ts
@@ -5,8 +5,8 @@
 
 /** The configuration in force at one daemon: checked, never older than the one before, and passed on to other daemons. */
 
-import { monotonicMs, RouteTable } from '@gentiandrum/core';
-import { type MeshConfig, meshConfigSchema } from '@gentiandrum/protocol';
+import { monotonicMs, RouteTable, type RoutingTables, WorkspaceTable } from '@gentiandrum/core';
+import { type MeshConfig, meshConfigSchema, workspaceFaults } from '@gentiandrum/protocol';
 import type { EventLog } from './eventLog.js';
 
 /** Time that a newer version gets to come from its source before a daemon that has it is asked, in milliseconds. */
@@ -19,7 +19,7 @@
 /** Holds the newest configuration. */
 export class ConfigHolder {
   private _config: MeshConfig | undefined;
-  private _routes: RouteTable | undefined;
+  private _tables: RoutingTables | undefined;
   private _takenAt = 0;
   private _askedFor = -1;
   private _askedAt = -Infinity;
@@ -35,9 +35,9 @@
     return this._config;
   }
 
-  /** Its routes. */
-  get routes(): RouteTable | undefined {
-    return this._routes;
+  /** The same, ready for look-ups. */
+  get tables(): RoutingTables | undefined {
+    return this._tables;
   }
 
   /** Its version; -1 before the first. */
@@ -62,7 +62,11 @@
       return;
     }
     this._config = checked.data;
-    this._routes = new RouteTable(checked.data);
+    this._tables = { version: cfg.version, routes: new RouteTable(checked.data), workspaces: new WorkspaceTable(checked.data) };
+    const faults = workspaceFaults(checked.data).slice(0, kNamedFaults);
+    if (faults.length > 0) {
+      this._events.warn('config', `Version ${cfg.version} has faults that this daemon can live with.`, { faults });
+    }
     this._takenAt = monotonicMs();
     this._events.notable('config', `Version ${cfg.version} is in force.`, { version: cfg.version, from, routes: cfg.routes.length });
     this._onTaken(checked.data);
--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -26,6 +26,10 @@
   chains: ChainModel;
   log: RecordLog;
   follower: () => LogFollower;
+  /** Called when all records of the log were read. */
+  onReadAll(): void;
+  /** Called once it is known what others knew of this host. */
+  onRecalled(): void;
   /** Tells linked daemons. */
   broadcast(record: TargetRecord): void;
   events: EventLog;
@@ -33,9 +37,12 @@
 
 /** Keeps the records. */
 export class HostRecords {
-  private _epoch = Date.now();
+  private readonly _startedAt = Date.now();
+  private _epoch = this._startedAt;
   private _revision = 0;
   private _recalled = false;
+  /** Start of this host's previous daemon, on the wall clock; undefined when nobody knows of one. */
+  private _predecessorAt: number | undefined;
   private _learned: LearnedChains | undefined;
   private _published: Promise<boolean> = Promise.resolve(true);
   private _recallTimer: NodeJS.Timeout | undefined;
@@ -77,7 +84,7 @@
       this._takeChanges(changes, complete);
     });
     this._recallTimer = setTimeout(() => {
-      this._recall('nobody in time');
+      this._recall('nobody');
     }, kRecallMs);
   }
 
@@ -149,6 +156,7 @@
       this._takeChange(change);
     }
     if (complete) {
+      this._deps.onReadAll();
       this._recall('the log');
     }
   }
@@ -196,6 +204,7 @@
     if (record.epoch === this._epoch) {
       return;
     }
+    this._predecessorAt = Math.max(this._predecessorAt ?? 0, record.epoch);
     this._deps.gate().remember(record);
     this._takeLearned(record);
     if (record.epoch > this._epoch) {
@@ -220,12 +229,20 @@
     }
   }
 
-  private _recall(from: string): void {
+  /** Time between the start of the previous daemon and this one's, in milliseconds; infinite without one, negative after a clock step. */
+  get sincePredecessorMs(): number {
+    return this._predecessorAt === undefined ? Infinity : this._startedAt - this._predecessorAt;
+  }
+
+  private _recall(from: 'the log' | 'another daemon' | 'nobody'): void {
     if (!this._recalled) {
       this._recalled = true;
       clearTimeout(this._recallTimer);
       this._deps.events.notable('start', `Heard from ${from} what is known of this host.`, { hosts: this._deps.directory.all().length });
       this._deps.gate().release();
+      if (from !== 'nobody') {
+        this._deps.onRecalled();
+      }
     }
   }
 }
--- a/packages/mesh/src/app/logFollower.ts
+++ b/packages/mesh/src/app/logFollower.ts
@@ -90,6 +90,11 @@
     return this._place.kind === 'reader';
   }
 
+  /** Other hosts that follow the log for this zone. */
+  get readers(): readonly string[] {
+    return this._place.kind === 'member' ? this._place.readers : this._place.ahead;
+  }
+
   /** Whether the log, as far as this daemon uses it, answers. */
   get answered(): boolean {
     const { configs } = this._deps;
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -16,11 +16,13 @@
 import { ConfigHolder } from './configHolder.js';
 import { Deadlines } from './deadlines.js';
 import type { EventLog } from './eventLog.js';
-import { HostRecords } from './hostRecords.js';
+import { HostRecords, type HostRecordsDeps } from './hostRecords.js';
 import { LogFollower, type LogFollowerDeps } from './logFollower.js';
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { RecordSync } from './recordSync.js';
+import { RequestEntry } from './requestEntry.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
+import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
 /** Longest time for which the answer to a leaving target waits until others know of it, in milliseconds: below one second. */
 const kAckWaitMs = 500;
@@ -61,6 +63,7 @@
   private readonly _records: HostRecords;
   private readonly _follower: LogFollower;
   private readonly _gate: TargetGate;
+  private readonly _workspaces: Workspaces;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
   private readonly _metrics: MeshMetrics;
@@ -88,22 +91,12 @@
     }));
     this._configs = new ConfigHolder((cfg) => {
       this._calls.configure(cfg);
+      this._workspaces.inForce(cfg);
       this._spreadVersion(cfg.version);
     }, _events);
     this._follower = new LogFollower(this._followerDeps());
-    this._records = new HostRecords({
-      settings: _settings,
-      gate: () => this._gate,
-      directory: this._directory,
-      placement: this._placement,
-      chains: this._chains,
-      log: _platform.records,
-      follower: () => this._follower,
-      broadcast: (record) => {
-        this._network.broadcast({ type: 'records', records: [record] });
-      },
-      events: _events,
-    });
+    this._workspaces = new Workspaces(this._workspacesDeps());
+    this._records = new HostRecords(this._recordsDeps());
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
@@ -112,6 +105,7 @@
         this._configs.config?.services.find(({ name }) => name === service)?.maxConnections ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
       chargeMs: (route) => this._placement.chargeMs(route),
+      keyHolds: (workspace) => this._workspaces.keyHolds(workspace),
       onChange: () => {
         this._records.tell();
       },
@@ -198,6 +192,7 @@
     clearTimeout(this._tickTimer);
     clearInterval(this._totalsTimer);
     clearInterval(this._learnedTimer);
+    this._workspaces.close();
     this._platform.configs.stop();
     this._platform.records.stop();
     this._network.close();
@@ -221,9 +216,54 @@
     this._follower.check();
     this._network.check();
     this._deadlines.check();
+    this._workspaces.check();
     this._calls.check();
   }
 
+  private _workspacesDeps(): WorkspacesDeps {
+    return {
+      settings: this._settings,
+      directory: this._directory,
+      tables: () => this._configs.tables,
+      ownProof: () => this._platform.configs.proof,
+      reads: () => this._follower.reads,
+      readers: () => this._follower.readers,
+      complete: () => this._sync.complete,
+      sendTo: (host, message) => {
+        this._network.sendTo(host, message);
+      },
+      sendOrDial: (host, message) => {
+        this._network.sendOrDial(host, message);
+      },
+      sendSome: (count, message) => {
+        this._network.sendSome(count, message);
+      },
+      events: this._events,
+    };
+  }
+
+  private _recordsDeps(): HostRecordsDeps {
+    return {
+      settings: this._settings,
+      gate: () => this._gate,
+      directory: this._directory,
+      placement: this._placement,
+      chains: this._chains,
+      log: this._platform.records,
+      follower: () => this._follower,
+      onReadAll: () => {
+        this._sync.hasRead();
+      },
+      onRecalled: () => {
+        this._workspaces.notePredecessor(this._records.sincePredecessorMs);
+      },
+      broadcast: (record) => {
+        this._network.broadcast({ type: 'records', records: [record] });
+      },
+      events: this._events,
+    };
+  }
+
   private _followerDeps(): LogFollowerDeps {
     return {
       settings: this._settings,
@@ -283,6 +323,9 @@
       }),
       wantsLink: (record) => this._follower.wantsLink(record),
       config: () => this._configs.config,
+      onWorkspaceMessage: (message, link) => {
+        this._workspaces.take(message, link);
+      },
     };
   }
 
@@ -291,8 +334,13 @@
       names: this._platform.dialect.headers,
       service: this._settings.target.service,
       memoryMb: this._settings.memoryMb,
-      config: () => this._configs.config,
-      routes: () => this._configs.routes,
+      entry: new RequestEntry({
+        tables: () => this._configs.tables,
+        validMs: () => this._workspaces.proofs.validMs(),
+        quotas: this._workspaces.quotas,
+        chains: this._chains,
+      }),
+      keysRequired: () => this._workspaces.required,
       stopping: () => this._stopping,
       chains: this._chains,
       deadlines: this._deadlines,
@@ -371,6 +419,8 @@
       omittedLines: this._events.omitted,
       logCalls: this._platform.logCalls(),
       reads: this._follower.reads,
+      proofAge: this._workspaces.proofs.ageSeconds,
+      quotas: { ...this._workspaces.quotas.counts, buckets: this._workspaces.quotas.buckets },
     };
   }
 
@@ -384,6 +434,7 @@
 
   private _hearReach(host: string, reached: boolean): void {
     this._follower.reached(host, reached);
+    this._workspaces.quotas.reached(host, reached);
     if (reached) {
       this._placement.reached(host);
     } else {
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -7,8 +7,12 @@
 
 import type { GateRefusal } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
+import type { QuotaCounts } from './workspaces/quotaService.js';
 import { kLatencyBounds, LatencyMetric, type RequestEnds, type RequestOutcome } from './latencyMetric.js';
 
+/** Workspaces that are counted by name: labels should have few values. */
+const kMaxWorkspaces = 100;
+
 /** Where the target of a call stands, as its ingress sees it. */
 export type CallPlace = 'own_host' | 'own_zone' | 'other_zone';
 
@@ -29,6 +33,10 @@
   reads: boolean;
   /** Log lines left out since the start. */
   omittedLines: number;
+  /** Age of the proof that the configuration is fresh, in seconds; -1 without one. */
+  proofAge: number;
+  /** Buckets of quotas held here, and what became of tokens since the start. */
+  quotas: QuotaCounts & { buckets: number };
 }
 
 /** Metrics of one daemon. */
@@ -45,6 +53,11 @@
   /** Ends of requests and offers by their labels; the library hashes labels with each note, so they are handed over when read. */
   private readonly _ends = new Map<string, RequestEnds>();
   private readonly _placed = new Map<string, Placed>();
+  private readonly _workspaces = new Map<string, Map<RequestOutcome, number>>();
+  private readonly _ofWorkspaces = this._counter('workspace_requests_total', 'Requests of a workspace that ended at this ingress', [
+    'workspace',
+    'outcome',
+  ]);
   private readonly _gauge = new Gauge({
     name: 'gentiandrum_state',
     help: 'State of the daemon, by name: see docs/OPERATIONS.md',
@@ -76,6 +89,15 @@
     }
   }
 
+  /** Notes the end of a workspace's request; workspaces beyond the first ones count together. */
+  workspaceEnded(workspace: string, outcome: RequestOutcome): void {
+    const known = this._workspaces.has(workspace) || this._workspaces.size < kMaxWorkspaces;
+    const name = known ? workspace : 'other';
+    const outcomes = this._workspaces.get(name) ?? new Map<RequestOutcome, number>();
+    outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+    this._workspaces.set(name, outcomes);
+  }
+
   /** Notes a call that the gate refused. */
   refused(reason: GateRefusal): void {
     this._refusals.inc({ reason });
@@ -110,7 +132,7 @@
   /** Everything as text. */
   async text(): Promise<string> {
     this._handOver();
-    const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines, logCalls, reads } = this._view();
+    const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines, logCalls, reads, proofAge, quotas } = this._view();
     const values: [string, number][] = [
       ['gate_in_flight', gate.inFlight],
       ['gate_queued', gate.queued],
@@ -123,6 +145,12 @@
       ['requests_in_flight', inFlight],
       ['log_lines_omitted', omittedLines],
       ['reads_log', reads ? 1 : 0],
+      ['proof_age_seconds', proofAge],
+      ['quota_buckets', quotas.buckets],
+      ['quota_tokens_granted', quotas.granted],
+      ['quota_tokens_denied', quotas.denied],
+      ['quota_tokens_given_back', quotas.givenBack],
+      ['quota_owners_unanswered', quotas.unanswered],
       ...[...logCalls].map(([kind, count]): [string, number] => [`log_calls_${kind}`, count]),
       ...[...hosts].map(([state, count]): [string, number] => [`hosts_${state}`, count]),
     ];
@@ -136,6 +164,12 @@
   private _handOver(): void {
     this._requests.reset();
     this._placements.reset();
+    this._ofWorkspaces.reset();
+    for (const [workspace, outcomes] of this._workspaces) {
+      for (const [outcome, count] of outcomes) {
+        this._ofWorkspaces.inc({ workspace, outcome }, count);
+      }
+    }
     for (const { service, outcome, reason, count } of this._ends.values()) {
       this._requests.inc({ service, outcome, reason }, count);
     }
--- a/packages/mesh/src/app/recordSync.ts
+++ b/packages/mesh/src/app/recordSync.ts
@@ -16,16 +16,30 @@
 export class RecordSync {
   private _requestedAt = -Infinity;
 
+  private _complete = false;
+
   constructor(private readonly _directory: TargetDirectory) {}
 
+  /** Whether all hosts that were known to the log, or to another daemon, have been known here. */
+  get complete(): boolean {
+    return this._complete;
+  }
+
+  /** All that the log has was read. */
+  hasRead(): void {
+    this._complete = true;
+  }
+
   /** Takes the digests of the daemon at the other end of a link. */
   compare(digests: Digests, link: PeerLink): void {
     const now = monotonicMs();
-    if (now - this._requestedAt <= kRequestMs) {
+    if (this._complete && now - this._requestedAt <= kRequestMs) {
       return;
     }
     const zones = this._differing(digests);
-    if (zones.length > 0) {
+    if (zones.length === 0) {
+      this._complete = true;
+    } else if (now - this._requestedAt > kRequestMs) {
       this._requestedAt = now;
       link.send({ type: 'records_wanted', zones });
     }
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -26,7 +26,7 @@
   type NotRunReason,
   type TargetRecord,
 } from '@gentiandrum/core';
-import type { PeerCall } from '../client/peerMessages.js';
+import type { CallWorkspace, PeerCall } from '../client/peerMessages.js';
 import { type Run, type RunEnd, TargetClient } from '../client/targetClient.js';
 import type { HeaderNames } from '../ports.js';
 import type { EventLog } from './eventLog.js';
@@ -57,6 +57,8 @@
   targets(service: string): number;
   /** Mean charge of calls on a route that begin on this host, in milliseconds. */
   chargeMs(route: string): number;
+  /** Whether a key is still its workspace's, as far as this daemon knows. */
+  keyHolds(workspace: CallWorkspace): boolean;
   /** Called after each change of the target's state. */
   onChange(): void;
   chains: ChainModel;
@@ -67,6 +69,8 @@
 interface Waiting extends GatedCall {
   call: PeerCall;
   expiresAt: number;
+  /** Until when the key of its workspace may be relied on. */
+  validUntil: number;
   run: Run | undefined;
   startedAt: number;
   done: OfferDone;
@@ -202,11 +206,12 @@
       waitUntil: now + Math.min(call.waitMs, call.remainingMs),
       call,
       expiresAt: now + call.remainingMs,
+      validUntil: now + (call.workspace?.validMs ?? Infinity),
       run: undefined,
       startedAt: 0,
       done,
     };
-    this._deps.chains.arrived(call.route, call.callerService);
+    this._deps.chains.arrived(call.route, call.callerService, call.workspace !== undefined);
     const refusal = this._refusalAtOnce(call);
     if (refusal) {
       this._refuse(waiting, refusal);
@@ -264,6 +269,9 @@
     if (call.service !== service || call.instance !== instance) {
       return 'not_accepting';
     }
+    if (call.workspace && !this._deps.keyHolds(call.workspace)) {
+      return 'key_not_valid';
+    }
     if (!call.repeat) {
       this._budget.earn(this._heightOf(call.route));
       return undefined;
@@ -315,6 +323,11 @@
     waiting.startedAt = now;
     const remaining = waiting.expiresAt - now;
     const client = this._client;
+    if (now > waiting.validUntil) {
+      this._gate.ended(waiting.id);
+      this._refuse(waiting, 'key_not_valid');
+      return;
+    }
     if (!client || remaining <= 0) {
       this._gate.ended(waiting.id);
       this._noteRefused('wait_too_long');
--- /dev/null
+++ b/packages/mesh/src/app/workspaces/proofKeeper.ts
@@ -0,0 +1,115 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Keeps the proof of how fresh this daemon's configuration is: from its own reads of the log, and from other daemons. */
+
+import { Freshness, monotonicMs, type ProofReply, type VersionProof } from '@gentiandrum/core';
+import type { RevocationSettings } from '@gentiandrum/protocol';
+import type { PeerMessage } from '../../client/peerMessages.js';
+import type { EventLog } from '../eventLog.js';
+
+/** Daemons of any zone that are asked at once while the proof is old. */
+const kAskedAtOnce = 3;
+/** First numbers of requests are drawn below this. */
+const kFirstIds = 2 ** 31;
+
+/** What the keeper uses of its daemon. */
+export interface ProofKeeperDeps {
+  settings: RevocationSettings;
+  /** What the own reads of the log prove. */
+  ownProof(): VersionProof | undefined;
+  /** Version of the configuration in force. */
+  version(): number;
+  /** Whether the configuration in force asks requests for keys. */
+  needed(): boolean;
+  /** Whether this daemon follows the log. */
+  reads(): boolean;
+  /** Daemons that follow the log for this zone. */
+  readers(): readonly string[];
+  sendTo(host: string, message: PeerMessage): void;
+  /** Sends to some linked daemons, drawn anew each time. */
+  sendSome(count: number, message: PeerMessage): void;
+  events: EventLog;
+}
+
+/** Keeper of one daemon. */
+export class ProofKeeper {
+  private readonly _freshness: Freshness;
+  private _turn = 0;
+  private _stale = false;
+
+  constructor(private readonly _deps: ProofKeeperDeps) {
+    this._freshness = new Freshness(_deps.settings, Math.floor(Math.random() * kFirstIds));
+  }
+
+  /** Age of the proof, in seconds; -1 without one. */
+  get ageSeconds(): number {
+    const ageMs = this._freshness.ageMs(monotonicMs());
+    return ageMs === Infinity ? -1 : ageMs / 1_000;
+  }
+
+  /** Time for which requests with keys may be let in from now on, in milliseconds. */
+  validMs(): number {
+    this._noteOwn();
+    return this._freshness.remainingMs(monotonicMs());
+  }
+
+  /** A version came into force. */
+  inForce(version: number): void {
+    this._freshness.inForce(version);
+  }
+
+  /** Asks for a newer proof when it is due; called a few times a second. */
+  check(): void {
+    const deps = this._deps;
+    if (!deps.needed()) {
+      return;
+    }
+    this._noteOwn();
+    const now = monotonicMs();
+    this._noteStale(now);
+    const known = deps.readers();
+    const whom = this._freshness.whomToAsk(now, deps.reads());
+    if (whom === 'none') {
+      return;
+    }
+    const message = { type: 'proof_wanted', id: this._freshness.request(now) } as const;
+    const reader = known[this._turn++ % Math.max(1, known.length)];
+    if (whom === 'readers' && reader !== undefined) {
+      deps.sendTo(reader, message);
+    } else {
+      deps.sendSome(kAskedAtOnce, message);
+    }
+  }
+
+  /** Answers another daemon; nothing when there is no proof. */
+  replyTo(id: number): PeerMessage | undefined {
+    this._noteOwn();
+    const reply = this._freshness.reply(id, monotonicMs());
+    return reply && { type: 'proof', ...reply };
+  }
+
+  /** Takes the answer of another daemon. */
+  take(reply: ProofReply): void {
+    this._freshness.noteReply(reply, this._deps.version());
+  }
+
+  private _noteOwn(): void {
+    const proof = this._deps.ownProof();
+    if (proof) {
+      this._freshness.note(proof, this._deps.version());
+    }
+  }
+
+  private _noteStale(now: number): void {
+    const stale = this._freshness.remainingMs(now) <= 0;
+    if (stale !== this._stale) {
+      this._stale = stale;
+      const ageMs = Math.round(this._freshness.ageMs(now));
+      const text = stale ? 'The configuration may be old: requests with keys are refused.' : 'The configuration is known to be fresh.';
+      this._deps.events.notable('workspaces', text, { ageMs, version: this._deps.version() });
+    }
+  }
+}
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -8,11 +8,22 @@
  * come again and again (routes, services, headers) travel as short numbers once both ends know them.
  */
 
-import type { GateReport, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
+import type { GateReport, GrantEnd, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { Packr, Unpackr } from 'msgpackr';
 import { NameReader, NameWriter } from './sharedNames.js';
 
+/** The workspace of a call, and until when its key may be relied on. */
+export interface CallWorkspace {
+  name: string;
+  /** Hash of the key, which itself stays where it came. */
+  keyHash: number;
+  /** Version of the configuration that says so. */
+  version: number;
+  /** Time for which that may be relied on, in milliseconds; infinite without a limit. */
+  validMs: number;
+}
+
 /** A call that one daemon hands to the daemon beside the target. */
 export interface PeerCall {
   /** Name of the route, for logs and statistics. */
@@ -32,6 +43,8 @@
   instance: string;
   /** Service on whose host it began. */
   callerService: string;
+  /** Whose request it is; undefined for calls of targets, on exempt routes, and without workspaces. */
+  workspace: CallWorkspace | undefined;
   /** The caller's own id of this attempt. */
   requestId: string;
   method: string;
@@ -65,9 +78,21 @@
   | { type: 'logged'; epoch: number; revision: number }
   /** A reader follows the log, and whether the log answers it. */
   | { type: 'reading'; well: boolean; version: number; digests: Digests }
+  /** Asks for a proof of how fresh the configuration is. */
+  | { type: 'proof_wanted'; id: number }
+  /** The answer: the log had this version as its newest so long ago. */
+  | { type: 'proof'; id: number; ageMs: number; version: number }
+  /** Asks the owner of a part of a workspace's quota for a token. */
+  | { type: 'token_wanted'; id: number; workspace: string }
+  | { type: 'token'; id: number; workspace: string; end: GrantEnd }
+  /** Tokens of requests that have not run, by workspace. */
+  | { type: 'tokens_back'; tokens: Readonly<Record<string, number>> }
   | { type: 'ping' }
   | { type: 'pong' };
 
+/** Messages about proofs of freshness and tokens of quotas. */
+export type WorkspaceMessage = Extract<PeerMessage, { type: 'proof_wanted' | 'proof' | 'token_wanted' | 'token' | 'tokens_back' }>;
+
 /** Order of the types on the wire; new ones go to the end. */
 const kTypes = [
   'hello',
@@ -86,6 +111,11 @@
   'erased',
   'logged',
   'reading',
+  'proof_wanted',
+  'proof',
+  'token_wanted',
+  'token',
+  'tokens_back',
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
@@ -93,6 +123,11 @@
 const kLevelSteps = 1_000;
 /** Fields of a report. */
 const kLoadFields = 8;
+/** In place of a time: that there is no limit; in place of a wait: that the daemon has no part in the quota. */
+const kNoLimit = -1;
+const kNotOwner = -1;
+/** Fields of a call before those of its workspace, with its type and id. */
+const kCallFields = 16;
 /** Longest message, in bytes: a request body of the largest size, and room for its head. */
 const kMaxMessageBytes = 80 * 1024 * 1024;
 
@@ -189,6 +224,16 @@
       return [type, message.epoch, message.revision];
     case 'reading':
       return [type, message.well, message.version, message.digests];
+    case 'proof_wanted':
+      return [type, message.id];
+    case 'proof':
+      return [type, message.id, message.ageMs, message.version];
+    case 'token_wanted':
+      return [type, message.id, names.write(message.workspace)];
+    case 'token':
+      return [type, message.id, names.write(message.workspace), ...grantFields(message.end)];
+    case 'tokens_back':
+      return [type, message.tokens];
     case 'config_wanted':
     case 'ping':
     case 'pong':
@@ -212,9 +257,34 @@
     call.path,
     call.headers.map((text) => names.write(text)),
     call.body,
+    ...workspaceFields(call.workspace, names),
   ];
 }
 
+function workspaceFields(workspace: CallWorkspace | undefined, names: NameWriter): unknown[] {
+  if (!workspace) {
+    return [];
+  }
+  const { name, keyHash, version, validMs } = workspace;
+  return [names.write(name), keyHash, version, validMs === Infinity ? kNoLimit : Math.floor(validMs)];
+}
+
+/** Granted, or the wait in milliseconds, or that the receiver has no part in the quota. */
+function grantFields(end: GrantEnd): unknown[] {
+  if (end === 'not_owner') {
+    return [kNotOwner];
+  }
+  return [end.granted ? 0 : Math.ceil(end.waitMs)];
+}
+
+function grantFrom(field: unknown): GrantEnd {
+  const waitMs = field as number;
+  if (waitMs === kNotOwner) {
+    return 'not_owner';
+  }
+  return waitMs === 0 ? { granted: true } : { granted: false, waitMs };
+}
+
 function loadFields({ inFlight, queued, limit, meanMs, level, inner, height, chargeMs }: GateReport): unknown[] {
   return [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelSteps), chargeMs, height, inner];
 }
@@ -244,6 +314,16 @@
         record: fields[3] as TargetRecord,
         digests: fields[4] as Digests,
       };
+    case 'proof_wanted':
+      return { type, id };
+    case 'proof':
+      return { type, id, ageMs: fields[2] as number, version: fields[3] as number };
+    case 'token_wanted':
+      return { type, id, workspace: names.read(fields[2]) };
+    case 'token':
+      return { type, id, workspace: names.read(fields[2]), end: grantFrom(fields[3]) };
+    case 'tokens_back':
+      return { type, tokens: fields[1] as Record<string, number> };
     case 'call':
       return { type, id, call: callFrom(fields, names) };
     case 'cancel':
@@ -298,5 +378,19 @@
     path: fields[13] as string,
     headers: headersFrom(fields[14], names),
     body: fields[15] as Buffer,
+    workspace: workspaceFrom(fields, names),
+  };
+}
+
+function workspaceFrom(fields: unknown[], names: NameReader): CallWorkspace | undefined {
+  if (fields.length <= kCallFields) {
+    return undefined;
+  }
+  const [name, keyHash, version, validMs] = fields.slice(kCallFields);
+  return {
+    name: names.read(name),
+    keyHash: keyHash as number,
+    version: version as number,
+    validMs: validMs === kNoLimit ? Infinity : (validMs as number),
   };
 }
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -16,7 +16,7 @@
 import { PeerCalls } from './peerCalls.js';
 import { PeerDialer } from './peerDialer.js';
 import { PeerLink } from './peerLink.js';
-import type { Digests, PeerCall, PeerMessage } from './peerMessages.js';
+import type { Digests, PeerCall, PeerMessage, WorkspaceMessage } from './peerMessages.js';
 
 /** Hosts up to which a daemon keeps links to all others: they cost next to nothing, and calls find them open. */
 const kWholeFleet = 17;
@@ -47,6 +47,8 @@
   /** Whether a link is of use beyond the calls on it. */
   wantsLink(record: TargetRecord): boolean;
   config(): MeshConfig | undefined;
+  /** Another daemon asks for, or brings, a proof or a token; answers go back over the link. */
+  onWorkspaceMessage(message: WorkspaceMessage, link: PeerLink): void;
 }
 
 /** The links of one daemon. */
@@ -134,6 +136,19 @@
     this._links.get(host)?.send(message);
   }
 
+  /** Tells a daemon, over a link that is opened when there is none. */
+  sendOrDial(host: string, message: PeerMessage): void {
+    const link = this._links.get(host);
+    const record = this._directory.get(host);
+    if (link) {
+      link.send(message);
+    } else if (record) {
+      this._dialer.dialFor(record, (opened) => {
+        opened?.send(message);
+      });
+    }
+  }
+
   /** Ends all links. */
   close(): void {
     this._server.close();
@@ -228,6 +243,13 @@
       case 'config':
         this._events.onConfig(message.config);
         return;
+      case 'proof_wanted':
+      case 'proof':
+      case 'token_wanted':
+      case 'token':
+      case 'tokens_back':
+        this._events.onWorkspaceMessage(message, link);
+        return;
       case 'ping':
       case 'pong':
         return;
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -106,6 +106,9 @@
     }
     headers.push(names.remainingMs, String(Math.max(1, Math.floor(remainingMs))), names.expectedInstance, this._instance);
     headers.push(names.callerService, call.callerService);
+    if (call.workspace) {
+      headers.push(names.workspace, call.workspace.name);
+    }
     return requestBytes(call.method, call.path, headers, call.body);
   }
 
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -21,6 +21,8 @@
   bodyBytes: number;
   /** Whether the caller waits for a word before it sends the body. */
   expectsContinue: boolean;
+  /** Values of the headers that carry a key; they are passed on only where no key is asked for. */
+  credentials: string[];
   /** Headers that are passed on, names and values in turn. */
   kept: string[];
 }
@@ -53,6 +55,9 @@
   'content-length',
 ];
 
+/** Header that carries the key of a workspace. */
+export const kCredentialsHeader = 'authorization';
+
 /** Most spellings of names that are remembered; callers may send any. */
 const kMaxSpellings = 500;
 
@@ -80,14 +85,30 @@
   private readonly _ofAnswer: ReadonlySet<string>;
 
   constructor(private readonly _names: HeaderNames) {
-    this._ofRequest = new Set([...kConnectionHeaders, _names.remainingMs, _names.expectedInstance, _names.callerService, _names.requestId]);
+    this._ofRequest = new Set([
+      ...kConnectionHeaders,
+      kCredentialsHeader,
+      _names.remainingMs,
+      _names.expectedInstance,
+      _names.callerService,
+      _names.requestId,
+      _names.workspace,
+    ]);
     this._ofAnswer = new Set([...kConnectionHeaders, _names.requestId]);
   }
 
   /** Reads a request's headers; of one that came twice the first counts. */
   readRequest(raw: readonly string[]): RequestHeaders {
     const names = this._names;
-    const read: RequestHeaders = { host: '', requestId: '', remainingMs: Infinity, bodyBytes: 0, expectsContinue: false, kept: [] };
+    const read: RequestHeaders = {
+      host: '',
+      requestId: '',
+      remainingMs: Infinity,
+      bodyBytes: 0,
+      expectsContinue: false,
+      credentials: [],
+      kept: [],
+    };
     let connection = '';
     for (let i = 0; i < raw.length; i += 2) {
       const name = raw[i] ?? '';
@@ -100,6 +121,8 @@
         read.requestId ||= value;
       } else if (lower === names.remainingMs) {
         read.remainingMs = positive(value) ?? read.remainingMs;
+      } else if (lower === kCredentialsHeader) {
+        read.credentials.push(value);
       } else if (lower === 'content-length') {
         read.bodyBytes = Number(value);
       } else if (lower === 'expect') {
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -5,7 +5,7 @@
 
 /** What a routing daemon needs of the platform that it runs on. Adapters implement these; nothing here knows one. */
 
-import type { Announcement, TargetRecord } from '@gentiandrum/core';
+import type { Announcement, TargetRecord, VersionProof } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 
 /** Names of the HTTP headers by which callers, daemons and targets speak, all in lower case. */
@@ -22,6 +22,8 @@
   notRun: string;
   /** Service on whose host the request began. */
   callerService: string;
+  /** Workspace that the request is of. */
+  workspace: string;
 }
 
 /** How the platform's HTTP requests are read and written. */
@@ -50,6 +52,8 @@
 export interface ConfigSource extends LogView {
   /** Sets what is called with each configuration found, in any order, also twice. */
   onConfig(take: (cfg: MeshConfig) => void): void;
+  /** What the log was last shown to have as its newest version; undefined when that is not known, or can't be read. */
+  readonly proof: VersionProof | undefined;
 }
 
 /** A change in the shared records. */
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -6,17 +6,19 @@
 /** Takes callers' requests over HTTP/1.1, whole, and gives each its final answer. */
 
 import { createServer, type Server } from 'node:net';
-import { monotonicMs, RootAdmission, type RouteTable } from '@gentiandrum/core';
-import type { MeshConfig, Route } from '@gentiandrum/protocol';
+import { type EntryEnd, monotonicMs, readCredentials, type RequestWorkspace } from '@gentiandrum/core';
+import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeEnd } from '../app/callExchange.js';
 import type { EventFields, EventLog } from '../app/eventLog.js';
 import type { RequestOutcome } from '../app/latencyMetric.js';
 import type { MeshMetrics } from '../app/meshMetrics.js';
-import { HeaderReader } from '../http/headerReader.js';
+import type { RequestEntry } from '../app/requestEntry.js';
+import { HeaderReader, kCredentialsHeader } from '../http/headerReader.js';
 import type { HeaderNames } from '../ports.js';
 import { BodyMemory } from './bodyMemory.js';
 import { CallerConnection, type CallerLimits, type CallerRequest, type ConnectionOwner, type ReadFault } from './callerConnection.js';
+import { type RefusedEntry, refusalFields, refusalOf, refusedService } from './entryRefusals.js';
 
 /** Limits until a configuration is known. */
 const kFirstLimits: CallerLimits = {
@@ -29,8 +31,6 @@
 const kRetryAfterMs = 200;
 /** Retry-After is spread over this factor, so that callers don't return together. */
 const kRetrySpread = 1.0;
-/** Time after which a request that was turned away may come back, as a share of its latency target. */
-const kShedRetryShare = 0.3;
 /** Share of the process's memory that bodies of requests under way may take. */
 const kBodyMemoryShare = 0.3;
 const kBytesPerMb = 2 ** 20;
@@ -40,8 +40,9 @@
   names: HeaderNames;
   service: string;
   memoryMb: number;
-  config(): MeshConfig | undefined;
-  routes(): RouteTable | undefined;
+  entry: RequestEntry;
+  /** Whether requests need keys, which then stay here. */
+  keysRequired(): boolean;
   stopping(): boolean;
   metrics: MeshMetrics;
   events: EventLog;
@@ -55,7 +56,6 @@
   private readonly _connections = new Set<CallerConnection>();
   private _limits = kFirstLimits;
   private _inFlight = 0;
-  private readonly _admission = new RootAdmission();
 
   constructor(private readonly _deps: CallServerDeps) {
     this.headers = new HeaderReader(_deps.names);
@@ -112,7 +112,16 @@
   /** @internal Called by connections, as are the next ones. */
   onRequest(req: CallerRequest): void {
     this._inFlight++;
-    this._route(req);
+    const { host, credentials } = req.headers;
+    const entering = this._deps.entry.enter({ host, path: req.target, presented: readCredentials(credentials) }, (end) => {
+      this._entered(req, end);
+    });
+    if (!req.begun) {
+      req.onLeave = () => {
+        this._inFlight--;
+        entering.leave();
+      };
+    }
   }
 
   /** @internal */
@@ -126,40 +135,30 @@
     this._connections.delete(connection);
   }
 
-  private _route(req: CallerRequest): void {
-    const routes = this._deps.routes();
-    if (!routes) {
-      this._deps.metrics.requestEnded('none', 'no_configuration', 'none', 0);
-      this._refuse(req, 503, 'no configuration is known yet', kRetryAfterMs);
-      return;
-    }
-    const route = routes.find(req.headers.host, req.target);
-    if (!route) {
-      this._deps.metrics.requestEnded('none', 'no_route', 'none', 0);
-      this._refuse(req, 404, 'no route matches');
-      return;
-    }
-    this._deps.chains.entered(route.name);
-    if (this._shed(route)) {
-      const fields = { req: req.headers.requestId, route: route.name, level: this._deps.chains.level(route.name) };
-      this._deps.metrics.requestEnded(route.destinations[0]?.service ?? 'none', 'shed', 'level', 0);
-      this._deps.events.notable('calls', 'Turned away where it entered: there is too much work on its chain.', fields);
-      this._refuse(req, 503, 'not run: overloaded', route.latencyTargetMs * kShedRetryShare);
-      return;
+  private _entered(req: CallerRequest, end: EntryEnd): void {
+    req.begun = true;
+    if (end.kind === 'admitted') {
+      this._deps.chains.entered(end.route.name);
+      this._exchange(req, end);
+    } else {
+      this._refuseEntry(req, end);
     }
-    this._exchange(req, route, routes.nextService(route));
   }
 
-  /** Only what is known to come from people is turned away here. */
-  private _shed(route: Route): boolean {
-    const { chains } = this._deps;
-    return (
-      chains.inner(route.name) === false && !this._admission.admits(route.priority, chains.level(route.name), Math.random(), monotonicMs())
-    );
+  private _refuseEntry(req: CallerRequest, end: RefusedEntry): void {
+    const { status, detail, outcome, retryAfterMs, headers, logText } = refusalOf(end);
+    this._deps.metrics.requestEnded(refusedService(end), outcome, end.kind === 'shed' ? 'level' : 'none', 0);
+    if ('workspace' in end && end.workspace !== undefined) {
+      this._deps.metrics.workspaceEnded(typeof end.workspace === 'string' ? end.workspace : end.workspace.name, outcome);
+    }
+    if (logText !== undefined) {
+      this._deps.events.notable('calls', logText, { req: req.headers.requestId, ...refusalFields(end) });
+    }
+    this._refuse(req, status, detail, retryAfterMs, headers);
   }
 
-  private _exchange(req: CallerRequest, route: Route, service: string): void {
-    const { requestId, remainingMs, kept } = req.headers;
+  private _exchange(req: CallerRequest, { route, service, workspace }: Extract<EntryEnd, { kind: 'admitted' }>): void {
+    const { requestId, remainingMs } = req.headers;
     const exchange = new CallExchange(
       {
         route,
@@ -168,15 +167,17 @@
         requestId,
         method: req.method,
         path: req.target,
-        headers: kept,
+        headers: this._passedOn(req),
         body: req.body,
+        workspace: workspace && { ...workspace, validUntil: monotonicMs() + workspace.validMs },
         deadline: req.takenAt + Math.min(route.timeoutMs, remainingMs),
       },
       this._deps,
       (end) => {
         const { outcome, reason } = outcomeOf(end);
         this._deps.metrics.requestEnded(service, outcome, reason, exchange.ageMs / 1_000);
-        this._logEnd(exchange, route, end, requestId);
+        this._logEnd(exchange, route.name, end, requestId);
+        this._noteWorkspace(workspace, end, outcome);
         this._end(req, end);
       },
     );
@@ -187,6 +188,23 @@
     exchange.start();
   }
 
+  private _noteWorkspace(workspace: RequestWorkspace | undefined, end: ExchangeEnd, outcome: RequestOutcome): void {
+    if (workspace) {
+      this._deps.metrics.workspaceEnded(workspace.name, outcome);
+    }
+    if (end.kind === 'not_run') {
+      this._deps.entry.notRun(workspace);
+    }
+  }
+
+  /** Keys stay where requests enter; without workspaces the header is one like any other. */
+  private _passedOn({ headers: { kept, credentials } }: CallerRequest): string[] {
+    if (credentials.length === 0 || this._deps.keysRequired()) {
+      return kept;
+    }
+    return [...kept, ...credentials.flatMap((value) => [kCredentialsHeader, value])];
+  }
+
   private _end(req: CallerRequest, end: ExchangeEnd): void {
     switch (end.kind) {
       case 'answered':
@@ -208,10 +226,10 @@
     return requestId === '' ? headers : [...headers, this._deps.names.requestId, requestId];
   }
 
-  private _logEnd(exchange: CallExchange, route: Route, end: ExchangeEnd, requestId: string): void {
+  private _logEnd(exchange: CallExchange, route: string, end: ExchangeEnd, requestId: string): void {
     const fields = (): EventFields => ({
       req: requestId,
-      route: route.name,
+      route,
       offers: exchange.offers,
       ms: Math.round(exchange.ageMs),
       ...(exchange.failed.length > 0 ? { failed: exchange.failed } : {}),
@@ -228,8 +246,8 @@
     }
   }
 
-  private _refuse(req: CallerRequest, status: number, detail: string, retryAfterMs?: number): void {
-    const headers = ['content-type', 'application/problem+json'];
+  private _refuse(req: CallerRequest, status: number, detail: string, retryAfterMs?: number, more: readonly string[] = []): void {
+    const headers = ['content-type', 'application/problem+json', ...more];
     if (retryAfterMs !== undefined) {
       headers.push('retry-after', ((retryAfterMs * (1 + Math.random() * kRetrySpread)) / 1_000).toFixed(3));
     }
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -65,6 +65,8 @@
   heldBytes = 0;
   /** The answer, once there is one. */
   answered: Buffer[] | undefined;
+  /** Whether it was decided whether it is let in. */
+  begun = false;
   /** Whether nothing more can be read of the connection behind this request. */
   isLast = false;
 
--- /dev/null
+++ b/packages/mesh/src/server/entryRefusals.ts
@@ -0,0 +1,107 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** What callers, logs and metrics are told of a request that was refused where it entered: one table for all outcomes. */
+
+import { type EntryEnd, loggedKey } from '@gentiandrum/core';
+import type { EventFields } from '../app/eventLog.js';
+import type { RequestOutcome } from '../app/latencyMetric.js';
+
+/** A request that was refused where it entered. */
+export type RefusedEntry = Exclude<EntryEnd, { kind: 'admitted' }>;
+
+/** How a refusal is told. */
+export interface EntryRefusal {
+  status: number;
+  detail: string;
+  outcome: RequestOutcome;
+  /** Time after which the caller may come back, in milliseconds; undefined when that is of no use. */
+  retryAfterMs?: number;
+  headers?: string[];
+  /** Text of the log line; none for what callers send wrongly in numbers. */
+  logText?: string;
+}
+
+/** Time after which a caller may come back when nothing better is known, in milliseconds. */
+const kRetryAfterMs = 200;
+/** Time after which a daemon with an old configuration may know better, in milliseconds. */
+const kStaleRetryMs = 500;
+const kChallenge = ['www-authenticate', 'Bearer'];
+
+/** How a refusal is told to the caller, the log and the metrics. */
+export function refusalOf(end: RefusedEntry): EntryRefusal {
+  switch (end.kind) {
+    case 'no_configuration':
+      return { status: 503, detail: 'not run: no configuration is known yet', outcome: end.kind, retryAfterMs: kRetryAfterMs };
+    case 'no_route':
+      return { status: 404, detail: 'no route matches', outcome: end.kind };
+    case 'no_key':
+      return { status: 401, detail: 'expected the key of a workspace, got none', outcome: end.kind, headers: kChallenge };
+    case 'unknown_key':
+      return {
+        status: 401,
+        detail: 'expected the key of a workspace, got one that no workspace has',
+        outcome: end.kind,
+        headers: kChallenge,
+        logText: 'The key is not known.',
+      };
+    case 'stale_configuration':
+      return {
+        status: 503,
+        detail: 'not run: it is not known whether the key still holds',
+        outcome: end.kind,
+        retryAfterMs: kStaleRetryMs,
+        logText: 'The configuration is too old to rely on keys.',
+      };
+    case 'over_quota':
+      return {
+        status: 429,
+        detail: 'not run: the workspace is over its quota',
+        outcome: end.kind,
+        retryAfterMs: end.retryAfterMs,
+        logText: 'The workspace is over its quota.',
+      };
+    case 'quota_unknown':
+      return {
+        status: 503,
+        detail: 'not run: the quota of the workspace could not be checked',
+        outcome: end.kind,
+        retryAfterMs: end.retryAfterMs,
+        logText: 'The owners of the quota could not be asked.',
+      };
+    case 'shed':
+      return {
+        status: 503,
+        detail: 'not run: overloaded',
+        outcome: end.kind,
+        retryAfterMs: end.retryAfterMs,
+        logText: 'Turned away where it entered: there is too much work on its chain.',
+      };
+  }
+}
+
+/** What a log line says of a refusal beyond its text; of a key only enough to tell two apart. */
+export function refusalFields(end: RefusedEntry): EventFields {
+  switch (end.kind) {
+    case 'no_configuration':
+    case 'no_route':
+      return {};
+    case 'no_key':
+    case 'stale_configuration':
+      return { route: end.route.name };
+    case 'unknown_key':
+      return { route: end.route.name, ...(end.key === undefined ? {} : { key: loggedKey(end.key) }) };
+    case 'over_quota':
+    case 'quota_unknown':
+      return { route: end.route.name, workspace: end.workspace, retryAfterMs: Math.round(end.retryAfterMs) };
+    case 'shed':
+      return { route: end.route.name, ...(end.workspace ? { workspace: end.workspace.name } : {}) };
+  }
+}
+
+/** Service that a refusal counts for. */
+export function refusedService(end: RefusedEntry): string {
+  return 'route' in end ? (end.route.destinations[0]?.service ?? 'none') : 'none';
+}
--- a/packages/protocol/src/meshConfigSchema.ts
+++ b/packages/protocol/src/meshConfigSchema.ts
@@ -37,6 +37,21 @@
   maxAttempts: z.int().min(1).default(1),
   /** Rank under overload; 0 is served first. */
   priority: z.int().min(0).default(0),
+  /** Whether requests need no key, though there are workspaces. */
+  exempt: z.boolean().default(false),
+});
+
+/** A workspace: whose requests they are, and how many it may have run. */
+export const workspaceSchema = z.strictObject({
+  name: z.string().min(1),
+  /** Keys that its callers send; several, so that one can be taken away after another was given out. */
+  keys: z.array(z.string().min(1)),
+  /** Rank of its requests under overload, before that of their routes; 0 is served first. */
+  priority: z.int().min(0).default(0),
+  /** Requests a second that may run, over all daemons together; without one there is no limit. */
+  ratePerSecond: z.number().positive().optional(),
+  /** Requests that may run beyond that at once. */
+  burst: z.number().min(0).default(0),
 });
 
 /** What is known of a service beyond its targets. */
@@ -63,6 +78,8 @@
     routes: z.array(routeSchema),
     services: z.array(meshServiceSchema),
     limits: callerLimitsSchema,
+    /** Without this list requests need no key. */
+    workspaces: z.array(workspaceSchema).optional(),
   })
   .superRefine((cfg, ctx) => {
     const services = new Set(cfg.services.map(({ name }) => name));
@@ -82,9 +99,32 @@
     }
   });
 
+/** Faults of a configuration that daemons live with, as refusing all of it would serve nobody; for those who write it. */
+export function workspaceFaults(cfg: Pick<MeshConfig, 'workspaces'>): string[] {
+  const faults: string[] = [];
+  const names = new Set<string>();
+  const owners = new Map<string, string>();
+  for (const [i, { name, keys }] of (cfg.workspaces ?? []).entries()) {
+    if (names.has(name)) {
+      faults.push(`workspaces.${i}.name: expected one workspace named ${name}, got a second`);
+    }
+    names.add(name);
+    for (const [k, key] of keys.entries()) {
+      const owner = owners.get(key);
+      if (owner !== undefined && owner !== name) {
+        faults.push(`workspaces.${i}.keys.${k}: expected a key of one workspace, got one that ${owner} has too`);
+      }
+      owners.set(key, owner ?? name);
+    }
+  }
+  return faults;
+}
+
 /** A checked routing configuration. */
 export type MeshConfig = z.infer<typeof meshConfigSchema>;
 /** A checked route. */
 export type Route = z.infer<typeof routeSchema>;
+/** A checked workspace. */
+export type Workspace = z.infer<typeof workspaceSchema>;
 /** A share of a route's requests. */
 export type Destination = z.infer<typeof destinationSchema>;
--- a/packages/protocol/src/meshSettingsSchema.ts
+++ b/packages/protocol/src/meshSettingsSchema.ts
@@ -46,6 +46,26 @@
       windowSeconds: z.number().positive().default(10),
     })
     .prefault({}),
+  /** How soon a key that was taken away stops working. */
+  revocation: z
+    .strictObject({
+      /** Whether that holds at daemons that are cut off too: they then refuse requests with keys until they know better. */
+      strict: z.boolean().default(false),
+      /** Time after the acceptance of a version from which on no request with a key that it took away runs, in milliseconds. */
+      withinMs: z.number().min(1_000).default(5_000),
+    })
+    .prefault({}),
+  /** What workspaces may have run beyond their rates, while daemons don't know of each other. */
+  quotas: z
+    .strictObject({
+      /** Length of a window, in seconds. */
+      windowSeconds: z.number().positive().default(5),
+      /** Share of what a window allows that may run beyond it. */
+      overage: z.number().min(0).default(0.1),
+      /** Requests that may run beyond that. */
+      slack: z.number().min(0).default(10),
+    })
+    .prefault({}),
   /** Time between a planned stop's signal and the moment at which the process is killed, in seconds. */
   stopSeconds: z.number().positive().default(6),
   /** Memory that the process may use, in MiB. */
@@ -54,5 +74,9 @@
   logLinesPerSecond: z.number().min(0).default(20),
 });
 
+/** How soon a key that was taken away stops working. */
+export type RevocationSettings = z.infer<typeof meshSettingsSchema>['revocation'];
+/** What workspaces may have run beyond their rates. */
+export type QuotaSettings = z.infer<typeof meshSettingsSchema>['quotas'];
 /** Checked settings of a routing daemon. */
 export type MeshSettings = z.infer<typeof meshSettingsSchema>;
--- a/tests/admission/refusalLevel.spec.ts
+++ b/tests/admission/refusalLevel.spec.ts
@@ -16,6 +16,7 @@
   repeat_budget: false,
   target_refused: false,
   wrong_instance: false,
+  key_not_valid: false,
   cancelled: false,
 };
 const kStepMs = 100;
--- a/tests/mesh/callExchange.spec.ts
+++ b/tests/mesh/callExchange.spec.ts
@@ -19,6 +19,7 @@
   latencyTargetMs: 200,
   maxAttempts: 2,
   priority: 0,
+  exempt: false,
 };
 
 function target(host: string): TargetRecord {
@@ -51,6 +52,7 @@
     path: '/a/x',
     headers: [],
     body: Buffer.alloc(0),
+    workspace: undefined,
     deadline: performance.now() + 1_000,
   };
   const exchange = new CallExchange(req, deps, (end) => {
--- a/tests/mesh/logFollower.spec.ts
+++ b/tests/mesh/logFollower.spec.ts
@@ -102,7 +102,7 @@
       this.take(log.version, zone);
     });
     this.records = new FakeView(log, host, time, () => undefined);
-    const source: ConfigSource = Object.assign(this.configs, { onConfig: () => undefined });
+    const source: ConfigSource = Object.assign(this.configs, { onConfig: () => undefined, proof: undefined });
     const recordLog: RecordLog = Object.assign(this.records, {
       onChanges: () => undefined,
       append: (records: readonly TargetRecord[]) => {
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -22,6 +22,16 @@
   timeoutMs?: number;
   maxAttempts?: number;
   priority?: number;
+  exempt?: boolean;
+}
+
+/** A workspace of a test's configuration. */
+export interface TestWorkspace {
+  name: string;
+  keys: string[];
+  priority?: number;
+  ratePerSecond?: number;
+  burst?: number;
 }
 
 /** An answer as a caller got it. */
@@ -75,7 +85,7 @@
   }
 
   /** Writes a configuration; returns its version. */
-  configure(routes: TestRoute[], limits: Record<string, number> = {}, maxConnections = 50): number {
+  configure(routes: TestRoute[], limits: Record<string, number> = {}, maxConnections = 50, workspaces?: TestWorkspace[]): number {
     this._version += 3;
     const services = [...new Set(routes.flatMap((route) => [route.service ?? '', ...(route.split ?? []).map(({ service }) => service)]))];
     this.store.put(
@@ -92,17 +102,33 @@
           target_latency_ms: 1_000,
           max_attempts: route.maxAttempts ?? 2,
           priority: route.priority ?? 1,
+          auth_exempt: route.exempt ?? false,
           ...(route.split ? { traffic_split: route.split } : { service: route.service }),
         })),
         services: services.filter((name) => name !== '').map((name) => ({ name, health_path: '/health', max_connections: maxConnections })),
         limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000, ...limits },
+        ...(workspaces
+          ? {
+              tenants: workspaces.map(({ name, keys, priority, ratePerSecond, burst }) => ({
+                name,
+                api_keys: keys,
+                priority: priority ?? 1,
+                rate_per_s: ratePerSecond ?? 0,
+                burst: burst ?? 0,
+              })),
+            }
+          : {}),
       }),
     );
     return this._version;
   }
 
   /** Addresses, settings and target of a host whose daemon is not started yet. */
-  async prepare(id: string, service: string, options: { zone?: string; target?: UpstreamStandin } = {}): Promise<PreparedHost> {
+  async prepare(
+    id: string,
+    service: string,
+    options: { zone?: string; target?: UpstreamStandin; settings?: Record<string, unknown> } = {},
+  ): Promise<PreparedHost> {
     const target = options.target ?? new UpstreamStandin(`i-${id}`, service);
     this._targets.add(target);
     if (target.address === '') {
@@ -118,12 +144,17 @@
       log: { address: this.storeAddress },
       retries: { ratio: 0.2, extra: 50, windowSeconds: 10 },
       logLinesPerSecond: 0,
+      ...options.settings,
     });
     return { settings, target, host: { id, calls, ready, control, metrics, zone } };
   }
 
   /** Starts a daemon beside a target; `beat` lets the target announce itself. */
-  async add(id: string, service: string, options: { zone?: string; beat?: boolean; target?: UpstreamStandin } = {}): Promise<FleetHost> {
+  async add(
+    id: string,
+    service: string,
+    options: { zone?: string; beat?: boolean; target?: UpstreamStandin; settings?: Record<string, unknown> } = {},
+  ): Promise<FleetHost> {
     const { settings, target, host: place } = await this.prepare(id, service, options);
     return this._start(settings, target, place, options.beat !== false);
   }
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -32,6 +32,10 @@
   caller: string;
   remainingMs: number;
   instance: string;
+  /** Workspace, as the daemon named it; undefined without that header. */
+  workspace: string | undefined;
+  /** What came with the key's header. */
+  credentials: string | undefined;
   body: string;
 }
 
@@ -121,6 +125,8 @@
       caller: header('x-caller-service'),
       remainingMs: Number(header('x-deadline-remaining')),
       instance: header('x-target-instance'),
+      workspace: req.headers['x-tenant-id']?.toString(),
+      credentials: req.headers.authorization,
       body: body.toString('utf8'),
     });
     if (header('x-target-instance') !== this.instance) {
--- /dev/null
+++ b/tests/workspaces/keys.spec.ts
@@ -0,0 +1,83 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { keyHash, loggedKey, readCredentials, WorkspaceTable } from '@gentiandrum/core';
+import { workspaceFaults, type Workspace } from '@gentiandrum/protocol';
+import fc from 'fast-check';
+import { describe, it } from '../support/describe.js';
+
+function workspace(name: string, ...keys: string[]): Workspace {
+  return { name, keys, priority: 0, burst: 0 };
+}
+
+describe('credentials of a request', () => {
+  it('should be one key behind its scheme, however that is spelt', (t) => {
+    for (const value of ['Bearer k1', 'bearer k1', 'BEARER  k1', '  Bearer\tk1 ']) {
+      t.deepEqual(readCredentials([value]), { kind: 'key', key: 'k1' }, value);
+    }
+  });
+
+  it('should be nobody’s when there is no readable key, or two that differ', (t) => {
+    t.deepEqual(readCredentials([]), { kind: 'none' });
+    for (const values of [
+      [''],
+      ['Bearer'],
+      ['Bearer '],
+      ['Basic k1'],
+      ['k1'],
+      ['Bearer k1 k2'],
+      ['Bearer k1', 'Bearer k2'],
+      ['Bearer k1', ''],
+    ]) {
+      t.deepEqual(readCredentials(values), { kind: 'unreadable' }, values.join('|'));
+    }
+    t.deepEqual(readCredentials(['Bearer k1', 'bearer k1']), { kind: 'key', key: 'k1' });
+  });
+});
+
+describe('table of workspaces', () => {
+  it('should find the workspace of each key, and none for others', (t) => {
+    const keys = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 2, maxLength: 30 });
+    fc.assert(
+      fc.property(keys, ([unknown = '', ...held]) => {
+        const table = new WorkspaceTable({ workspaces: held.map((key, i) => workspace(`w${i}`, key)) });
+        held.forEach((key, i) => {
+          t.is(table.find(key)?.name, `w${i}`);
+          t.true(table.holds(`w${i}`, keyHash(key)));
+        });
+        t.is(table.find(unknown), undefined);
+      }),
+    );
+  });
+
+  it('should give a key that stands twice to the first, as every daemon does, and call it a fault', (t) => {
+    const workspaces = [workspace('a', 'k1', 'k1'), workspace('b', 'k1', 'k2')];
+    const table = new WorkspaceTable({ workspaces });
+    t.is(table.find('k1')?.name, 'a');
+    t.is(table.find('k2')?.name, 'b');
+    t.false(table.holds('b', keyHash('k1')));
+    t.deepEqual(workspaceFaults({ workspaces }), ['workspaces.1.keys.0: expected a key of one workspace, got one that a has too']);
+  });
+
+  it('should ask for keys only where there are workspaces', (t) => {
+    t.false(new WorkspaceTable({ workspaces: undefined }).required);
+    t.true(new WorkspaceTable({ workspaces: [] }).required);
+  });
+
+  it('should tell next to nothing of a key in a log line', (t) => {
+    const key = 'ix6iwjgbt3rrdb9xz77s';
+    t.regex(loggedKey(key), /^[0-9a-f]{4}$/);
+    t.not(loggedKey(key), loggedKey('3y7a3rmfy673vp95baib'));
+  });
+
+  it('should look at no more keys with ten thousand than with ten', (t) => {
+    const hashes = new Map<number, number>();
+    for (let i = 0; i < 10_000; i++) {
+      const hash = keyHash(`key-${i}`);
+      hashes.set(hash, (hashes.get(hash) ?? 0) + 1);
+    }
+    t.true(Math.max(...hashes.values()) <= 2);
+  });
+});
--- /dev/null
+++ b/tests/workspaces/quotas.spec.ts
@@ -0,0 +1,394 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Quotas over many daemons: seeded histories of cuts, kills, freezes, joins, leavings and lowered limits over the real decision objects.
+ * No network; the bound is checked over every window, and what is served is compared with one bucket over all.
+ */
+
+import {
+  QuotaAsker,
+  QuotaBucket,
+  type QuotaEnd,
+  type QuotaHost,
+  type QuotaLimits,
+  QuotaOwner,
+  seededRandom,
+  type TokenAnswer,
+  type TokenRequest,
+  windowBound,
+} from '@gentiandrum/core';
+import { describe, it } from '../support/describe.js';
+
+const kSettings = { windowSeconds: 5, overage: 0.1, slack: 20 };
+const kWindowMs = kSettings.windowSeconds * 1_000;
+const kZones = 5;
+const kDaemons = 60;
+const kAnswerMs = 100;
+/** Time in which members of the fleet hear of a change, and of a version, when nothing fails, in milliseconds. */
+const kToldMs = 300;
+const kApplyMs = 2_500;
+/** Margin of the wall clock when a daemon judges how long ago its predecessor started, in milliseconds. */
+const kRestartMarginMs = 1_000;
+
+interface Load {
+  usualPerSecond: number;
+  /** Multiple of the usual load as time goes, in milliseconds. */
+  times: (now: number) => number;
+  untilMs: number;
+}
+
+interface Played {
+  arrivals: number;
+  served: number;
+  /** What one bucket over all would have served of the same arrivals. */
+  reference: number;
+  /** Most runs in a window, as a share of the bound. */
+  fullest: number;
+  asks: number;
+}
+
+class Daemon {
+  asker: QuotaAsker;
+  owner: QuotaOwner;
+  startedAt = 0;
+  downUntil = 0;
+  frozenUntil = 0;
+  cutUntil = 0;
+  hosts: QuotaHost[];
+  revision = 1;
+  limits: QuotaLimits;
+  version = 1;
+
+  constructor(
+    readonly at: QuotaHost,
+    private readonly _world: World,
+  ) {
+    this.hosts = _world.hosts;
+    this.limits = _world.limits;
+    this.asker = this._newAsker();
+    this.owner = new QuotaOwner(kSettings, 0);
+    this.owner.mayBeginWithReserve();
+  }
+
+  restart(now: number, downMs: number): void {
+    const before = this.startedAt;
+    this.downUntil = now + downMs;
+    this.startedAt = this.downUntil;
+    this.asker = this._newAsker();
+    this.owner = new QuotaOwner(kSettings, this.downUntil);
+    if (this.startedAt - before > kWindowMs + kRestartMarginMs) {
+      this.owner.mayBeginWithReserve();
+    }
+  }
+
+  learnHosts(hosts: QuotaHost[]): void {
+    this.hosts = hosts;
+    this.revision++;
+    this.owner.membersChanged(this._world.now);
+  }
+
+  grant(): TokenAnswer {
+    const part = this.asker.partOf('w', this.limits, this.at.host);
+    return this.owner.take('w', part, this.limits, this.version, this._world.now);
+  }
+
+  private _newAsker(): QuotaAsker {
+    const view = (): Daemon => this;
+    return new QuotaAsker(
+      this.at,
+      {
+        get revision() {
+          return view().revision;
+        },
+        hosts: () => this.hosts,
+      },
+      kSettings,
+      () => this._world.now,
+    );
+  }
+}
+
+/** Events in the order of their times. */
+class World {
+  now = 0;
+  hosts: QuotaHost[];
+  readonly daemons = new Map<string, Daemon>();
+  readonly runs: { at: number; sentAt: number }[] = [];
+  asks = 0;
+  arrivals = 0;
+  private _events: { at: number; run: () => void }[] = [];
+
+  constructor(
+    readonly random: () => number,
+    public limits: QuotaLimits,
+  ) {
+    this.hosts = Array.from({ length: kDaemons }, (_, i) => ({ host: `h${i}`, zone: `z${i % kZones}` }));
+    for (const host of this.hosts) {
+      this.daemons.set(host.host, new Daemon(host, this));
+    }
+  }
+
+  after(ms: number, run: () => void): void {
+    const event = { at: this.now + ms, run };
+    let low = 0;
+    let high = this._events.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this._events[middle]?.at ?? 0) > event.at) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    this._events.splice(low, 0, event);
+  }
+
+  runUntil(end: number): void {
+    for (let next = this._events.at(-1); next && next.at <= end; next = this._events.at(-1)) {
+      this._events.pop();
+      this.now = next.at;
+      next.run();
+    }
+    this.now = end;
+  }
+
+  /** Whether messages get through between two daemons. */
+  linked(a: Daemon, b: Daemon): boolean {
+    const up = (daemon: Daemon): boolean => this.now >= daemon.downUntil && this.now >= daemon.cutUntil && this.now >= daemon.frozenUntil;
+    return up(a) && up(b) && (a.at.zone === b.at.zone || (!this.zoneCut(a.at.zone) && !this.zoneCut(b.at.zone)));
+  }
+
+  readonly zoneCuts = new Map<string, number>();
+
+  zoneCut(zone: string): boolean {
+    return this.now < (this.zoneCuts.get(zone) ?? 0);
+  }
+
+  request(daemon: Daemon): void {
+    this.arrivals++;
+    const sentAt = this.now;
+    if (this.now < daemon.downUntil) {
+      return;
+    }
+    const begin = (): void => {
+      const procedure = daemon.asker.take('w', daemon.limits);
+      this._advance(daemon, daemon.startedAt, sentAt, procedure, procedure.next());
+    };
+    this.after(Math.max(0, daemon.frozenUntil - this.now), begin);
+  }
+
+  private _advance(
+    daemon: Daemon,
+    life: number,
+    sentAt: number,
+    procedure: Generator<TokenRequest, QuotaEnd, TokenAnswer>,
+    step: IteratorResult<TokenRequest, QuotaEnd>,
+  ): void {
+    if (daemon.startedAt !== life) {
+      return;
+    }
+    if (step.done === true) {
+      if (step.value.kind === 'granted') {
+        this.runs.push({ at: this.now, sentAt });
+      }
+      return;
+    }
+    this.asks++;
+    const resume = (answer: TokenAnswer, ms: number): void => {
+      this.after(Math.max(ms, daemon.frozenUntil - this.now), () => {
+        this._advance(daemon, life, sentAt, procedure, procedure.next(answer));
+      });
+    };
+    const owner = this.daemons.get(step.value.part.host);
+    if (owner === daemon) {
+      resume(daemon.grant(), 0);
+    } else if (!owner || !this.linked(daemon, owner)) {
+      resume('no_answer', kAnswerMs);
+    } else {
+      const hopMs = owner.at.zone === daemon.at.zone ? 0.5 : 1;
+      this.after(hopMs, () => {
+        const answer = owner.grant();
+        // What was granted and gets lost on its way back has been taken all the same.
+        resume(this.linked(daemon, owner) ? answer : 'no_answer', this.linked(daemon, owner) ? hopMs : kAnswerMs);
+      });
+    }
+  }
+}
+
+function arrive(world: World, load: Load, done: number[]): void {
+  const schedule = (): void => {
+    const perMs = (load.usualPerSecond * load.times(world.now)) / 1_000;
+    world.after(-Math.log(1 - world.random()) / perMs, () => {
+      if (world.now < load.untilMs) {
+        const hosts = [...world.daemons.values()];
+        const daemon = hosts[Math.floor(world.random() * hosts.length)];
+        done.push(world.now);
+        if (daemon) {
+          world.request(daemon);
+        }
+        schedule();
+      }
+    });
+  };
+  schedule();
+}
+
+function play(seed: number, load: Load, faults: (world: World) => void = () => undefined): Played & { world: World } {
+  const rate = load.usualPerSecond * 1.6;
+  const limits = { ratePerSecond: rate, burst: rate };
+  const world = new World(seededRandom(seed), limits);
+  const arrivals: number[] = [];
+  arrive(world, load, arrivals);
+  faults(world);
+  world.runUntil(load.untilMs + 1_000);
+  const bucket = new QuotaBucket({ ratePerSecond: rate, capacity: limits.burst, start: limits.burst }, limits.burst, 0);
+  const reference = arrivals.filter((at) => bucket.take(at).granted).length;
+  return {
+    arrivals: world.arrivals,
+    served: world.runs.length,
+    reference,
+    fullest: fullestWindow(world.runs, windowBound(limits, kSettings)),
+    asks: world.asks,
+    world,
+  };
+}
+
+/** Most runs that were both sent and begun in one window, as a share of a bound. */
+function fullestWindow(runs: readonly { at: number; sentAt: number }[], bound: number, fromMs = 0): number {
+  const sorted = runs.filter(({ sentAt }) => sentAt >= fromMs).sort((a, b) => a.at - b.at);
+  let most = 0;
+  let first = 0;
+  sorted.forEach(({ at }, i) => {
+    while ((sorted[first]?.at ?? 0) < at - kWindowMs) {
+      first++;
+    }
+    most = Math.max(most, sorted.slice(first, i + 1).filter(({ sentAt }) => sentAt >= at - kWindowMs).length);
+  });
+  return most / bound;
+}
+
+/** Every kind of fault, several times, at any moment. */
+function randomFaults(world: World, untilMs: number): void {
+  const { random } = world;
+  const each = (run: (daemon: Daemon) => void, share: number): void => {
+    for (const daemon of world.daemons.values()) {
+      if (random() < share) {
+        run(daemon);
+      }
+    }
+  };
+  const kinds: (() => void)[] = [
+    () => world.zoneCuts.set(`z${Math.floor(random() * kZones)}`, world.now + random() * 12_000),
+    () => {
+      each((daemon) => (daemon.cutUntil = world.now + random() * 12_000), random() * 0.5);
+    },
+    () => {
+      each((daemon) => (daemon.frozenUntil = world.now + random() * 6_000), random() * 0.3);
+    },
+    () => {
+      each((daemon) => {
+        daemon.restart(world.now, 500 + random() * 1_500);
+      }, random() * 0.3);
+    },
+    () => {
+      each((daemon) => {
+        daemon.restart(world.now, 1_000 + random() * 300);
+      }, 1);
+    },
+    () => {
+      changeHosts(world);
+    },
+  ];
+  for (let at = 1_000; at < untilMs; at += 500 + random() * 4_000) {
+    const kind = kinds[Math.floor(random() * kinds.length)];
+    world.after(at, () => kind?.());
+  }
+}
+
+/** A tenth of the hosts is replaced by new ones; those that are cut off hear of it when they are back. */
+function changeHosts(world: World): void {
+  const { random } = world;
+  const leaving = new Set(world.hosts.filter(() => random() < 0.1).map(({ host }) => host));
+  const joining = [...leaving].map((host) => ({ host: `${host}n`, zone: world.daemons.get(host)?.at.zone ?? 'z0' }));
+  world.hosts = [...world.hosts.filter(({ host }) => !leaving.has(host)), ...joining];
+  leaving.forEach((host) => world.daemons.delete(host));
+  for (const host of joining) {
+    const daemon = new Daemon(host, world);
+    daemon.startedAt = world.now;
+    daemon.owner = new QuotaOwner(kSettings, world.now);
+    daemon.owner.mayBeginWithReserve();
+    world.daemons.set(host.host, daemon);
+  }
+  const { hosts } = world;
+  for (const daemon of world.daemons.values()) {
+    const cut = Math.max(daemon.cutUntil, world.zoneCuts.get(daemon.at.zone) ?? 0, daemon.frozenUntil, daemon.downUntil);
+    world.after(Math.max(cut - world.now, 0) + random() * kToldMs, () => {
+      daemon.learnHosts(hosts);
+    });
+  }
+}
+
+/** 3 to 8 times the usual for a part of the time. */
+function hot(random: () => number): (now: number) => number {
+  const from = random() * 10_000;
+  const times = 3 + random() * 5;
+  return (now) => (now >= from && now < from + 8_000 ? times : 1);
+}
+
+describe('quotas over all daemons', () => {
+  for (const usualPerSecond of [1, 10, 100]) {
+    it(`should serve ${usualPerSecond} requests a second of a workspace as one bucket would, calm and hot`, (t) => {
+      for (let seed = 1; seed <= 3; seed++) {
+        const calm = play(seed, { usualPerSecond, times: () => 1, untilMs: 30_000 });
+        t.true(calm.served >= 0.97 * calm.reference, `calm: ${calm.served} of ${calm.reference}, ${calm.arrivals} came`);
+        t.true(calm.fullest <= 1);
+        const busy = play(seed, { usualPerSecond, times: (now) => (now > 10_000 && now < 20_000 ? 7.5 : 1), untilMs: 30_000 });
+        t.true(busy.served >= 0.97 * busy.reference, `hot: ${busy.served} of ${busy.reference}`);
+        t.true(busy.fullest <= 1, `fullest window ${busy.fullest}`);
+      }
+    });
+  }
+
+  it('should never pass the bound in any window, through histories of every fault', (t) => {
+    const kHistories = 300;
+    let fullest = 0;
+    for (let seed = 1; seed <= kHistories; seed++) {
+      const usualPerSecond = [1, 3, 10, 30, 100][seed % 5] ?? 1;
+      const played = play(seed, { usualPerSecond, times: hot(seededRandom(seed + 7_000)), untilMs: 20_000 }, (world) => {
+        randomFaults(world, 20_000);
+      });
+      fullest = Math.max(fullest, played.fullest);
+      t.true(played.fullest <= 1, `seed ${seed}: ${usualPerSecond} a second, fullest window ${played.fullest}`);
+    }
+    t.log(`fullest window of ${kHistories} histories: ${fullest.toFixed(3)} of the bound`);
+  });
+
+  it('should follow a lowered quota, one window after it is in force everywhere', (t) => {
+    for (let seed = 1; seed <= 40; seed++) {
+      const usualPerSecond = [3, 30, 100][seed % 3] ?? 3;
+      const loweredAt = 10_000;
+      const lower = { ratePerSecond: usualPerSecond * 0.4, burst: usualPerSecond * 0.4 };
+      const { world } = play(seed, { usualPerSecond, times: () => 4, untilMs: 25_000 }, (started) => {
+        started.after(loweredAt, () => {
+          for (const daemon of started.daemons.values()) {
+            started.after(started.random() * kApplyMs, () => {
+              daemon.limits = lower;
+              daemon.version++;
+            });
+          }
+        });
+      });
+      const fullest = fullestWindow(world.runs, windowBound(lower, kSettings), loweredAt + kApplyMs + kWindowMs);
+      t.true(fullest <= 1, `seed ${seed}: fullest window ${fullest}`);
+    }
+  });
+
+  it('should refuse from memory what is far beyond the quota', (t) => {
+    const { asks, arrivals } = play(1, { usualPerSecond: 100, times: () => 7.5, untilMs: 10_000 });
+    t.true(asks < 2.5 * arrivals, `${asks} questions for ${arrivals} requests`);
+    t.log(`${asks} questions for ${arrivals} requests`);
+  });
+});
