Incarnation of a target is its id and its start; announcements and records of other writers are believed by nobody

Cause: a target may start again under its id, with counts from the beginning; by id alone it counted as replaced or gone for good, and a late heartbeat of a dead incarnation took its place. Announcements of unknown services or other hosts replaced the host's target. Change: the start of the incarnation goes with announcements, records and the gate's view; an earlier one is over, whoever names it, and an acknowledged leaving binds the incarnation that it was given for. Tests: targetLife.spec.ts said that an instance never returns; now an incarnation never does, over ids and starts in any order, and the old property still holds for targets that don't say when they started.

--- a/packages/core/src/membership/targetLife.ts
+++ b/packages/core/src/membership/targetLife.ts
@@ -16,6 +16,8 @@
 /** One word of a target to the daemon on its host. */
 export interface Announcement {
   instance: string;
+  /** Start of the incarnation, in milliseconds of the wall clock: a target may start again under its id. Some targets don't say. */
+  born?: number | undefined;
   state: 'ready' | 'draining' | 'gone';
   /** Grows with each word of the instance; a late one is smaller. */
   sequence: number;
@@ -25,8 +27,10 @@
 
 /** What is known of a target. */
 export interface KnownTarget {
-  /** Id of the incarnation; empty until anything was heard of it. */
+  /** Id of the target; empty until anything was heard of it. */
   instance: string;
+  /** Start of its incarnation; 0 when it doesn't say. */
+  born: number;
   service: string;
   address: string;
   slots: number;
@@ -39,12 +43,12 @@
 export class TargetLife {
   private _known: KnownTarget;
   private _sequence = -1;
-  /** Instances that have left or were replaced, the oldest first. */
+  /** Incarnations that have left or were replaced, the oldest first. */
   private readonly _ended = new Set<string>();
 
   /** @param address of the targets on this host, as the settings tell it */
   constructor(address: string) {
-    this._known = { instance: '', service: '', address, slots: 0, coldMs: 0, state: 'unknown' };
+    this._known = { instance: '', born: 0, service: '', address, slots: 0, coldMs: 0, state: 'unknown' };
   }
 
   /** What is known as of now. */
@@ -58,11 +62,12 @@
       return false;
     }
     const before = this._known;
-    this._known = { ...(word.instance === before.instance ? before : this._replace(word.instance)), ...word.details };
+    this._known = { ...(this._isCurrent(word) ? this._known : this._replace(word)), ...word.details };
+    this._known.born = Math.max(this._known.born, word.born ?? 0);
     this._sequence = Math.max(this._sequence, word.sequence);
     this._advance(word.state);
-    const { instance, state, slots } = this._known;
-    return instance !== before.instance || state !== before.state || slots !== before.slots;
+    const { instance, born, state, slots } = this._known;
+    return instance !== before.instance || born !== before.born || state !== before.state || slots !== before.slots;
   }
 
   /**
@@ -72,8 +77,8 @@
    * now shows with the first call. "Ready" is not believed: the daemon that said so was killed, and may have acknowledged since that
    * the target leaves, with nobody left who knows.
    */
-  remember({ instance, service, state, slots }: Pick<TargetRecord, 'instance' | 'service' | 'state' | 'slots'>): boolean {
-    const other = this._ended.has(instance) || (this._known.instance !== '' && instance !== this._known.instance);
+  remember({ instance, born = 0, service, state, slots }: Pick<TargetRecord, 'instance' | 'born' | 'service' | 'state' | 'slots'>): boolean {
+    const other = this._ended.has(nameOf(instance, born)) || (this._known.instance !== '' && !this._isCurrent({ instance, born }));
     if (instance === '' || other || state === 'ready') {
       return false;
     }
@@ -82,37 +87,51 @@
       return false;
     }
     if (this._known.instance === '') {
-      this._known = { ...this._known, instance, service, slots };
+      this._known = { ...this._known, instance, born, service, slots };
     }
     this._advance(remembered);
     return true;
   }
 
-  /** What is over for an instance stays over: its heartbeats may come late, also after another one took its place. */
-  private _isNews({ instance, state, sequence }: Announcement): boolean {
-    if (this._ended.has(instance) || (instance === this._known.instance && this._known.state === 'gone')) {
+  /**
+   * What is over for an incarnation stays over: its heartbeats may come late, also after another one took its place, and also to a daemon
+   * that started meanwhile and never heard of it. One that was born earlier than the known one is over.
+   */
+  private _isNews(word: Announcement): boolean {
+    const { instance, born = 0, state, sequence } = word;
+    const current = this._isCurrent(word);
+    if (this._ended.has(nameOf(instance, born)) || (current && this._known.state === 'gone') || this._isOlder(born)) {
       return false;
     }
     if (state !== 'gone') {
-      return instance !== this._known.instance || sequence > this._sequence;
+      return !current || sequence > this._sequence;
     }
-    if (instance !== this._known.instance && this._known.instance !== '') {
-      this._end(instance);
+    if (!current && this._known.instance !== '') {
+      this._end(instance, born);
       return false;
     }
     return true;
   }
 
-  private _replace(instance: string): KnownTarget {
+  /** Whether an incarnation is the known one. One that doesn't say when it was born is told by its id alone. */
+  private _isCurrent({ instance, born = 0 }: Pick<Announcement, 'instance' | 'born'>): boolean {
+    return instance === this._known.instance && (born === 0 || this._known.born === 0 || born === this._known.born);
+  }
+
+  private _isOlder(born: number): boolean {
+    return born > 0 && born < this._known.born;
+  }
+
+  private _replace({ instance, born = 0 }: Announcement): KnownTarget {
     if (this._known.instance !== '') {
-      this._end(this._known.instance);
+      this._end(this._known.instance, this._known.born);
     }
     this._sequence = -1;
-    return { ...this._known, instance, state: 'unknown' };
+    return { ...this._known, instance, born, state: 'unknown' };
   }
 
-  private _end(instance: string): void {
-    this._ended.add(instance);
+  private _end(instance: string, born: number): void {
+    this._ended.add(nameOf(instance, born));
     if (this._ended.size > kMaxEnded) {
       const [oldest = ''] = this._ended;
       this._ended.delete(oldest);
@@ -127,6 +146,10 @@
   }
 }
 
+function nameOf(instance: string, born: number): string {
+  return `${instance} ${born}`;
+}
+
 function rankOf(state: TargetLifeState): number {
   switch (state) {
     case 'unknown':
--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -21,8 +21,10 @@
   /** Address at which the host's daemon takes calls of other daemons. */
   peers: string;
   service: string;
-  /** Id of the target's incarnation; empty until it has spoken. */
+  /** Id of the target; empty until it has spoken. */
   instance: string;
+  /** Start of its incarnation, in milliseconds of the wall clock; 0 or absent when it doesn't say. */
+  born?: number | undefined;
   state: TargetIntakeState;
   /** Calls that the target works on at once. */
   slots: number;
@@ -37,6 +39,11 @@
 /** What orders the records of one host. */
 export type RecordOrder = Pick<TargetRecord, 'epoch' | 'revision'>;
 
+/** Whether two records are of the same incarnation of a target. */
+export function isSameIncarnation(a: Pick<TargetRecord, 'instance' | 'born'>, b: Pick<TargetRecord, 'instance' | 'born'>): boolean {
+  return a.instance === b.instance && (a.born ?? 0) === (b.born ?? 0);
+}
+
 /** Whether `a` is a later word of its host than `b`. */
 export function isLaterRecord(a: RecordOrder, b: RecordOrder): boolean {
   return a.epoch !== b.epoch ? a.epoch > b.epoch : a.revision > b.revision;
--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -5,7 +5,7 @@
 
 /** Records of all hosts as this daemon believes them, and its own record as others should know it. */
 
-import type { ChainModel, LearnedChains, Placement, TargetDirectory, TargetRecord } from '@gentiandrum/core';
+import { type ChainModel, isSameIncarnation, type LearnedChains, type Placement, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { RecordChange, RecordLog } from '../ports.js';
 import type { EventLog } from './eventLog.js';
@@ -62,13 +62,14 @@
   /** The own record. */
   get own(): TargetRecord {
     const { id, zone, listen, target } = this._deps.settings;
-    const { instance, service, state, slots } = this._deps.gate().view;
+    const { instance, born, service, state, slots } = this._deps.gate().view;
     return {
       host: id,
       zone,
       peers: listen.peers,
       service: service === '' ? target.service : service,
       instance,
+      born,
       state,
       slots,
       ...(this._learned ? { learned: this._learned } : {}),
@@ -186,7 +187,7 @@
       return;
     }
     this._deps.follower().updated(record);
-    const replaced = before?.instance !== record.instance;
+    const replaced = before === undefined || !isSameIncarnation(before, record);
     if (before && replaced) {
       placement.forget(record.host);
     } else if (record.state === 'ready' && before?.state !== 'ready') {
--- a/packages/mesh/src/app/logWriter.ts
+++ b/packages/mesh/src/app/logWriter.ts
@@ -8,7 +8,7 @@
  * wrote in time writes it by itself.
  */
 
-import { isLaterRecord, type TargetRecord } from '@gentiandrum/core';
+import { isLaterRecord, isSameIncarnation, type TargetRecord } from '@gentiandrum/core';
 import type { LogFollowerDeps } from './logFollower.js';
 
 /** Time over which records are gathered for one call, in milliseconds. */
@@ -22,7 +22,7 @@
 const kOwnWriteSpreadMs = 3_000;
 
 /** What is known of a record in the log; only its order when its host was told that it was written. */
-type LoggedRecord = Pick<TargetRecord, 'host' | 'epoch' | 'revision'> & Partial<Pick<TargetRecord, 'instance' | 'state'>>;
+type LoggedRecord = Pick<TargetRecord, 'host' | 'epoch' | 'revision'> & Partial<Pick<TargetRecord, 'instance' | 'born' | 'state'>>;
 
 /** Writer of records. */
 export class LogWriter {
@@ -87,9 +87,9 @@
     return alone || changed || now - (this._dueSince ?? now) >= kGatherLearnedMs;
   }
 
-  private _changed({ host, instance, state }: TargetRecord): boolean {
-    const logged = this._inLog.get(host);
-    return logged?.instance !== instance || logged.state !== state;
+  private _changed(record: TargetRecord): boolean {
+    const { instance = '', born, state } = this._inLog.get(record.host) ?? {};
+    return !isSameIncarnation({ instance, born }, record) || state !== record.state;
   }
 
   private async _write(now: number, due: readonly TargetRecord[]): Promise<void> {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -6,13 +6,14 @@
 /** One routing daemon: puts its parts together, starts them, and stops them in order. */
 
 import { setTimeout as pause } from 'node:timers/promises';
-import { ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import { type Announcement, ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/peerMessages.js';
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
 import type { Platform } from '../ports.js';
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
 import { HostServer, type HostReply, type HostRequest } from '../server/hostServer.js';
+import { splitAddress } from './addresses.js';
 import { ConfigHolder } from './configHolder.js';
 import { Deadlines } from './deadlines.js';
 import type { EventLog } from './eventLog.js';
@@ -387,12 +388,27 @@
       this._events.warn('target', 'Got something else than an announcement.', { method, path });
       return { status: 400 };
     }
+    if (!this._isOwnTarget(word)) {
+      const { service, address } = word.details ?? {};
+      this._events.warn('target', 'Got the announcement of a target that is not this host’s.', { instance: word.instance, service, address });
+      return { status: 400 };
+    }
     if (this._gate.announce(word) && word.state !== 'ready') {
       await Promise.race([this._records.published, pause(kAckWaitMs)]);
     }
     return { status: 200, body: '{}' };
   }
 
+  /** Announcements may come from other writers: one of a service that no configuration names, or of another host, is not believed. */
+  private _isOwnTarget({ details }: Announcement): boolean {
+    if (!details) {
+      return true;
+    }
+    const services = this._configs.config?.services;
+    const named = services?.some(({ name }) => name === details.service) ?? true;
+    return named && splitAddress(details.address).host === splitAddress(this._settings.target.address).host;
+  }
+
   private async _logTotals(): Promise<void> {
     const totals = await this._metrics.totals();
     this._events.notable('calls', 'Totals since the start.', {
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -22,6 +22,7 @@
   SlotGate,
   TargetLife,
   TargetReach,
+  isSameIncarnation,
   isWantOfRoom,
   type NotRunReason,
   type TargetRecord,
@@ -108,13 +109,13 @@
   }
 
   /** State of the target as other daemons should see it. */
-  get view(): Pick<TargetRecord, 'instance' | 'service' | 'state' | 'slots'> {
-    const { instance, service, state, slots } = this._life.known;
+  get view(): Pick<TargetRecord, 'instance' | 'born' | 'service' | 'state' | 'slots'> {
+    const { instance, born, service, state, slots } = this._life.known;
     if (state !== 'ready') {
-      return { instance, service, state, slots };
+      return { instance, born, service, state, slots };
     }
     const usable = this._reach.reachable ? 'ready' : 'unreachable';
-    return { instance, service, state: this._held || this._stopping ? 'unknown' : usable, slots };
+    return { instance, born, service, state: this._held || this._stopping ? 'unknown' : usable, slots };
   }
 
   /** Load and level, for the metrics. */
@@ -138,10 +139,10 @@
 
   /** Takes an announcement of the target; true when it changed anything. */
   announce(word: Announcement): boolean {
-    const { instance: before, address } = this._life.known;
+    const before = this._life.known;
     const changed = this._life.announce(word);
-    const { instance, state, slots, address: addressNow } = this._life.known;
-    if (instance !== before || address !== addressNow) {
+    const { instance, born, state, slots, address } = this._life.known;
+    if (!isSameIncarnation(before, { instance, born }) || address !== before.address) {
       this._client?.close();
       this._client = undefined;
       this._reach = new TargetReach();
@@ -152,7 +153,7 @@
     // Also when nothing changed that others should know: how long the target stays slow may be told for the first time.
     this._openOrClose();
     if (changed) {
-      this._deps.events.notable('target', `The target is ${state}.`, { instance, state, slots });
+      this._deps.events.notable('target', `The target is ${state}.`, { instance, born, state, slots });
       this._deps.onChange();
     }
     return changed;
@@ -295,8 +296,9 @@
       return;
     }
     const limit = (): number => this._deps.maxConnections(service);
+    const reach = this._reach;
     this._client ??= new TargetClient(address, instance, limit, this._deps.names, (evidence) => {
-      this._takeReach(instance, evidence);
+      this._takeReach(reach, evidence);
     });
     if (this._reach.reachable) {
       this._gate.open(slots, coldMs);
@@ -306,13 +308,13 @@
   }
 
   /** Others should know at once when the target takes no connections, or does again; a late report of an earlier target is none. */
-  private _takeReach(instance: string, evidence: ReachEvidence): void {
-    if (instance !== this._life.known.instance || !this._reach.note(evidence, monotonicMs())) {
+  private _takeReach(reach: TargetReach, evidence: ReachEvidence): void {
+    if (reach !== this._reach || !reach.note(evidence, monotonicMs())) {
       return;
     }
-    const { reachable } = this._reach;
+    const { reachable } = reach;
     this._deps.events.notable('target', reachable ? 'The target takes connections again.' : 'The target takes no connections.', {
-      instance,
+      instance: this._life.known.instance,
       evidence,
     });
     this._apply();
--- a/tests/membership/targetLife.spec.ts
+++ b/tests/membership/targetLife.spec.ts
@@ -53,14 +53,82 @@
     t.is(killed.known.state, 'unknown');
     const stopped = new TargetLife('10.0.0.1:80');
     t.true(stopped.remember({ ...kRecord, state: 'unknown' }));
-    t.deepEqual(stopped.known, { ...kRecord, address: '10.0.0.1:80', coldMs: 0, state: 'ready' });
+    t.deepEqual(stopped.known, { ...kRecord, born: 0, address: '10.0.0.1:80', coldMs: 0, state: 'ready' });
     t.true(stopped.remember({ ...kRecord, state: 'draining' }));
     t.false(stopped.announce(word('a', 'ready', 1)));
     t.is(stopped.known.state, 'draining');
     t.false(stopped.remember({ ...kRecord, instance: 'other', state: 'gone' }));
   });
 
-  it('should never be ready again once an instance was said to leave, whatever comes in whatever order', (t) => {
+  it('should take up a target that starts again under its id, whose counts begin anew', (t) => {
+    const life = new TargetLife('10.0.0.1:80');
+    life.announce({ ...word('a', 'ready', 50), born: 1_000 });
+    life.announce({ ...word('a', 'draining', 51), born: 1_000 });
+    t.true(life.announce({ ...word('a', 'ready', 1), born: 2_000 }));
+    t.is(life.known.state, 'ready');
+    t.is(life.known.born, 2_000);
+    t.true(life.announce({ ...word('a', 'draining', 2), born: 2_000 }));
+    t.is(life.known.state, 'draining');
+  });
+
+  it('should believe no late announcement of a dead incarnation, also one that this daemon never heard of', (t) => {
+    const life = new TargetLife('10.0.0.1:80');
+    life.announce({ ...word('a', 'ready', 1), born: 2_000 });
+    t.false(life.announce({ ...word('a', 'draining', 60), born: 1_000 }));
+    t.false(life.announce({ ...goodbye('a'), born: 1_000 }));
+    t.false(life.announce({ ...word('b', 'ready', 60), born: 1_000 }));
+    t.is(life.known.instance, 'a');
+    t.is(life.known.state, 'ready');
+    t.true(life.announce({ ...word('a', 'ready', 2), born: 2_000, details: { ...kDetails, slots: 9 } }));
+  });
+
+  it('should not hold a target to what was acknowledged for its earlier incarnation', (t) => {
+    const life = new TargetLife('10.0.0.1:80');
+    t.true(life.remember({ ...kRecord, born: 1_000, state: 'gone' }));
+    t.false(life.announce({ ...word('a', 'ready', 9), born: 1_000 }));
+    t.true(life.announce({ ...word('a', 'ready', 1), born: 2_000 }));
+    t.is(life.known.state, 'ready');
+    t.false(life.remember({ ...kRecord, born: 1_000, state: 'gone' }));
+    t.is(life.known.state, 'ready');
+  });
+
+  it('should never be ready again once an incarnation was said to leave, nor an earlier one than the known, whatever comes', (t) => {
+    const instances = fc.constantFrom('a', 'b');
+    const births = fc.constantFrom(1_000, 2_000, 3_000);
+    const words = fc.oneof(
+      fc.record({
+        instance: instances,
+        born: births,
+        state: fc.constantFrom('ready', 'draining'),
+        sequence: fc.nat(9),
+        details: fc.constant(kDetails),
+      }),
+      fc.record({ instance: instances, born: births, state: fc.constant('gone'), sequence: fc.constant(0) }),
+    );
+    const nameOf = ({ instance, born }: { instance: string; born?: number | undefined }): string => `${instance} ${born ?? 0}`;
+    fc.assert(
+      fc.property(fc.array(words as fc.Arbitrary<Announcement>, { maxLength: 30 }), (said) => {
+        const life = new TargetLife('10.0.0.1:80');
+        const left = new Set<string>();
+        let youngest = 0;
+        for (const one of said) {
+          const current = nameOf(life.known);
+          life.announce(one);
+          if (one.state === 'gone' || (nameOf(life.known) === nameOf(one) && life.known.state === 'draining')) {
+            left.add(nameOf(one));
+          }
+          if (life.known.instance !== '' && current !== nameOf(life.known)) {
+            left.add(current);
+          }
+          t.false(life.known.state === 'ready' && left.has(nameOf(life.known)));
+          t.true(life.known.born >= youngest);
+          youngest = life.known.born;
+        }
+      }),
+    );
+  });
+
+  it('should never be ready again once an instance that does not say when it was born was said to leave', (t) => {
     const instances = fc.constantFrom('a', 'b', 'c');
     const words = fc.oneof(
       fc.record({ instance: instances, state: fc.constantFrom('ready', 'draining'), sequence: fc.nat(9), details: fc.constant(kDetails) }),
--- /dev/null
+++ b/tests/platform/foreignWriters.spec.ts
@@ -0,0 +1,143 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Heartbeats and records of other writers: they name no target to use, and the others hold. */
+
+import type { TargetRecord } from '@gentiandrum/core';
+import { EventLog, type RecordChange } from '@gentiandrum/mesh';
+import { decodeConfig, platformDialect, StoreClient, StoredRecords } from '@gentiandrum/platform';
+import fc from 'fast-check';
+import { UpstreamStandin } from './upstreamStandin.js';
+import { StoreStandin } from './storeStandin.js';
+import { withFleet } from '../mesh/meshFleet.js';
+import { describe, it, itAlone } from '../support/describe.js';
+
+const kTopic = 'keyed.gentiandrum-hosts';
+const kPath = '/v1/instances/i-1';
+const kHeartbeat = {
+  address: '10.0.0.1:80',
+  born: 1_700_000_000_000,
+  info: { service: 'reads', version: 'v1', zone: 'z', slots: 8 },
+  status: { state: 'ready', sequence: 4, cold_remaining_ms: 0 },
+};
+const kRecord: TargetRecord = {
+  host: 'h1',
+  zone: 'z1',
+  peers: '127.0.0.1:9',
+  service: 'reads',
+  instance: 'i-1',
+  state: 'ready',
+  slots: 8,
+  epoch: 1,
+  revision: 1,
+};
+
+/** Something in place of one field, at any depth. */
+function broken(whole: object): fc.Arbitrary<unknown> {
+  const paths = pathsOf(whole);
+  return fc.tuple(fc.constantFrom(...paths), fc.oneof(fc.constant(undefined), fc.jsonValue())).map(([path, value]) => {
+    const copy = structuredClone(whole) as Record<string, unknown>;
+    let at = copy;
+    for (const name of path.slice(0, -1)) {
+      at = at[name] as Record<string, unknown>;
+    }
+    at[path.at(-1) ?? ''] = value;
+    return copy;
+  });
+}
+
+function pathsOf(whole: object, above: string[] = []): string[][] {
+  return Object.entries(whole).flatMap(([name, value]) => {
+    const path = [...above, name];
+    return typeof value === 'object' && value !== null ? [path, ...pathsOf(value as object, path)] : [path];
+  });
+}
+
+describe('heartbeats of other writers', () => {
+  it('should be read as nothing, or as a whole announcement, and never throw', (t) => {
+    const bodies = fc.oneof(
+      fc.uint8Array({ maxLength: 200 }).map((bytes) => Buffer.from(bytes)),
+      fc.json().map((text) => Buffer.from(text)),
+      broken(kHeartbeat).map((value) => Buffer.from(JSON.stringify(value))),
+    );
+    fc.assert(
+      fc.property(fc.constantFrom('PUT', 'DELETE', 'POST'), bodies, (method, body) => {
+        const word = platformDialect.readAnnouncement(method, kPath, body);
+        if (word && word.state !== 'gone') {
+          t.is(typeof word.details?.service, 'string');
+          t.true((word.details?.slots ?? 0) >= 1);
+          t.regex(word.details?.address ?? '', /^[0-9.]+:\d+$/);
+          t.true(word.sequence >= 0);
+        }
+      }),
+      { numRuns: 2_000 },
+    );
+  });
+
+  it('should be read with the start of their incarnation, also when they leave', (t) => {
+    const read = (method: string, body: unknown): number | undefined =>
+      platformDialect.readAnnouncement(method, kPath, Buffer.from(JSON.stringify(body)))?.born;
+    t.is(read('PUT', kHeartbeat), kHeartbeat.born);
+    t.is(read('DELETE', { born: 7 }), 7);
+    t.is(read('DELETE', { born: 'x' }), undefined);
+    t.is(platformDialect.readAnnouncement('DELETE', kPath, Buffer.alloc(0))?.state, 'gone');
+  });
+
+  itAlone('should not take the place of the target', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      const stranger = new UpstreamStandin('i-stranger', 'no-service');
+      await stranger.start();
+      try {
+        t.is(await stranger.beat(host.control), 400);
+        stranger.address = '10.9.9.9:80';
+        const elsewhere = new UpstreamStandin('i-elsewhere', 'reads');
+        elsewhere.address = '10.9.9.9:80';
+        t.is(await elsewhere.beat(host.control), 400);
+        t.is((await fleet.call(host, '/a/x')).status, 200);
+        t.is(host.daemon.record.instance, 'i-h1');
+      } finally {
+        stranger.close();
+      }
+    }),
+  );
+});
+
+describe('records of other writers', () => {
+  itAlone('should name no host, while those beside them are read', async (t) => {
+    const store = new StoreStandin();
+    const address = await store.start();
+    const client = new StoreClient(address);
+    const records = new StoredRecords(client, new EventLog('h0', 0, 0));
+    const seen: RecordChange[] = [];
+    records.onChanges((changes) => seen.push(...changes));
+    try {
+      const samples = fc.sample(broken(kRecord), { numRuns: 200, seed: 5 });
+      samples.forEach((value, i) => {
+        store.put(kTopic, `bad-${i}`, JSON.stringify(value));
+      });
+      store.put(kTopic, 'bytes', '\u0000\u0001{');
+      store.put(kTopic, 'h1', JSON.stringify(kRecord));
+      t.true(await records.readNewest());
+      t.deepEqual(seen, [{ kind: 'record', record: kRecord }]);
+    } finally {
+      records.stop();
+      store.close();
+      await client.close();
+    }
+  });
+});
+
+describe('configurations', () => {
+  it('should be read whole or not at all, whatever stands there', (t) => {
+    fc.assert(
+      fc.property(fc.oneof(fc.json(), fc.string()), (text) => {
+        t.is(decodeConfig(Buffer.from(text)), undefined);
+      }),
+    );
+  });
+});
