--- a/packages/core/src/membership/targetLife.ts
+++ b/packages/core/src/membership/targetLife.ts
@@ -77,7 +77,13 @@
    * now shows with the first call. "Ready" is not believed: the daemon that said so was killed, and may have acknowledged since that
    * the target leaves, with nobody left who knows.
    */
-  remember({ instance, born = 0, service, state, slots }: Pick<TargetRecord, 'instance' | 'born' | 'service' | 'state' | 'slots'>): boolean {
+  remember({
+    instance,
+    born = 0,
+    service,
+    state,
+    slots,
+  }: Pick<TargetRecord, 'instance' | 'born' | 'service' | 'state' | 'slots'>): boolean {
     const other = this._ended.has(nameOf(instance, born)) || (this._known.instance !== '' && !this._isCurrent({ instance, born }));
     if (instance === '' || other || state === 'ready') {
       return false;
--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/hostRecords.ts
@@ -5,7 +5,14 @@
 
 /** Records of all hosts as this daemon believes them, and its own record as others should know it. */
 
-import { type ChainModel, isSameIncarnation, type LearnedChains, type Placement, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import {
+  type ChainModel,
+  isSameIncarnation,
+  type LearnedChains,
+  type Placement,
+  type TargetDirectory,
+  type TargetRecord,
+} from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { RecordChange, RecordLog } from '../ports.js';
 import type { EventLog } from './eventLog.js';
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -390,7 +390,11 @@
     }
     if (!this._isOwnTarget(word)) {
       const { service, address } = word.details ?? {};
-      this._events.warn('target', 'Got the announcement of a target that is not this host’s.', { instance: word.instance, service, address });
+      this._events.warn('target', 'Got the announcement of a target that is not this host’s.', {
+        instance: word.instance,
+        service,
+        address,
+      });
       return { status: 400 };
     }
     if (this._gate.announce(word) && word.state !== 'ready') {
--- a/tests/mesh/bundle.spec.ts
+++ b/tests/mesh/bundle.spec.ts
@@ -18,7 +18,7 @@
 const kRoot = fileURLToPath(new URL('../../..', import.meta.url));
 
 describe('the bundled daemon', () => {
-  itAlone('should start from its settings, serve a call from another host, and stop when told to', async (t) => {
+  itAlone('should start from its settings, serve a call from another host also while they change, and stop when told to', async (t) => {
     const built = spawnSync(process.execPath, ['utils/bundle.mjs'], { cwd: kRoot, encoding: 'utf8' });
     t.is(built.status, 0, built.stderr);
     const folder = mkdtempSync(join(tmpdir(), 'gentiandrum-'));
@@ -34,7 +34,11 @@
       child = spawn(process.execPath, deployedArguments(kRoot), {
         cwd: kRoot,
         env: { GENTIANDRUM_BOOT: file },
-        stdio: ['ignore', 'ignore', 'pipe'],
+        stdio: ['ignore', 'pipe', 'pipe'],
+      });
+      let lines = '';
+      child.stdout?.setEncoding('utf8').on('data', (text: string) => {
+        lines += text;
       });
       let errors = '';
       child.stderr?.setEncoding('utf8').on('data', (text: string) => {
@@ -43,6 +47,21 @@
       const ended = once(child, 'exit');
       await fleet.until('the bundled daemon to listen', () => target.beat(host.control).then(Boolean, () => false));
       await fleet.until('a call to be served by its target', async () => (await fleet.call(near, '/a/x')).status === 200);
+      const first = JSON.stringify(settings);
+      for (const [text, line] of [
+        [JSON.stringify({ ...settings, memoryMb: 300 }), 'The settings changed'],
+        ['id: [', 'The changed settings are not valid'],
+        [JSON.stringify({ ...settings, retries: { ratio: -1 } }), 'retries.ratio'],
+        [first, 'The settings have not changed'],
+      ] as const) {
+        lines = '';
+        writeFileSync(file, text);
+        child.kill('SIGHUP');
+        await fleet.until(`the line "${line}"`, async () => {
+          t.is((await fleet.call(near, '/a/x')).status, 200);
+          return lines.includes(line);
+        });
+      }
       child.kill('SIGTERM');
       t.deepEqual(await ended, [0, null]);
       t.is(errors, '', 'the compiled code beside the bundle should fit the flags of the deploy file');
