--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -29,6 +29,8 @@
   id: number;
   /** Time up to which it may wait, on the monotonic clock; who has to start sooner goes first. */
   waitUntil: number;
+  /** Rank of a person's request, 0 the most urgent; calls of targets have none, as what they are for is not known. */
+  rank?: number | undefined;
 }
 
 /** What a gate tells its surroundings. */
@@ -103,12 +105,39 @@
     const place = this._placeFor(call);
     const waitMs = ((place + 1) * this._meanMs) / this.limit;
     if (now + waitMs > call.waitUntil || this._queue.length >= this.limit * kQueuePerSlot) {
-      return { kind: 'refused', reason: 'overloaded' };
+      return this._displace(call, place, now);
     }
     this._queue.splice(place, 0, call);
     return { kind: 'queued' };
   }
 
+  /**
+   * Lets a call take the place of a less urgent one that waits before it, when it can start in time then: the less urgent is shed first,
+   * also where it came first. Calls of targets give way to nobody, as the work above them would be lost.
+   */
+  private _displace(call: T, place: number, now: number): { kind: 'queued' } | { kind: 'refused'; reason: GateRefusal } {
+    const startsAt = now + (place * this._meanMs) / this.limit;
+    const victim = startsAt > call.waitUntil ? undefined : this._leastUrgentBefore(place, call.rank ?? -1);
+    if (!victim) {
+      return { kind: 'refused', reason: 'overloaded' };
+    }
+    this._queue.splice(this._queue.indexOf(victim), 1);
+    this._queue.splice(place - 1, 0, call);
+    this._events.onRefuse(victim, 'overloaded');
+    return { kind: 'queued' };
+  }
+
+  /** The call of the largest rank above `rank` among the first `count` that wait. */
+  private _leastUrgentBefore(count: number, rank: number): T | undefined {
+    let least: T | undefined;
+    for (const waiting of this._queue.slice(0, count)) {
+      if (rank >= 0 && (waiting.rank ?? -1) > (least?.rank ?? rank)) {
+        least = waiting;
+      }
+    }
+    return least;
+  }
+
   /** Notes that a started call ended; `ranMs` is its time at the target, undefined when that tells nothing. */
   ended(id: number, ranMs?: number): void {
     if (!this._running.delete(id)) {
--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -49,7 +49,7 @@
 
 /** What became of a request where it entered. */
 export type EntryEnd =
-  | { kind: 'admitted'; route: Route; service: string; workspace: RequestWorkspace | undefined }
+  | { kind: 'admitted'; route: Route; service: string; rank: number; workspace: RequestWorkspace | undefined }
   | { kind: 'no_configuration' }
   | { kind: 'no_route' }
   | { kind: 'no_key'; route: Route }
@@ -137,5 +137,5 @@
   if (around.sheds(route, rank, workspace !== undefined)) {
     return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryShare };
   }
-  return { kind: 'admitted', route, service: routes.nextService(route), workspace };
+  return { kind: 'admitted', route, service: routes.nextService(route), rank, workspace };
 }
--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/callExchange.ts
@@ -58,6 +58,8 @@
   path: string;
   headers: string[];
   body: Buffer;
+  /** Rank under overload, 0 the most urgent. */
+  rank: number;
   /** Whose request it is, and until when its key may be relied on, on the monotonic clock. */
   workspace: (Pick<CallWorkspace, 'name' | 'keyHash' | 'version'> & { validUntil: number }) | undefined;
   /** Time at which nobody waits any more, on the monotonic clock. */
@@ -195,7 +197,7 @@
   }
 
   private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
-    const { route, callerService, requestId, method, path, headers, body, workspace } = this._req;
+    const { route, callerService, requestId, method, path, headers, body, rank, workspace } = this._req;
     const remainingMs = Math.max(1, this._remainingMs());
     const inner = !workspace && this._deps.chains.inner(route.name) === true;
     return {
@@ -206,6 +208,7 @@
       repeat,
       inner,
       idempotent: route.idempotent,
+      rank: inner ? undefined : rank,
       instance: target.instance,
       callerService,
       requestId,
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/targetGate.ts
@@ -205,6 +205,7 @@
     const waiting: Waiting = {
       id: this._nextId++,
       waitUntil: now + Math.min(call.waitMs, call.remainingMs),
+      rank: call.rank,
       call,
       expiresAt: now + call.remainingMs,
       validUntil: now + (call.workspace?.validMs ?? Infinity),
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -39,6 +39,8 @@
   inner: boolean;
   /** Whether it may run more than once; such a call is cancelled when nobody waits for it. */
   idempotent: boolean;
+  /** Rank of a person's request under overload, 0 the most urgent; calls of targets have none. */
+  rank: number | undefined;
   /** Instance that it is meant for. */
   instance: string;
   /** Service on whose host it began. */
@@ -123,11 +125,13 @@
 const kLevelSteps = 1_000;
 /** Fields of a report. */
 const kLoadFields = 8;
+/** In place of a rank: that the call has none. */
+const kNoRank = -1;
 /** In place of a time: that there is no limit; in place of a wait: that the daemon has no part in the quota. */
 const kNoLimit = -1;
 const kNotOwner = -1;
 /** Fields of a call before those of its workspace, with its type and id. */
-const kCallFields = 16;
+const kCallFields = 17;
 /** Longest message, in bytes: a request body of the largest size, and room for its head. */
 const kMaxMessageBytes = 80 * 1024 * 1024;
 
@@ -250,6 +254,7 @@
     call.repeat,
     call.inner,
     call.idempotent,
+    call.rank ?? kNoRank,
     names.write(call.instance),
     names.write(call.callerService),
     call.requestId,
@@ -371,13 +376,14 @@
     repeat: fields[6] as boolean,
     inner: fields[7] as boolean,
     idempotent: fields[8] as boolean,
-    instance: names.read(fields[9]),
-    callerService: names.read(fields[10]),
-    requestId: fields[11] as string,
-    method: names.read(fields[12]),
-    path: fields[13] as string,
-    headers: headersFrom(fields[14], names),
-    body: fields[15] as Buffer,
+    rank: fields[9] === kNoRank ? undefined : (fields[9] as number),
+    instance: names.read(fields[10]),
+    callerService: names.read(fields[11]),
+    requestId: fields[12] as string,
+    method: names.read(fields[13]),
+    path: fields[14] as string,
+    headers: headersFrom(fields[15], names),
+    body: fields[16] as Buffer,
     workspace: workspaceFrom(fields, names),
   };
 }
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -157,7 +157,7 @@
     this._refuse(req, status, detail, retryAfterMs, headers);
   }
 
-  private _exchange(req: CallerRequest, { route, service, workspace }: Extract<EntryEnd, { kind: 'admitted' }>): void {
+  private _exchange(req: CallerRequest, { route, service, rank, workspace }: Extract<EntryEnd, { kind: 'admitted' }>): void {
     const { requestId, remainingMs } = req.headers;
     const exchange = new CallExchange(
       {
@@ -169,6 +169,7 @@
         path: req.target,
         headers: this._passedOn(req),
         body: req.body,
+        rank,
         workspace: workspace && { ...workspace, validUntil: monotonicMs() + workspace.validMs },
         deadline: req.takenAt + Math.min(route.timeoutMs, remainingMs),
       },
--- a/tests/mesh/callExchange.spec.ts
+++ b/tests/mesh/callExchange.spec.ts
@@ -52,6 +52,7 @@
     path: '/a/x',
     headers: [],
     body: Buffer.alloc(0),
+    rank: 0,
     workspace: undefined,
     deadline: performance.now() + 1_000,
   };
--- a/tests/mesh/sharedNames.spec.ts
+++ b/tests/mesh/sharedNames.spec.ts
@@ -64,6 +64,7 @@
       method: 'GET',
       path: '/a/x?page=2',
       headers: ['Host', 'app.example', 'User-Agent', 'field-client/1.9.3', 'Accept', '*/*', 'Accept-Encoding', 'identity'],
+      rank: undefined,
       workspace: undefined,
       body: Buffer.alloc(0),
     },
