--- a/packages/cli/src/client/configCommands.ts
+++ b/packages/cli/src/client/configCommands.ts
@@ -9,7 +9,7 @@
 import { readFileSync } from 'node:fs';
 import { userInfo } from 'node:os';
 import { mergePatch } from '@gentiandrum/core';
-import { configSchema, meshConfigSchema, type PatchRequest } from '@gentiandrum/protocol';
+import { configSchema, meshConfigSchema, type PatchRequest, workspaceFaults } from '@gentiandrum/protocol';
 import { parse, stringify } from 'yaml';
 import { DaemonClient, type DaemonError, errorText } from './daemonClient.js';
 import { CommandError, kExit, printJson, printLine, printTable } from './output.js';
@@ -215,9 +215,15 @@
 
 /** Faults of a configuration; one with routes is that of the routing daemon. */
 function issuesOf(config: unknown): string[] {
-  const schema = isMap(config) && 'routes' in config ? meshConfigSchema : configSchema;
-  const checked = schema.safeParse(config);
-  return checked.success ? [] : checked.error.issues.map((issue) => `${issue.path.join('.') || 'file'}: ${issue.message}`);
+  if (!isMap(config) || !('routes' in config)) {
+    return issuesFrom(configSchema.safeParse(config));
+  }
+  const checked = meshConfigSchema.safeParse(config);
+  return checked.success ? workspaceFaults(checked.data) : issuesFrom(checked);
+}
+
+function issuesFrom({ error }: { error?: { issues: readonly { path: readonly PropertyKey[]; message: string }[] } | undefined }): string[] {
+  return (error?.issues ?? []).map((issue) => `${issue.path.join('.') || 'file'}: ${issue.message}`);
 }
 
 interface Change {
