--- a/packages/mesh/src/app/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -22,7 +22,7 @@
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
-import type { CallWorkspace, PeerCall } from '../client/peerMessages.js';
+import type { CallWorkspace, PeerCall } from '../../client/peerMessages.js';
 import type { Deadlines, Due } from './deadlines.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
 
--- a/packages/mesh/src/app/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -19,7 +19,7 @@
   type TokenRequest,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
-import type { QuotaService } from './workspaces/quotaService.js';
+import type { QuotaService } from '../workspaces/quotaService.js';
 
 /** What the entry uses of its daemon. */
 export interface RequestEntryDeps {
--- a/packages/mesh/src/app/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -27,11 +27,11 @@
   type NotRunReason,
   type TargetRecord,
 } from '@gentiandrum/core';
-import type { CallWorkspace, PeerCall } from '../client/peerMessages.js';
-import { type Run, type RunEnd, TargetClient } from '../client/targetClient.js';
-import type { HeaderNames } from '../ports.js';
-import type { EventLog } from './eventLog.js';
-import type { MeshMetrics, MetricsView } from './meshMetrics.js';
+import type { CallWorkspace, PeerCall } from '../../client/peerMessages.js';
+import { type Run, type RunEnd, TargetClient } from '../../client/targetClient.js';
+import type { HeaderNames } from '../../ports.js';
+import type { EventLog } from '../eventLog.js';
+import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
 /** How often calls that waited too long are looked for, in milliseconds: a tenth of the tightest latency targets seen. */
 const kExpireMs = 10;
--- a/packages/mesh/src/app/configHolder.ts
+++ b/packages/mesh/src/app/log/configHolder.ts
@@ -7,7 +7,7 @@
 
 import { monotonicMs, RouteTable, type RoutingTables, WorkspaceTable } from '@gentiandrum/core';
 import { type MeshConfig, meshConfigSchema, workspaceFaults } from '@gentiandrum/protocol';
-import type { EventLog } from './eventLog.js';
+import type { EventLog } from '../eventLog.js';
 
 /** Time that a newer version gets to come from its source before a daemon that has it is asked, in milliseconds. */
 const kPatienceMs = 100;
--- a/packages/mesh/src/app/logFollower.ts
+++ b/packages/mesh/src/app/log/logFollower.ts
@@ -9,11 +9,9 @@
  */
 
 import { monotonicMs, ReaderRank, type ReaderPlace, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
-import type { MeshSettings } from '@gentiandrum/protocol';
-import type { PeerMessage } from '../client/peerMessages.js';
-import type { ConfigSource, RecordLog } from '../ports.js';
-import type { EventLog } from './eventLog.js';
-import { LogWriter } from './logWriter.js';
+import type { PeerMessage } from '../../client/peerMessages.js';
+import type { ConfigSource } from '../../ports.js';
+import { LogWriter, type LogWriterDeps } from './logWriter.js';
 
 /**
  * Share of the time for a configuration to be in force after which a reader without a report is passed over: what is left is for
@@ -42,18 +40,13 @@
 const kMaxRetryReadMs = 1_600;
 
 /** What the follower uses of its daemon. */
-export interface LogFollowerDeps {
-  settings: MeshSettings;
+export interface LogFollowerDeps extends LogWriterDeps {
   directory: TargetDirectory;
   configs: ConfigSource;
-  records: RecordLog;
-  own(): TargetRecord;
   /** Version of the configuration in force. */
   version(): number;
   /** Sends to every linked daemon of the own zone. */
   sendZone(message: PeerMessage): void;
-  sendTo(host: string, message: PeerMessage): void;
-  events: EventLog;
 }
 
 /** The part of one daemon in reading and writing the log. */
--- a/packages/mesh/src/app/logWriter.ts
+++ b/packages/mesh/src/app/log/logWriter.ts
@@ -9,7 +9,10 @@
  */
 
 import { isLaterRecord, isSameIncarnation, type TargetRecord } from '@gentiandrum/core';
-import type { LogFollowerDeps } from './logFollower.js';
+import type { MeshSettings } from '@gentiandrum/protocol';
+import type { PeerMessage } from '../../client/peerMessages.js';
+import type { RecordLog } from '../../ports.js';
+import type { EventLog } from '../eventLog.js';
 
 /** Time over which records are gathered for one call, in milliseconds. */
 const kGatherMs = 500;
@@ -21,6 +24,15 @@
 const kOwnWriteMs = 3_000;
 const kOwnWriteSpreadMs = 3_000;
 
+/** What the writer uses of its daemon. */
+export interface LogWriterDeps {
+  settings: MeshSettings;
+  records: RecordLog;
+  own(): TargetRecord;
+  sendTo(host: string, message: PeerMessage): void;
+  events: EventLog;
+}
+
 /** What is known of a record in the log; only its order when its host was told that it was written. */
 type LoggedRecord = Pick<TargetRecord, 'host' | 'epoch' | 'revision'> & Partial<Pick<TargetRecord, 'instance' | 'born' | 'state'>>;
 
@@ -36,7 +48,7 @@
   private _changedSince: number | undefined;
   private _ownDue: number | undefined;
 
-  constructor(private readonly _deps: LogFollowerDeps) {}
+  constructor(private readonly _deps: LogWriterDeps) {}
 
   /** A record as the log has it. */
   inLog(record: LoggedRecord): void {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -14,15 +14,15 @@
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
 import { HostServer, type HostReply, type HostRequest } from '../server/hostServer.js';
 import { splitAddress } from './addresses.js';
-import { ConfigHolder } from './configHolder.js';
-import { Deadlines } from './deadlines.js';
+import { ConfigHolder } from './log/configHolder.js';
+import { Deadlines } from './calls/deadlines.js';
 import type { EventLog } from './eventLog.js';
-import { HostRecords, type HostRecordsDeps } from './hostRecords.js';
-import { LogFollower, type LogFollowerDeps } from './logFollower.js';
+import { HostRecords, type HostRecordsDeps } from './records/hostRecords.js';
+import { LogFollower, type LogFollowerDeps } from './log/logFollower.js';
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
-import { RecordSync } from './recordSync.js';
-import { RequestEntry } from './requestEntry.js';
-import { type OfferDone, type OfferHandle, TargetGate } from './targetGate.js';
+import { RecordSync } from './records/recordSync.js';
+import { RequestEntry } from './calls/requestEntry.js';
+import { type OfferDone, type OfferHandle, TargetGate } from './calls/targetGate.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
 /** Longest time for which the answer to a leaving target waits until others know of it, in milliseconds: below one second. */
--- a/packages/mesh/src/app/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -14,10 +14,10 @@
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
-import type { RecordChange, RecordLog } from '../ports.js';
-import type { EventLog } from './eventLog.js';
-import type { LogFollower } from './logFollower.js';
-import type { TargetGate } from './targetGate.js';
+import type { RecordChange, RecordLog } from '../../ports.js';
+import type { EventLog } from '../eventLog.js';
+import type { LogFollower } from '../log/logFollower.js';
+import type { TargetGate } from '../calls/targetGate.js';
 
 /** Longest wait at a start for what others remember of this host's target, in milliseconds. */
 const kRecallMs = 3_000;
--- a/packages/mesh/src/app/recordSync.ts
+++ b/packages/mesh/src/app/records/recordSync.ts
@@ -6,8 +6,8 @@
 /** Finds out that another daemon knows other records, by one number a zone, and asks it for those zones. */
 
 import { monotonicMs, type TargetDirectory } from '@gentiandrum/core';
-import type { PeerLink } from '../client/peerLink.js';
-import type { Digests } from '../client/peerMessages.js';
+import type { PeerLink } from '../../client/peerLink.js';
+import type { Digests } from '../../client/peerMessages.js';
 
 /** Shortest time between two requests, in milliseconds: records on their way make digests differ for a moment at every daemon. */
 const kRequestMs = 2_000;
--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -6,7 +6,7 @@
 /** Calls over links: those that this daemon sent and waits for, and those that others sent for its target. */
 
 import type { CallEnd, GateReport } from '@gentiandrum/core';
-import type { OfferDone, OfferHandle } from '../app/targetGate.js';
+import type { OfferDone, OfferHandle } from '../app/calls/targetGate.js';
 import type { PeerLink } from './peerLink.js';
 import type { PeerCall, PeerMessage } from './peerMessages.js';
 
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -12,7 +12,7 @@
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
-import type { OfferDone, OfferHandle } from '../app/targetGate.js';
+import type { OfferDone, OfferHandle } from '../app/calls/targetGate.js';
 import { PeerCalls } from './peerCalls.js';
 import { PeerDialer } from './peerDialer.js';
 import { PeerLink } from './peerLink.js';
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -9,7 +9,7 @@
  */
 
 import { type CallEnd, monotonicMs, type ReachEvidence } from '@gentiandrum/core';
-import { Deadlines, type Due } from '../app/deadlines.js';
+import { Deadlines, type Due } from '../app/calls/deadlines.js';
 import { HeaderReader } from '../http/headerReader.js';
 import { requestBytes } from '../http/messageText.js';
 import type { HeaderNames } from '../ports.js';
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -5,10 +5,10 @@
 
 /** The routing daemon, for callers that speak plain HTTP. */
 
-export * from './app/callExchange.js';
-export * from './app/deadlines.js';
+export * from './app/calls/callExchange.js';
+export * from './app/calls/deadlines.js';
 export * from './app/eventLog.js';
-export * from './app/logFollower.js';
+export * from './app/log/logFollower.js';
 export * from './app/meshDaemon.js';
 export * from './app/runMesh.js';
 export * from './client/peerLink.js';
