--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -146,13 +146,16 @@
   }
 
   private _refuseEntry(req: CallerRequest, end: RefusedEntry): void {
-    const { status, detail, outcome, retryAfterMs, headers, logText } = refusalOf(end);
+    const { status, detail, outcome, retryAfterMs, headers, logText, ordinary } = refusalOf(end);
     this._deps.metrics.requestEnded(refusedService(end), outcome, end.kind === 'shed' ? 'level' : 'none', 0);
     if ('workspace' in end && end.workspace !== undefined) {
       this._deps.metrics.workspaceEnded(typeof end.workspace === 'string' ? end.workspace : end.workspace.name, outcome);
     }
-    if (logText !== undefined) {
-      this._deps.events.notable('calls', logText, { req: req.headers.requestId, ...refusalFields(end) });
+    const fields = (): EventFields => ({ req: req.headers.requestId, ...refusalFields(end) });
+    if (logText !== undefined && ordinary === true) {
+      this._deps.events.ordinary('calls', logText, fields);
+    } else if (logText !== undefined) {
+      this._deps.events.notable('calls', logText, fields());
     }
     this._refuse(req, status, detail, retryAfterMs, headers);
   }
--- a/packages/mesh/src/server/entryRefusals.ts
+++ b/packages/mesh/src/server/entryRefusals.ts
@@ -22,6 +22,8 @@
   headers?: string[];
   /** Text of the log line; none for what callers send wrongly in numbers. */
   logText?: string;
+  /** Whether the line takes from the budget of ordinary ones: what single callers cause must not displace failures. */
+  ordinary?: boolean;
 }
 
 /** Time after which a caller may come back when nothing better is known, in milliseconds. */
@@ -46,6 +48,7 @@
         outcome: end.kind,
         headers: kChallenge,
         logText: 'The key is not known.',
+        ordinary: true,
       };
     case 'stale_configuration':
       return {
@@ -62,6 +65,7 @@
         outcome: end.kind,
         retryAfterMs: end.retryAfterMs,
         logText: 'The workspace is over its quota.',
+        ordinary: true,
       };
     case 'quota_unknown':
       return {
