--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -41,8 +41,8 @@
   keyHash: number;
   /** Version of the configuration that said so. */
   version: number;
-  /** Time for which that may be relied on, in milliseconds; infinite where revocation is not strict. */
-  validMs: number;
+  /** Until when that may be relied on, on the monotonic clock; infinite where revocation is not strict. */
+  validUntil: number;
   /** Where its token came from; undefined when the workspace has no limit. */
   token: QuotaPart | undefined;
 }
@@ -62,8 +62,10 @@
 /** What the procedure asks of its surroundings. */
 export interface AdmitSurroundings {
   tables(): RoutingTables | undefined;
-  /** Time for which the configuration may be relied on for keys, in milliseconds. */
-  validMs(): number;
+  /** Until when the configuration may be relied on for keys, on the monotonic clock. */
+  validUntil(): number;
+  /** The monotonic clock, in milliseconds. */
+  now(): number;
   takeToken(workspace: string, limits: QuotaLimits): Generator<TokenRequest, QuotaEnd, TokenAnswer>;
   /** Whether a request of a rank is to be turned away for the load on its chain; 0 is the most urgent, `keyed` are people's. */
   sheds(route: Route, rank: number, keyed: boolean): boolean;
@@ -115,8 +117,8 @@
   if (presented.kind === 'unreadable') {
     return { kind: 'unknown_key', route, key: undefined };
   }
-  const validMs = around.validMs();
-  if (validMs <= 0) {
+  const validUntil = around.validUntil();
+  if (validUntil <= around.now()) {
     return { kind: 'stale_configuration', route };
   }
   const { key } = presented;
@@ -124,7 +126,7 @@
   if (!held) {
     return { kind: 'unknown_key', route, key };
   }
-  return { kind: 'identified', held, workspace: { name: held.name, keyHash: keyHash(key), version, validMs, token: undefined } };
+  return { kind: 'identified', held, workspace: { name: held.name, keyHash: keyHash(key), version, validUntil, token: undefined } };
 }
 
 function letIn(
--- a/packages/core/src/workspaces/freshness.ts
+++ b/packages/core/src/workspaces/freshness.ts
@@ -105,9 +105,12 @@
     return this._proof === undefined ? Infinity : now - this._proof.at;
   }
 
-  /** Time for which requests with keys may still be let in, in milliseconds; none when it is not above zero. */
-  remainingMs(now: number): number {
-    return this.strict ? this.trustedMs - this.ageMs(now) : Infinity;
+  /** Until when requests with keys may be let in: without a proof never, always where revocation is not strict. */
+  get validUntil(): number {
+    if (!this.strict) {
+      return Infinity;
+    }
+    return this._proof === undefined ? -Infinity : this._proof.at + this.trustedMs;
   }
 
   /** The answer to a request; undefined when this daemon has no proof of use. */
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -16,13 +16,14 @@
   type PlacedEnd,
   type PlacedRoute,
   type CallEnd,
+  type RequestWorkspace,
   type RouteEnd,
   isVain,
   routeRequest,
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
-import type { CallWorkspace, PeerCall } from '../../client/peerMessages.js';
+import type { PeerCall } from '../../client/callCodec.js';
 import type { Deadlines, Due } from './deadlines.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
 
@@ -61,7 +62,7 @@
   /** Rank under overload, 0 the most urgent. */
   rank: number;
   /** Whose request it is, and until when its key may be relied on, on the monotonic clock. */
-  workspace: (Pick<CallWorkspace, 'name' | 'keyHash' | 'version'> & { validUntil: number }) | undefined;
+  workspace: Pick<RequestWorkspace, 'name' | 'keyHash' | 'version' | 'validUntil'> | undefined;
   /** Time at which nobody waits any more, on the monotonic clock. */
   deadline: number;
 }
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -24,8 +24,8 @@
 /** What the entry uses of its daemon. */
 export interface RequestEntryDeps {
   tables(): RoutingTables | undefined;
-  /** Time for which the configuration may be relied on for keys, in milliseconds. */
-  validMs(): number;
+  /** Until when the configuration may be relied on for keys, on the monotonic clock. */
+  validUntil(): number;
   quotas: QuotaService;
   chains: ChainModel;
 }
@@ -44,7 +44,8 @@
   constructor(private readonly _deps: RequestEntryDeps) {
     this._around = {
       tables: () => _deps.tables(),
-      validMs: () => _deps.validMs(),
+      validUntil: () => _deps.validUntil(),
+      now: monotonicMs,
       takeToken: (workspace, limits) => _deps.quotas.take(workspace, limits),
       sheds: (route, rank, keyed) => this._sheds(route, rank, keyed),
     };
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -27,7 +27,7 @@
   type NotRunReason,
   type TargetRecord,
 } from '@gentiandrum/core';
-import type { CallWorkspace, PeerCall } from '../../client/peerMessages.js';
+import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
 import { type Run, type RunEnd, TargetClient } from '../../client/targetClient.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -8,7 +8,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { type Announcement, ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
-import type { PeerCall } from '../client/peerMessages.js';
+import type { PeerCall } from '../client/callCodec.js';
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
 import type { Platform } from '../ports.js';
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
@@ -337,7 +337,7 @@
       memoryMb: this._settings.memoryMb,
       entry: new RequestEntry({
         tables: () => this._configs.tables,
-        validMs: () => this._workspaces.proofs.validMs(),
+        validUntil: () => this._workspaces.proofs.validUntil(),
         quotas: this._workspaces.quotas,
         chains: this._chains,
       }),
--- a/packages/mesh/src/app/workspaces/proofKeeper.ts
+++ b/packages/mesh/src/app/workspaces/proofKeeper.ts
@@ -50,10 +50,10 @@
     return ageMs === Infinity ? -1 : ageMs / 1_000;
   }
 
-  /** Time for which requests with keys may be let in from now on, in milliseconds. */
-  validMs(): number {
+  /** Until when requests with keys may be let in, on the monotonic clock. */
+  validUntil(): number {
     this._noteOwn();
-    return this._freshness.remainingMs(monotonicMs());
+    return this._freshness.validUntil;
   }
 
   /** A version came into force. */
@@ -104,7 +104,7 @@
   }
 
   private _noteStale(now: number): void {
-    const stale = this._freshness.remainingMs(now) <= 0;
+    const stale = this._freshness.validUntil <= now;
     if (stale !== this._stale) {
       this._stale = stale;
       const ageMs = Math.round(this._freshness.ageMs(now));
--- a/packages/mesh/src/app/workspaces/workspaces.ts
+++ b/packages/mesh/src/app/workspaces/workspaces.ts
@@ -8,7 +8,8 @@
 import type { MeshConfig, MeshSettings } from '@gentiandrum/protocol';
 import type { RoutingTables, TargetDirectory, VersionProof } from '@gentiandrum/core';
 import type { PeerLink } from '../../client/peerLink.js';
-import type { CallWorkspace, PeerMessage, WorkspaceMessage } from '../../client/peerMessages.js';
+import type { CallWorkspace } from '../../client/callCodec.js';
+import type { PeerMessage, WorkspaceMessage } from '../../client/peerMessages.js';
 import type { EventLog } from '../eventLog.js';
 import { ProofKeeper } from './proofKeeper.js';
 import { QuotaService } from './quotaService.js';
--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -8,7 +8,8 @@
 import type { CallEnd, GateReport } from '@gentiandrum/core';
 import type { OfferDone, OfferHandle } from '../app/calls/targetGate.js';
 import type { PeerLink } from './peerLink.js';
-import type { PeerCall, PeerMessage } from './peerMessages.js';
+import type { PeerCall } from './callCodec.js';
+import type { PeerMessage } from './peerMessages.js';
 
 /** Load that goes with an end that no gate reported. */
 const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0, chargeMs: 0 };
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -11,51 +11,9 @@
 import type { GateReport, GrantEnd, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { Packr, Unpackr } from 'msgpackr';
+import { callFields, callFrom, headersFrom, loadFields, loadFrom, type PeerCall } from './callCodec.js';
 import { NameReader, NameWriter } from './sharedNames.js';
 
-/** The workspace of a call, and until when its key may be relied on. */
-export interface CallWorkspace {
-  name: string;
-  /** Hash of the key, which itself stays where it came. */
-  keyHash: number;
-  /** Version of the configuration that says so. */
-  version: number;
-  /** Time for which that may be relied on, in milliseconds; infinite without a limit. */
-  validMs: number;
-}
-
-/** A call that one daemon hands to the daemon beside the target. */
-export interface PeerCall {
-  /** Name of the route, for logs and statistics. */
-  route: string;
-  service: string;
-  /** Time that it may wait at the gate, in milliseconds. */
-  waitMs: number;
-  /** Time until nobody waits for the answer, in milliseconds. */
-  remainingMs: number;
-  /** Whether the request may have reached a target before. */
-  repeat: boolean;
-  /** Whether only targets make calls on this route, as far as is known. */
-  inner: boolean;
-  /** Whether it may run more than once; such a call is cancelled when nobody waits for it. */
-  idempotent: boolean;
-  /** Rank of a person's request under overload, 0 the most urgent; calls of targets have none. */
-  rank: number | undefined;
-  /** Instance that it is meant for. */
-  instance: string;
-  /** Service on whose host it began. */
-  callerService: string;
-  /** Whose request it is; undefined for calls of targets, on exempt routes, and without workspaces. */
-  workspace: CallWorkspace | undefined;
-  /** The caller's own id of this attempt. */
-  requestId: string;
-  method: string;
-  path: string;
-  /** Names and values in turn. */
-  headers: string[];
-  body: Buffer;
-}
-
 /** What a daemon knows of each zone's hosts, as one number a zone. */
 export type Digests = Readonly<Record<string, number>>;
 
@@ -121,17 +79,8 @@
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
-/** Levels travel as whole thousandths. */
-const kLevelSteps = 1_000;
-/** Fields of a report. */
-const kLoadFields = 8;
-/** In place of a rank: that the call has none. */
-const kNoRank = -1;
-/** In place of a time: that there is no limit; in place of a wait: that the daemon has no part in the quota. */
-const kNoLimit = -1;
+/** In place of a wait: that the daemon has no part in the quota. */
 const kNotOwner = -1;
-/** Fields of a call before those of its workspace, with its type and id. */
-const kCallFields = 17;
 /** Longest message, in bytes: a request body of the largest size, and room for its head. */
 const kMaxMessageBytes = 80 * 1024 * 1024;
 
@@ -245,35 +194,6 @@
   }
 }
 
-function callFields(call: PeerCall, names: NameWriter): unknown[] {
-  return [
-    names.write(call.route),
-    names.write(call.service),
-    Math.round(call.waitMs),
-    call.remainingMs,
-    call.repeat,
-    call.inner,
-    call.idempotent,
-    call.rank ?? kNoRank,
-    names.write(call.instance),
-    names.write(call.callerService),
-    call.requestId,
-    names.write(call.method),
-    call.path,
-    call.headers.map((text) => names.write(text)),
-    call.body,
-    ...workspaceFields(call.workspace, names),
-  ];
-}
-
-function workspaceFields(workspace: CallWorkspace | undefined, names: NameWriter): unknown[] {
-  if (!workspace) {
-    return [];
-  }
-  const { name, keyHash, version, validMs } = workspace;
-  return [names.write(name), keyHash, version, validMs === Infinity ? kNoLimit : Math.floor(validMs)];
-}
-
 /** Granted, or the wait in milliseconds, or that the receiver has no part in the quota. */
 function grantFields(end: GrantEnd): unknown[] {
   if (end === 'not_owner') {
@@ -290,19 +210,6 @@
   return waitMs === 0 ? { granted: true } : { granted: false, waitMs };
 }
 
-function loadFields({ inFlight, queued, limit, meanMs, level, inner, height, chargeMs }: GateReport): unknown[] {
-  return [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelSteps), chargeMs, height, inner];
-}
-
-function loadFrom(fields: unknown[], at: number): GateReport {
-  const [inFlight = 0, queued = 0, limit = 0, meanMs = 0, level = 0, chargeMs = 0, height = 0] = fields.slice(
-    at,
-    at + kLoadFields - 1,
-  ) as number[];
-  const inner = (fields[at + kLoadFields - 1] ?? undefined) as boolean | undefined;
-  return { inFlight, queued, limit, meanMs, level: level / kLevelSteps, inner, height, chargeMs };
-}
-
 /** Daemons of one deployment run one program, so the fields are taken as they are. */
 function decodeFields(fields: unknown[], names: NameReader): PeerMessage {
   const type = kTypes[fields[0] as number];
@@ -361,42 +268,3 @@
       return { type };
   }
 }
-
-function headersFrom(field: unknown, names: NameReader): string[] {
-  return (field as unknown[]).map((text) => names.read(text));
-}
-
-function callFrom(fields: unknown[], names: NameReader): PeerCall {
-  // In the order in which they were written: a name may be introduced by one field and used by the next.
-  return {
-    route: names.read(fields[2]),
-    service: names.read(fields[3]),
-    waitMs: fields[4] as number,
-    remainingMs: fields[5] as number,
-    repeat: fields[6] as boolean,
-    inner: fields[7] as boolean,
-    idempotent: fields[8] as boolean,
-    rank: fields[9] === kNoRank ? undefined : (fields[9] as number),
-    instance: names.read(fields[10]),
-    callerService: names.read(fields[11]),
-    requestId: fields[12] as string,
-    method: names.read(fields[13]),
-    path: fields[14] as string,
-    headers: headersFrom(fields[15], names),
-    body: fields[16] as Buffer,
-    workspace: workspaceFrom(fields, names),
-  };
-}
-
-function workspaceFrom(fields: unknown[], names: NameReader): CallWorkspace | undefined {
-  if (fields.length <= kCallFields) {
-    return undefined;
-  }
-  const [name, keyHash, version, validMs] = fields.slice(kCallFields);
-  return {
-    name: names.read(name),
-    keyHash: keyHash as number,
-    version: version as number,
-    validMs: validMs === kNoLimit ? Infinity : (validMs as number),
-  };
-}
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -16,7 +16,8 @@
 import { PeerCalls } from './peerCalls.js';
 import { PeerDialer } from './peerDialer.js';
 import { PeerLink } from './peerLink.js';
-import type { Digests, PeerCall, PeerMessage, WorkspaceMessage } from './peerMessages.js';
+import type { PeerCall } from './callCodec.js';
+import type { Digests, PeerMessage, WorkspaceMessage } from './peerMessages.js';
 
 /** Hosts up to which a daemon keeps links to all others: they cost next to nothing, and calls find them open. */
 const kWholeFleet = 17;
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -13,7 +13,7 @@
 import { HeaderReader } from '../http/headerReader.js';
 import { requestBytes } from '../http/messageText.js';
 import type { HeaderNames } from '../ports.js';
-import type { PeerCall } from './peerMessages.js';
+import type { PeerCall } from './callCodec.js';
 import { type ExchangeOutcome, type TargetAnswer, TargetConnection } from './targetConnection.js';
 
 /** Statuses that promise "not run"; a target that says so without proof isn't believed, nor passed on. */
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -12,6 +12,7 @@
 export * from './app/meshDaemon.js';
 export * from './app/runMesh.js';
 export * from './client/peerLink.js';
+export * from './client/callCodec.js';
 export * from './client/peerMessages.js';
 export * from './client/sharedNames.js';
 export * from './http/messageParser.js';
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -19,6 +19,8 @@
 import { BodyMemory } from './bodyMemory.js';
 import { CallerConnection, type CallerLimits, type CallerRequest, type ConnectionOwner, type ReadFault } from './callerConnection.js';
 import { type RefusedEntry, refusalFields, refusalOf, refusedService } from './entryRefusals.js';
+import { outcomeOf } from './exchangeOutcome.js';
+import { statusOf, textOf } from './readFaults.js';
 
 /** Limits until a configuration is known. */
 const kFirstLimits: CallerLimits = {
@@ -173,7 +175,7 @@
         headers: this._passedOn(req),
         body: req.body,
         rank,
-        workspace: workspace && { ...workspace, validUntil: monotonicMs() + workspace.validMs },
+        workspace,
         deadline: req.takenAt + Math.min(route.timeoutMs, remainingMs),
       },
       this._deps,
@@ -263,51 +265,3 @@
     req.answer(status, headers, body);
   }
 }
-
-/** Status of the answer to a request that can't be read. */
-function statusOf(fault: ReadFault): number {
-  switch (fault) {
-    case 'malformed':
-      return 400;
-    case 'head_too_long':
-      return 431;
-    case 'head_too_late':
-    case 'body_too_late':
-      return 408;
-    case 'body_too_long':
-      return 413;
-    case 'no_memory':
-      return 503;
-  }
-}
-
-function textOf(fault: ReadFault): string {
-  switch (fault) {
-    case 'malformed':
-      return 'expected an HTTP/1.1 request, got something else';
-    case 'head_too_long':
-      return 'request head over the limit';
-    case 'head_too_late':
-      return 'request head did not arrive in time';
-    case 'body_too_late':
-      return 'request body did not arrive in time';
-    case 'body_too_long':
-      return 'request body over the limit';
-    case 'no_memory':
-      return 'too many bytes of requests are held';
-  }
-}
-
-/** Outcome and reason as metrics count them; what follows a colon in a reason tells of the single case. */
-function outcomeOf(end: ExchangeEnd): { outcome: RequestOutcome; reason: string } {
-  switch (end.kind) {
-    case 'answered':
-      return { outcome: end.answer.status < 500 ? 'answered' : 'target_failed', reason: 'none' };
-    case 'not_run':
-      return { outcome: 'not_run', reason: end.reason };
-    case 'lost':
-      return { outcome: 'lost', reason: end.reason.split(':')[0] ?? '' };
-    case 'timed_out':
-      return { outcome: 'timed_out', reason: 'none' };
-  }
-}
--- a/tests/mesh/sharedNames.spec.ts
+++ b/tests/mesh/sharedNames.spec.ts
@@ -47,7 +47,7 @@
 });
 
 describe('messages of a link', () => {
-  const call: PeerMessage = {
+  const call: Extract<PeerMessage, { type: 'call' }> = {
     type: 'call',
     id: 7,
     call: {
@@ -78,6 +78,29 @@
     }
   });
 
+  it('should give back whose request a call is, and what is said of proofs and tokens', (t) => {
+    const workspace = { name: 'crew', keyHash: 0xfffffffe, version: 12, validMs: 900 };
+    const messages: PeerMessage[] = [
+      { ...call, call: { ...call.call, rank: 2, workspace } },
+      { ...call, call: { ...call.call, rank: 0, workspace: { ...workspace, validMs: Infinity } } },
+      { type: 'proof_wanted', id: 2 ** 31 },
+      { type: 'proof', id: 2 ** 31, ageMs: 12.5, version: 12 },
+      { type: 'token_wanted', id: 3, workspace: 'crew' },
+      { type: 'token', id: 3, workspace: 'crew', end: { granted: true } },
+      { type: 'token', id: 4, workspace: 'crew', end: { granted: false, waitMs: 17 } },
+      { type: 'token', id: 5, workspace: 'crew', end: 'not_owner' },
+      { type: 'tokens_back', tokens: { crew: 2, office: 1 } },
+    ];
+    const writer = new MessageWriter();
+    const reader = new MessageReader();
+    for (let i = 0; i < 3; i++) {
+      t.deepEqual(
+        messages.flatMap((message) => reader.push(writer.encode(message))),
+        messages,
+      );
+    }
+  });
+
   it('should need less than half of the bytes once the names are known', (t) => {
     const writer = new MessageWriter();
     const first = writer.encode(call).length;
--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -46,7 +46,8 @@
 function around(noted: Noted, changed: Partial<AdmitSurroundings> = {}): AdmitSurroundings {
   return {
     tables: () => kTables,
-    validMs: () => 1_000,
+    validUntil: () => 1_000,
+    now: () => 0,
     *takeToken(workspace) {
       noted.taken.push(workspace);
       return { kind: 'granted', part: { host: 'h', zone: 'z', share: 1 } };
@@ -77,12 +78,12 @@
       ['no_configuration', kCrew, { tables: () => undefined }],
       ['no_route', { ...kCrew, path: '/none/' }],
       ['no_key', {}],
-      ['no_key', {}, { validMs: () => 0 }],
+      ['no_key', {}, { validUntil: () => 0 }],
       ['unknown_key', { presented: { kind: 'unreadable' } }],
       ['unknown_key', { presented: { kind: 'key', key: 'k-none' } }],
-      ['stale_configuration', kCrew, { validMs: () => 0 }],
-      ['stale_configuration', { presented: { kind: 'key', key: 'k-none' } }, { validMs: () => -1 }],
-      ['admitted', { path: '/open/1' }, { validMs: () => 0 }],
+      ['stale_configuration', kCrew, { validUntil: () => 0 }],
+      ['stale_configuration', { presented: { kind: 'key', key: 'k-none' } }, { validUntil: () => -Infinity }],
+      ['admitted', { path: '/open/1' }, { validUntil: () => 0 }],
     ];
     for (const [kind, req, changed] of cases) {
       const { end, noted } = enter(req, changed);
--- a/tests/workspaces/freshness.spec.ts
+++ b/tests/workspaces/freshness.spec.ts
@@ -146,7 +146,7 @@
         const to = whom === 'readers' ? Math.floor(random() * kReaders) : Math.floor(random() * kDaemons);
         post({ to, from: at, kind: { type: 'wanted', id: daemon.freshness.request(clock) } }, now);
       }
-      const open = daemon.freshness.remainingMs(clock) > 0;
+      const open = daemon.freshness.validUntil > clock;
       const old = daemon.version < logVersion && now > revokedAt + kWithinMs;
       judged.wrong += open && old ? 1 : 0;
       judged.naiveWrong += now - daemon.naiveAt < kWithinMs * 0.9 && old ? 1 : 0;
@@ -208,7 +208,7 @@
   it('should not take the proof of a version that is not in force here, until it is', (t) => {
     const freshness = new Freshness(kSettings, 0);
     freshness.note({ at: 100, version: 5 }, 4);
-    t.is(freshness.remainingMs(100), -Infinity);
+    t.is(freshness.validUntil, -Infinity);
     freshness.inForce(5);
     t.is(freshness.ageMs(200), 100);
   });
@@ -218,7 +218,7 @@
     freshness.note({ at: 100, version: 4 }, 6);
     t.is(freshness.ageMs(200), 100);
     const lenient = new Freshness({ strict: false, withinMs: kWithinMs }, 0);
-    t.is(lenient.remainingMs(1e9), Infinity);
+    t.is(lenient.validUntil, Infinity);
     t.is(lenient.whomToAsk(1e9, false), 'none');
   });
 
