--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -256,7 +256,7 @@
         this._sync.hasRead();
       },
       onRecalled: () => {
-        this._workspaces.notePredecessor(this._records.sincePredecessorMs);
+        this._workspaces.quotas.notePredecessor(this._records.sincePredecessorMs);
       },
       broadcast: (record) => {
         this._network.broadcast({ type: 'records', records: [record] });
--- a/packages/mesh/src/app/workspaces/quotaService.ts
+++ b/packages/mesh/src/app/workspaces/quotaService.ts
@@ -25,6 +25,9 @@
 /** Time for the answer of an owner, in milliseconds: some tens of round trips, and well below the latency targets of callers. */
 const kAnswerMs = 100;
 
+/** Margin by which the wall clocks of two starts on one host may differ, in milliseconds. */
+const kWindowMarginMs = 1_000;
+
 /** What the service uses of its daemon. */
 export interface QuotaServiceDeps {
   settings: MeshSettings;
@@ -68,9 +71,6 @@
     const { settings, members } = _deps;
     this._asker = new QuotaAsker({ host: settings.id, zone: settings.zone }, members, settings.quotas, monotonicMs);
     this._owner = new QuotaOwner(settings.quotas, monotonicMs());
-    if (settings.log.firstStart) {
-      this._owner.mayBeginFull();
-    }
     this._revision = members.revision;
   }
 
@@ -143,9 +143,15 @@
     }
   }
 
-  /** The daemon's predecessor on this host, if any, started long enough ago. */
-  mayBeginWithReserve(): void {
-    if (!this._deps.settings.log.firstStart) {
+  /**
+   * Time since the start of the previous daemon on this host, in milliseconds; infinite without one. Parts begin with their reserve, unless
+   * that daemon may have used it within the same window, and full in the first start of a deployment.
+   */
+  notePredecessor(agoMs: number): void {
+    const { quotas, log } = this._deps.settings;
+    if (log.firstStart && agoMs === Infinity) {
+      this._owner.mayBeginFull();
+    } else if (agoMs > quotas.windowSeconds * 1_000 + kWindowMarginMs) {
       this._owner.mayBeginWithReserve();
     }
   }
--- a/packages/mesh/src/app/workspaces/workspaces.ts
+++ b/packages/mesh/src/app/workspaces/workspaces.ts
@@ -14,9 +14,6 @@
 import { ProofKeeper } from './proofKeeper.js';
 import { QuotaService } from './quotaService.js';
 
-/** Margin by which the wall clocks of two starts on one host may differ, in milliseconds. */
-const kWindowMarginMs = 1_000;
-
 /** What workspaces use of their daemon. */
 export interface WorkspacesDeps {
   settings: MeshSettings;
@@ -86,16 +83,6 @@
     this.quotas.close();
   }
 
-  /**
-   * Time since the start of the previous daemon on this host, in milliseconds: parts of quotas begin with their reserve, unless it may
-   * have used that within the same window.
-   */
-  notePredecessor(agoMs: number): void {
-    if (agoMs > this._deps.settings.quotas.windowSeconds * 1_000 + kWindowMarginMs) {
-      this.quotas.mayBeginWithReserve();
-    }
-  }
-
   /** Whether a key is still its workspace's: a version that this daemon doesn't know may say so, an older one than its own doesn't count. */
   keyHolds({ name, keyHash, version }: CallWorkspace): boolean {
     const tables = this._deps.tables();
