--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -83,7 +83,7 @@
     return { kind: 'no_route' };
   }
   if (!workspaces.required || route.exempt) {
-    return letIn(route, undefined, route.priority, tables, around);
+    return decideByLoad(route, undefined, route.priority, tables, around);
   }
   const identified = identify(route, req.presented, tables, around);
   if (identified.kind !== 'identified') {
@@ -98,7 +98,7 @@
     }
     workspace.token = quota.part;
   }
-  return letIn(route, workspace, priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority), tables, around);
+  return decideByLoad(route, workspace, priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority), tables, around);
 }
 
 type Identified =
@@ -129,7 +129,7 @@
   return { kind: 'identified', held, workspace: { name: held.name, keyHash: keyHash(key), version, validUntil, token: undefined } };
 }
 
-function letIn(
+function decideByLoad(
   route: Route,
   workspace: RequestWorkspace | undefined,
   rank: number,
