Refusals raise a gate's level beyond its work only while its slots look idle

Cause: the floor for refusals, made for gates that refuse with idle slots, also held while the slots were busy, and pushed the level above what the work asks for in steady overload. Change: the floor counts only while the slots do less than 0.8 of what they can.

--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -30,11 +30,14 @@
 /** Largest excess that counts either way, so that a short rush doesn't close everything. */
 const kMaxExcess = 0.7;
 /**
- * Share of arrivals that may be refused for want of room while the level stays as it is. Beyond it the level rises by the excess, however
- * little work the slots seem to have: without this a limit that no slot shows (100 connections where 120 calls were let in) had a
- * service refuse six calls of ten for the rest of a day with its level at 0.
+ * Share of arrivals that may be refused for want of room while the slots look idle. Beyond it the level rises by the excess: without this
+ * a limit that no slot shows (100 connections where 120 calls were let in) had a service refuse six calls of ten for the rest of a day
+ * with its level at 0. Busy slots are steered by their work alone: with this at all times, the same 18 s of a steady overload at 63 hosts
+ * refused 0.155 of the requests in place of 0.121, and were worth 0.646 in place of 0.701 (one pair, played at once).
  */
 const kToleratedRefusals = 0.1;
+/** Work done, as a share of what the slots can do, below which they look idle. */
+const kIdleWork = 0.8;
 /** Time in which the weight of an arrival in that share is halved, in milliseconds, and the fewest arrivals that it is told from. */
 const kRefusalHalfLifeMs = 500;
 const kLeastArrivals = 5;
@@ -47,6 +50,7 @@
   private _workMs = 0;
   private _toleratedMs = 0;
   private _waitMs = 0;
+  private _doneMs = 0;
   private _arrivals = 0;
   private _refused = 0;
 
@@ -61,15 +65,16 @@
     this._toleratedMs += (toleratedMs - this._toleratedMs) * (this._toleratedMs === 0 ? 1 : kToleratedWeight);
   }
 
-  /** Notes work that was done, or refused for want of slots, in milliseconds of the whole gate: of a call, over the slots. */
+  /** Notes work that was done, in milliseconds of the whole gate: of a call, over the slots. */
   work(ms: number): void {
     this._workMs += ms;
+    this._doneMs += ms;
   }
 
   /** Notes a call that the gate could not start; `ms` is the work that it would have been, as for {@link work}. */
   refused(ms: number): void {
     this._refused++;
-    this.work(ms);
+    this._workMs += ms;
   }
 
   /** Steers over the time since the last step; `waitMs` is the time that a call at the end of the queue would wait. */
@@ -85,9 +90,11 @@
     this._waitMs = waitMs;
   }
 
-  /** Share of lately refused arrivals beyond the tolerated one; `-Infinity` when there is none. */
+  /** Share of lately refused arrivals beyond the tolerated one; `-Infinity` when there is none, or the slots are busy. */
   private _refusalExcess(elapsedMs: number): number {
-    const share = this._arrivals >= kLeastArrivals ? this._refused / this._arrivals : 0;
+    const idle = this._doneMs < kIdleWork * elapsedMs;
+    const share = idle && this._arrivals >= kLeastArrivals ? this._refused / this._arrivals : 0;
+    this._doneMs = 0;
     const retained = 0.5 ** (elapsedMs / kRefusalHalfLifeMs);
     this._arrivals *= retained;
     this._refused *= retained;
--- a/tests/admission/refusalLevel.spec.ts
+++ b/tests/admission/refusalLevel.spec.ts
@@ -50,6 +50,26 @@
     t.is(levelAfter(0.05, 10, 0), 0);
   });
 
+  it('should be steered by the work alone while the slots are busy', (t) => {
+    const level = new GateLevel();
+    const other = new GateLevel();
+    for (let step = 0; step < 20; step++) {
+      for (let i = 0; i < 20; i++) {
+        level.came(100);
+        other.came(100);
+        if (i < 4) {
+          level.refused(1);
+          other.work(1);
+        }
+      }
+      level.work(95);
+      other.work(95);
+      level.step(10, kStepMs);
+      other.step(10, kStepMs);
+    }
+    t.is(level.current, other.current);
+  });
+
   it('should fall again within seconds once nothing is refused', (t) => {
     const level = new GateLevel();
     for (let step = 0; step < 50; step++) {
