One way to a link, one place for a refused request's workspace, one limit of connections for gate and client; no behaviour changed

Limits of services are looked up in a map, as a gate now asks for them several times a call; requests without credentials build nothing; tokens go back to a host; the bound that tests check stands in the tests.

--- a/packages/core/src/membership/targetLife.ts
+++ b/packages/core/src/membership/targetLife.ts
@@ -62,8 +62,8 @@
       return false;
     }
     const before = this._known;
-    this._known = { ...(this._isCurrent(word) ? this._known : this._replace(word)), ...word.details };
-    this._known.born = Math.max(this._known.born, word.born ?? 0);
+    const known = this._isCurrent(word) ? before : this._replace(word);
+    this._known = { ...known, ...word.details, born: Math.max(known.born, word.born ?? 0) };
     this._sequence = Math.max(this._sequence, word.sequence);
     this._advance(word.state);
     const { instance, born, state, slots } = this._known;
--- a/packages/core/src/workspaces/credentials.ts
+++ b/packages/core/src/workspaces/credentials.ts
@@ -11,12 +11,14 @@
 /** The key that a request carries; `unreadable` is one without a readable key, or with two that differ. */
 export type PresentedKey = { kind: 'none' } | { kind: 'key'; key: string } | { kind: 'unreadable' };
 
+const kNone: PresentedKey = { kind: 'none' };
+
 /** Reads the values of all `Authorization` headers of one request. */
 export function readCredentials(values: readonly string[]): PresentedKey {
-  const keys = new Set(values.map((value) => kBearer.exec(value.trim())?.[1]));
-  const [key] = keys;
   if (values.length === 0) {
-    return { kind: 'none' };
+    return kNone;
   }
+  const keys = new Set(values.map((value) => kBearer.exec(value.trim())?.[1]));
+  const [key] = keys;
   return keys.size === 1 && key !== undefined ? { kind: 'key', key } : { kind: 'unreadable' };
 }
--- a/packages/core/src/workspaces/quotaParts.ts
+++ b/packages/core/src/workspaces/quotaParts.ts
@@ -54,11 +54,6 @@
   start: number;
 }
 
-/** What may run in any window, over all daemons together. */
-export function windowBound({ ratePerSecond, burst }: QuotaLimits, settings: QuotaSettings): number {
-  return (ratePerSecond * settings.windowSeconds + burst) * (1 + settings.overage) + settings.slack;
-}
-
 /** Limits of a part with a share of the whole; their sum over all parts is the bound less what is kept for joins and leavings. */
 export function partLimits({ ratePerSecond, burst }: QuotaLimits, share: number, settings: QuotaSettings): PartLimits {
   const perWindow = ratePerSecond * settings.windowSeconds + burst;
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -60,13 +60,14 @@
         this._deps.quotas.ask(step.value, (answer: TokenAnswer) => {
           advance(procedure.next(answer));
         });
-      } else if (progress.left) {
-        this._undo(step.value);
-      } else {
-        if (step.value.kind === 'shed') {
-          this._undo(step.value);
-        }
-        done(step.value);
+        return;
+      }
+      const end = step.value;
+      if (end.kind === 'shed' || (end.kind === 'admitted' && progress.left)) {
+        this.notRun(end.workspace);
+      }
+      if (!progress.left) {
+        done(end);
       }
     };
     advance(procedure.next());
@@ -80,13 +81,7 @@
   /** The request of a workspace has not run: its token serves another one. */
   notRun(workspace: RequestWorkspace | undefined): void {
     if (workspace?.token) {
-      this._deps.quotas.giveBack(workspace.name, workspace.token);
-    }
-  }
-
-  private _undo(end: EntryEnd): void {
-    if (end.kind === 'admitted' || end.kind === 'shed') {
-      this.notRun(end.workspace);
+      this._deps.quotas.giveBack(workspace.name, workspace.token.host);
     }
   }
 
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -84,6 +84,8 @@
   private _client: TargetClient | undefined;
   private readonly _life: TargetLife;
   private _reach = new TargetReach();
+  /** Connections that the target accepts, as known now. */
+  private readonly _connections = (): number => this._deps.maxConnections(this._life.known.service);
   private _held = true;
   private _stopping = false;
   private _nextId = 1;
@@ -104,7 +106,7 @@
           this._refuse(waiting, reason);
         },
       },
-      () => _deps.maxConnections(this._life.known.service),
+      this._connections,
     );
   }
 
@@ -291,14 +293,13 @@
   }
 
   private _openOrClose(): void {
-    const { state, instance, service, address, slots, coldMs } = this._life.known;
+    const { state, instance, address, slots, coldMs } = this._life.known;
     if (state !== 'ready' || this._held || this._stopping) {
       this._gate.close();
       return;
     }
-    const limit = (): number => this._deps.maxConnections(service);
     const reach = this._reach;
-    this._client ??= new TargetClient(address, instance, limit, this._deps.names, (evidence) => {
+    this._client ??= new TargetClient(address, instance, this._connections, this._deps.names, (evidence) => {
       this._takeReach(reach, evidence);
     });
     if (this._reach.reachable) {
--- a/packages/mesh/src/app/log/configHolder.ts
+++ b/packages/mesh/src/app/log/configHolder.ts
@@ -20,6 +20,8 @@
 export class ConfigHolder {
   private _config: MeshConfig | undefined;
   private _tables: RoutingTables | undefined;
+  /** Connections that a target accepts, by service: looked up several times a call. */
+  private _maxConnections: ReadonlyMap<string, number> = new Map();
   private _takenAt = 0;
   private _askedFor = -1;
   private _askedAt = -Infinity;
@@ -40,6 +42,11 @@
     return this._tables;
   }
 
+  /** Connections that a target of a service accepts; undefined while that is not known. */
+  maxConnections(service: string): number | undefined {
+    return this._maxConnections.get(service);
+  }
+
   /** Its version; -1 before the first. */
   get version(): number {
     return this._config?.version ?? -1;
@@ -63,6 +70,7 @@
     }
     this._config = checked.data;
     this._tables = { version: cfg.version, routes: new RouteTable(checked.data), workspaces: new WorkspaceTable(checked.data) };
+    this._maxConnections = new Map(checked.data.services.map(({ name, maxConnections }) => [name, maxConnections]));
     const faults = workspaceFaults(checked.data).slice(0, kNamedFaults);
     if (faults.length > 0) {
       this._events.warn('config', `Version ${cfg.version} has faults that this daemon can live with.`, { faults });
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -102,8 +102,7 @@
       names: dialect.headers,
       bound: _settings.retries,
       address: _settings.target.address,
-      maxConnections: (service) =>
-        this._configs.config?.services.find(({ name }) => name === service)?.maxConnections ?? kAssumedConnections,
+      maxConnections: (service) => this._configs.maxConnections(service) ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
       chargeMs: (route) => this._placement.chargeMs(route),
       keyHolds: (workspace) => this._workspaces.keyHolds(workspace),
@@ -408,8 +407,7 @@
     if (!details) {
       return true;
     }
-    const services = this._configs.config?.services;
-    const named = services?.some(({ name }) => name === details.service) ?? true;
+    const named = this._configs.config === undefined || this._configs.maxConnections(details.service) !== undefined;
     return named && splitAddress(details.address).host === splitAddress(this._settings.target.address).host;
   }
 
--- a/packages/mesh/src/app/workspaces/quotaService.ts
+++ b/packages/mesh/src/app/workspaces/quotaService.ts
@@ -13,7 +13,6 @@
   type QuotaLimits,
   type QuotaMembers,
   QuotaOwner,
-  type QuotaPart,
   type TokenAnswer,
   type TokenRequest,
   type WorkspaceTable,
@@ -96,8 +95,8 @@
     this._deps.sendTo(part.host, { type: 'token_wanted', id, workspace });
   }
 
-  /** A request that took a token did not run. */
-  giveBack(workspace: string, { host }: QuotaPart): void {
+  /** A request that took a token of an owner did not run. */
+  giveBack(workspace: string, host: string): void {
     this.counts.givenBack++;
     if (host === this._deps.settings.id) {
       this._owner.giveBack(workspace, 1, monotonicMs());
@@ -120,7 +119,7 @@
       this._pending.delete(id);
       pending.done(end);
     } else if (end !== 'not_owner' && end.granted) {
-      this.giveBack(workspace, { host, zone: '', share: 0 });
+      this.giveBack(workspace, host);
     }
   }
 
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -14,7 +14,7 @@
 import type { EventLog } from '../app/eventLog.js';
 import type { OfferDone, OfferHandle } from '../app/calls/targetGate.js';
 import { PeerCalls } from './peerCalls.js';
-import { PeerDialer } from './peerDialer.js';
+import { type LinkUse, PeerDialer } from './peerDialer.js';
 import { PeerLink } from './peerLink.js';
 import type { PeerCall } from './callCodec.js';
 import type { Digests, PeerMessage, WorkspaceMessage } from './peerMessages.js';
@@ -95,12 +95,7 @@
   offer(record: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle {
     return this._calls.offer(
       (use) => {
-        const link = this._links.get(record.host);
-        if (link) {
-          use(link);
-        } else {
-          this._dialer.dialFor(record, use);
-        }
+        this._withLink(record, use);
       },
       call,
       done,
@@ -139,13 +134,10 @@
 
   /** Tells a daemon, over a link that is opened when there is none. */
   sendOrDial(host: string, message: PeerMessage): void {
-    const link = this._links.get(host);
     const record = this._directory.get(host);
-    if (link) {
-      link.send(message);
-    } else if (record) {
-      this._dialer.dialFor(record, (opened) => {
-        opened?.send(message);
+    if (record) {
+      this._withLink(record, (link) => {
+        link?.send(message);
       });
     }
   }
@@ -159,6 +151,15 @@
     }
   }
 
+  private _withLink(record: TargetRecord, use: LinkUse): void {
+    const link = this._links.get(record.host);
+    if (link) {
+      use(link);
+    } else {
+      this._dialer.dialFor(record, use);
+    }
+  }
+
   private _dialed(host: string, socket: Socket): PeerLink {
     const link = this._adopt(socket);
     link.host = host;
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -18,7 +18,7 @@
 import type { HeaderNames } from '../ports.js';
 import { BodyMemory } from './bodyMemory.js';
 import { CallerConnection, type CallerLimits, type CallerRequest, type ConnectionOwner, type ReadFault } from './callerConnection.js';
-import { type RefusedEntry, refusalFields, refusalOf, refusedService } from './entryRefusals.js';
+import { type RefusedEntry, refusalFields, refusalOf, refusedService, refusedWorkspace } from './entryRefusals.js';
 import { outcomeOf } from './exchangeOutcome.js';
 import { statusOf, textOf } from './readFaults.js';
 
@@ -150,8 +150,9 @@
   private _refuseEntry(req: CallerRequest, end: RefusedEntry): void {
     const { status, detail, outcome, retryAfterMs, headers, logText, ordinary } = refusalOf(end);
     this._deps.metrics.requestEnded(refusedService(end), outcome, end.kind === 'shed' ? 'level' : 'none', 0);
-    if ('workspace' in end && end.workspace !== undefined) {
-      this._deps.metrics.workspaceEnded(typeof end.workspace === 'string' ? end.workspace : end.workspace.name, outcome);
+    const workspace = refusedWorkspace(end);
+    if (workspace !== undefined) {
+      this._deps.metrics.workspaceEnded(workspace, outcome);
     }
     const fields = (): EventFields => ({ req: req.headers.requestId, ...refusalFields(end) });
     if (logText !== undefined && ordinary === true) {
--- a/packages/mesh/src/server/entryRefusals.ts
+++ b/packages/mesh/src/server/entryRefusals.ts
@@ -101,7 +101,24 @@
     case 'quota_unknown':
       return { route: end.route.name, workspace: end.workspace, retryAfterMs: Math.round(end.retryAfterMs) };
     case 'shed':
-      return { route: end.route.name, ...(end.workspace ? { workspace: end.workspace.name } : {}) };
+      return { route: end.route.name, workspace: refusedWorkspace(end) };
+  }
+}
+
+/** Workspace whose request was refused; undefined when it has none, or that is not known. */
+export function refusedWorkspace(end: RefusedEntry): string | undefined {
+  switch (end.kind) {
+    case 'over_quota':
+    case 'quota_unknown':
+      return end.workspace;
+    case 'shed':
+      return end.workspace?.name;
+    case 'no_configuration':
+    case 'no_route':
+    case 'no_key':
+    case 'unknown_key':
+    case 'stale_configuration':
+      return undefined;
   }
 }
 
--- a/tests/workspaces/quotas.spec.ts
+++ b/tests/workspaces/quotas.spec.ts
@@ -18,7 +18,6 @@
   seededRandom,
   type TokenAnswer,
   type TokenRequest,
-  windowBound,
 } from '@gentiandrum/core';
 import { describe, it } from '../support/describe.js';
 
@@ -250,12 +249,17 @@
     arrivals: world.arrivals,
     served: world.runs.length,
     reference,
-    fullest: fullestWindow(world.runs, windowBound(limits, kSettings)),
+    fullest: fullestWindow(world.runs, windowBound(limits)),
     asks: world.asks,
     world,
   };
 }
 
+/** What may run in any window, over all daemons together. */
+function windowBound({ ratePerSecond, burst }: QuotaLimits): number {
+  return (ratePerSecond * kSettings.windowSeconds + burst) * (1 + kSettings.overage) + kSettings.slack;
+}
+
 /** Most runs that were both sent and begun in one window, as a share of a bound. */
 function fullestWindow(runs: readonly { at: number; sentAt: number }[], bound: number, fromMs = 0): number {
   const sorted = runs.filter(({ sentAt }) => sentAt >= fromMs).sort((a, b) => a.at - b.at);
@@ -381,7 +385,7 @@
           }
         });
       });
-      const fullest = fullestWindow(world.runs, windowBound(lower, kSettings), loweredAt + kApplyMs + kWindowMs);
+      const fullest = fullestWindow(world.runs, windowBound(lower), loweredAt + kApplyMs + kWindowMs);
       t.true(fullest <= 1, `seed ${seed}: fullest window ${fullest}`);
     }
   });
