A cold target is warm when it said so, also when its gate is opened again meanwhile

Cause: each heartbeat, late ones too, and each end of an unreachable spell opened the gate anew with the time left that the last accepted heartbeat had told, counted from then on, so that a target that had just started was held back for longer than it said. Change: the moment is worked out when the announcement is taken; late ones change nothing. Seen by reading; no run showed a loss by it.

--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -76,10 +76,10 @@
     return this._meanMs;
   }
 
-  /** Takes calls from now on; `coldMs` is how much longer the target stays slow after its start. */
-  open(slots: number, coldMs: number): void {
+  /** Takes calls from now on; the target stays slow after its start until `warmFrom`, on the monotonic clock. */
+  open(slots: number, warmFrom: number): void {
     this._slots = slots;
-    this._warmFrom = monotonicMs() + coldMs;
+    this._warmFrom = warmFrom;
     this._closedFor = undefined;
     this._startWaiting();
   }
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -86,6 +86,8 @@
   private _reach = new TargetReach();
   /** Connections that the target accepts, as known now. */
   private readonly _connections = (): number => this._deps.maxConnections(this._life.known.service);
+  /** When the target is warm after its start, as it last announced, on the monotonic clock. */
+  private _warmFrom = 0;
   private _held = true;
   private _stopping = false;
   private _nextId = 1;
@@ -143,7 +145,8 @@
   announce(word: Announcement): boolean {
     const before = this._life.known;
     const changed = this._life.announce(word);
-    const { instance, born, state, slots, address } = this._life.known;
+    const { instance, born, state, slots, address, coldMs } = this._life.known;
+    const taken = before !== this._life.known;
     if (!isSameIncarnation(before, { instance, born }) || address !== before.address) {
       this._client?.close();
       this._client = undefined;
@@ -152,8 +155,11 @@
     if (word.instance === instance && word.state === 'ready') {
       this._reach.note('heartbeat', monotonicMs());
     }
-    // Also when nothing changed that others should know: how long the target stays slow may be told for the first time.
-    this._openOrClose();
+    if (taken) {
+      // Also when nothing changed that others should know: how long the target stays slow may be told for the first time.
+      this._warmFrom = monotonicMs() + coldMs;
+      this._openOrClose();
+    }
     if (changed) {
       this._deps.events.notable('target', `The target is ${state}.`, { instance, born, state, slots });
       this._deps.onChange();
@@ -293,7 +299,7 @@
   }
 
   private _openOrClose(): void {
-    const { state, instance, address, slots, coldMs } = this._life.known;
+    const { state, instance, address, slots } = this._life.known;
     if (state !== 'ready' || this._held || this._stopping) {
       this._gate.close();
       return;
@@ -303,7 +309,7 @@
       this._takeReach(reach, evidence);
     });
     if (this._reach.reachable) {
-      this._gate.open(slots, coldMs);
+      this._gate.open(slots, this._warmFrom);
     } else {
       this._gate.close('unreachable');
     }
--- a/tests/admission/slotGate.spec.ts
+++ b/tests/admission/slotGate.spec.ts
@@ -94,6 +94,18 @@
     });
   });
 
+  itAlone('should not hold a target back for longer because it was opened again', (t) => {
+    withGate(({ time, gate }) => {
+      gate.open(100, 3_000);
+      time.runUntil(2_900);
+      gate.close('unreachable');
+      gate.open(100, 3_000);
+      t.is(gate.limit, 71);
+      time.runUntil(3_000);
+      t.is(gate.limit, 95);
+    });
+  });
+
   itAlone('should give a cold target less at first', (t) => {
     withGate(({ time, gate }) => {
       gate.open(100, 3_000);
