--- a/tests/e2e/stops.spec.ts
+++ b/tests/e2e/stops.spec.ts
@@ -9,6 +9,7 @@
 import { LinkStandin } from '../standins/linkStandin.js';
 import { describe, itAlone } from '../support/describe.js';
 import { exitOf, Fleet, until } from '../support/fleet.js';
+import { freeAddress } from '../support/freePorts.js';
 import { kSampleConfig } from '../support/sampleConfig.js';
 
 const kIds = ['a1', 'b1', 'b2', 'b3'];
@@ -25,9 +26,9 @@
     { id: 'b1', zone: 'east', service: 'beta', behaviour: { workMs: 5 } },
     { id: 'b2', zone: 'west', service: 'beta', behaviour: { workMs: 5 } },
   ]);
-  const port = 20_000 + (process.pid % 20_000);
-  link = new LinkStandin(port);
-  await fleet.startHost({ id: 'b3', zone: 'north', service: 'beta' }, { advertise: await link.listen() }, `127.0.0.1:${port}`);
+  const address = await freeAddress();
+  link = new LinkStandin(Number(address.split(':')[1]));
+  await fleet.startHost({ id: 'b3', zone: 'north', service: 'beta' }, { advertise: await link.listen() }, address);
   await fleet.client(['apply', 'FILE', '--base', '0', '--wait'], kSampleConfig);
   await Promise.all([fleet.untilTargets('beta', 3), fleet.untilTargets('alpha', 1)]);
 });
--- a/tests/mesh/meshFleet.ts
+++ b/tests/mesh/meshFleet.ts
@@ -8,10 +8,10 @@
 import { EventLog, MeshDaemon } from '@gentiandrum/mesh';
 import { adaptPlatform } from '@gentiandrum/platform';
 import { type MeshSettings, meshSettingsSchema } from '@gentiandrum/protocol';
-import { createServer } from 'node:net';
 import { Agent, request } from 'undici';
 import { StoreStandin } from '../platform/storeStandin.js';
 import { UpstreamStandin } from '../platform/upstreamStandin.js';
+import { freeAddresses } from '../support/freePorts.js';
 
 /** One route of a test's configuration, with what differs from the usual. */
 export interface TestRoute {
@@ -259,41 +259,3 @@
     await fleet.close();
   }
 }
-
-/**
- * Ports for daemons: below the range from which the system takes ports of outgoing connections, which could otherwise be given one
- * between its choice and its use; each test process begins at another block.
- */
-const kFirstPort = 12_000;
-const kPorts = 20_000;
-const kPortsOfProcess = 200;
-let nextPort = (process.pid * kPortsOfProcess) % kPorts;
-
-/** Addresses on the loopback that are free, and that no other test process chooses. */
-async function freeAddresses(count: number): Promise<string[]> {
-  const addresses: string[] = [];
-  while (addresses.length < count) {
-    const port = kFirstPort + nextPort;
-    nextPort = (nextPort + 1) % kPorts;
-    if (await isFree(port)) {
-      addresses.push(`127.0.0.1:${port}`);
-    }
-  }
-  return addresses;
-}
-
-async function isFree(port: number): Promise<boolean> {
-  const server = createServer();
-  const listening = await new Promise<boolean>((resolve) => {
-    server.once('error', () => {
-      resolve(false);
-    });
-    server.listen(port, '127.0.0.1', () => {
-      resolve(true);
-    });
-  });
-  if (listening) {
-    await new Promise((resolve) => server.close(resolve));
-  }
-  return listening;
-}
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -7,13 +7,13 @@
 
 import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { Settings } from '@gentiandrum/protocol';
 import { stringify } from 'yaml';
 import type { Behaviour } from '../standins/targetStandin.js';
+import { freeAddress } from './freePorts.js';
 
 const kDaemonBin = fileURLToPath(new URL('../../../packages/daemon/bin/gentiandrumd.js', import.meta.url));
 const kClientBin = fileURLToPath(new URL('../../../packages/cli/bin/gentiandrum.js', import.meta.url));
@@ -69,7 +69,7 @@
 
   /** Starts one host, at the given address or a free one. */
   async startHost(plan: HostPlan, settings: Partial<Settings> = {}, at?: string): Promise<FleetHost> {
-    const address = at ?? `127.0.0.1:${await freePort()}`;
+    const address = at ?? (await freeAddress());
     const file = join(this._folder, `${plan.id}.yaml`);
     const seeds = [...this.hosts.values()].slice(0, 2).map((host) => host.address);
     const own = { id: plan.id, listen: address, zone: plan.zone, region: plan.region ?? 'one', log: this.logUrl, seeds };
@@ -79,7 +79,12 @@
     const host: FleetHost = { id: plan.id, zone: plan.zone, address, daemon, targetUrl: '', logs: [] };
     collect(daemon, host.logs);
     this.hosts.set(plan.id, host);
-    await until(`daemon ${plan.id} answers`, async () => (await fetch(`http://${address}/-/status`)).ok);
+    await until(`daemon ${plan.id} answers`, async () => {
+      if (daemon.exitCode !== null) {
+        throw new EndedEarly(plan.id, daemon.exitCode, host.logs);
+      }
+      return (await fetch(`http://${address}/-/status`)).ok;
+    });
     if (plan.service !== undefined) {
       await this.startTarget(host, plan.service, plan.behaviour ?? {});
     }
@@ -185,11 +190,23 @@
   }
 }
 
+/** A daemon ended while it was waited for, such as one that can't listen: waiting on would only hide why. */
+class EndedEarly extends Error {
+  constructor(id: string, code: number, logs: readonly string[]) {
+    super(`expected that daemon ${id} answers, but it ended with code ${code}: ${logs.join('\n')}`);
+  }
+}
+
 /** Waits until a condition holds; a failing check counts as not yet. */
 export async function until(what: string, holds: () => Promise<boolean>): Promise<void> {
   const end = performance.now() + kReadyTimeoutMs;
   for (;;) {
-    const done = await holds().catch(() => false);
+    const done = await holds().catch((err: unknown) => {
+      if (err instanceof EndedEarly) {
+        throw err;
+      }
+      return false;
+    });
     if (done) {
       return;
     }
@@ -224,15 +241,3 @@
   }
   return all;
 }
-
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const probe = createServer();
-    probe.listen(0, '127.0.0.1', () => {
-      const address = probe.address();
-      probe.close(() => {
-        resolve(typeof address === 'object' && address ? address.port : 0);
-      });
-    });
-  });
-}
