A daemon that left tells which offers it may have taken; all others are made again

Symptom: a hold ends as attempt_lost, 502, after one offer, at a planned stop beside load. A longer wait is no mend, as any standstill can be longer.

A daemon that stops tells all who keep connections for offers, waits up to two seconds until they have let go of them, and names in its last record the offers whose senders may not know their ends. A sender that lost an offer which must not run twice looks there, asks two others when it has no record, and offers again what was never taken. Decisions have a line 'lost' with the cause.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,7 @@
 export * from './procedures/served.js';
 export * from './procedures/settleCall.js';
 export * from './procedures/submitPatch.js';
+export * from './procedures/takenOffers.js';
 export * from './retries/repeatBudget.js';
 export * from './routing/classifier.js';
 export * from './routing/placement.js';
--- a/packages/core/src/membership/memberView.ts
+++ b/packages/core/src/membership/memberView.ts
@@ -35,6 +35,19 @@
   slots: number;
   /** Version of the configuration when last heard from the daemon itself. */
   configVersion: number;
+  /** What a daemon that left says of the offers that it took; undefined while it is there, and when it can't tell. */
+  leaveProof?: LeaveProof | undefined;
+}
+
+/** Offers whose senders may not know how they ended. All others were answered, or never taken. */
+export interface LeaveProof {
+  unsettled: string[];
+}
+
+/** Whether a daemon's last record proves that this incarnation of it never took an offer whose end its sender doesn't know. */
+export function provesNeverTaken(member: Member | undefined, incarnation: number, attempt: string): boolean {
+  const left = member?.state === 'left' && member.incarnation === incarnation;
+  return left && member.leaveProof !== undefined && !member.leaveProof.unsettled.includes(attempt);
 }
 
 interface Known {
--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -62,7 +62,7 @@
 /** One decision, for the log: what was chosen, from what, and why. */
 export interface Decision {
   request: string;
-  step: 'refuse' | 'route' | 'retry' | 'compete' | 'settle' | 'join' | 'end';
+  step: 'refuse' | 'route' | 'retry' | 'compete' | 'settle' | 'join' | 'lost' | 'end';
   cls: string;
   target?: string;
   weighed?: Choice['weighed'];
--- a/packages/core/src/procedures/effects.ts
+++ b/packages/core/src/procedures/effects.ts
@@ -29,7 +29,8 @@
   | { kind: 'answered'; answer: Answer; unspent: number; level: LevelReport; retriedBelow: boolean; load?: GateLoad }
   | { kind: 'refused'; reason: ErrorKind; unspent: number; level: LevelReport; load?: GateLoad }
   | { kind: 'failed'; reason: ErrorKind; unspent: number; level: LevelReport; retriedBelow: boolean; load?: GateLoad }
-  | { kind: 'lost'; written: boolean };
+  /** Nothing was heard. `written` tells whether the gate may have taken it; `cause` is for the log. */
+  | { kind: 'lost'; written: boolean; cause?: string };
 
 /** Load of a gate as it reports it. */
 export interface GateLoad {
@@ -127,6 +128,8 @@
   sleep: { ask: { ms: number }; reply: undefined };
   /** Waits until nothing is in flight, or `until` passes; replies how many calls still are. */
   awaitIdle: { ask: { until: number }; reply: { inFlight: number } };
+  /** Waits until no other daemon keeps a connection for offers, or `until` passes; replies how many are still kept. */
+  awaitSenders: { ask: { until: number }; reply: { connections: number } };
 }
 
 /** Name of an effect. */
--- a/packages/core/src/procedures/lifecycle.ts
+++ b/packages/core/src/procedures/lifecycle.ts
@@ -47,7 +47,7 @@
   announceLeaving: () => void;
   /** Closes the gate, handing back what waits. */
   closeGate: () => void;
-  /** Marks the own record as gone. */
+  /** Marks the own record as gone, with what it proves of the offers that were taken. */
   announceLeft: () => void;
   /** Time for what runs, in milliseconds; 0 waits without limit. */
   limitMs: number;
@@ -56,8 +56,16 @@
 /** Time in which the word of a leave reaches those who still send. */
 const kSpreadMs = 300;
 const kIdlePollMs = 1_000;
+/**
+ * Longest time for which senders are waited for that keep connections for offers, in milliseconds: they let go of them within the 500 of
+ * a tick once they know that this daemon leaves, and a ping that tells them may take as long.
+ */
+const kSendersMs = 2_000;
 
-/** Stops without cutting anything: the word first, then the queue back, then what runs, then goodbye. */
+/**
+ * Stops without cutting anything: the word first, then the queue back, then what runs, then the senders' connections, then goodbye.
+ * Senders close those themselves, as a connection that ends here may have an offer on its way.
+ */
 export function* plannedStop(ctx: StopContext): Procedure<{ cut: number }> {
   const startedAt = monotonicMs();
   ctx.announceLeaving();
@@ -69,6 +77,8 @@
     yield* perform('spreadWord', {});
     idle = yield* perform('awaitIdle', { until: monotonicMs() + kIdlePollMs });
   }
+  const latest = ctx.limitMs > 0 ? startedAt + ctx.limitMs : Infinity;
+  yield* perform('awaitSenders', { until: Math.min(latest, monotonicMs() + kSendersMs) });
   ctx.announceLeft();
   yield* perform('spreadWord', {});
   yield* perform('appendMember', { goodbye: true });
--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -46,7 +46,7 @@
     return this.attempts.filter((attempt) => attempt.state.kind === 'offered');
   }
 
-  note(step: 'refuse' | 'route' | 'retry' | 'compete' | 'end', reason: string, attempt?: Attempt): void {
+  note(step: 'refuse' | 'route' | 'retry' | 'compete' | 'lost' | 'end', reason: string, attempt?: Attempt): void {
     this.ctx.decide({
       request: this.call.id,
       step,
@@ -172,6 +172,7 @@
   const { candidate, stats } = attempt.choice;
   const now = monotonicMs();
   if (end.kind === 'lost') {
+    run.note('lost', `${end.cause ?? 'no cause'}, ${end.written ? 'may have been taken' : 'never taken'}`, attempt);
     run.lastReason = end.written ? 'attempt_lost' : 'no_target';
     run.allowance += end.written ? 0 : attempt.lent;
     ctx.picker.failed(candidate, ctx.candidates(call.cls.service), now);
--- a/packages/daemon/src/app/callSession.ts
+++ b/packages/daemon/src/app/callSession.ts
@@ -21,6 +21,8 @@
   selfId: string;
   pools: Pools;
   offers: OfferService;
+  /** Whether the daemon of a target has left and proved that it never took an attempt. */
+  neverTook: (to: Candidate, attempt: string) => Promise<boolean>;
 }
 
 /** Attempts of one call. */
@@ -90,7 +92,9 @@
     }
     const req = { method: 'POST', path: `/-/cancel/${encodeURIComponent(attempt)}`, headers: {}, body: new Uint8Array() };
     const end = await exchange(this._deps.pools.to(`http://${to.address}`), req, 1_024, kCancelMs);
-    this._running.get(attempt)?.abort();
+    const running = this._running.get(attempt);
+    this._running.delete(attempt);
+    running?.abort();
     if (end.kind !== 'answered' || end.status !== 200) {
       return { kind: 'unknown' };
     }
@@ -99,15 +103,29 @@
 
   private _send(attempt: string, to: Candidate, terms: OfferTerms, payload: Payload): void {
     const { method, path, headers, body } = payload;
-    const offer = JSON.stringify({ terms, method, path, headers });
+    const offer = JSON.stringify({ terms, method, path, headers, from: this._deps.selfId });
     const req = { method: 'POST', path: '/-/offer', headers: { [kOfferHeader]: offer, 'content-type': 'application/octet-stream' }, body };
     const exchanged = new HttpExchange(this._deps.pools.to(`http://${to.address}`), req, kMaxReplyBytes, (end) => {
-      this._running.delete(attempt);
-      this._push({ kind: 'ended', attempt, end: offerEnd(end) });
+      const wanted = this._running.delete(attempt);
+      if (end.kind === 'lost' && end.written && wanted && !terms.idempotent) {
+        void this._lost(attempt, to, end, monotonicMs() + terms.remainingMs);
+      } else {
+        this._push({ kind: 'ended', attempt, end: offerEnd(end) });
+      }
     });
     this._running.set(attempt, exchanged);
   }
 
+  /**
+   * An offer that must not run twice was written to a connection that ended without an answer. A daemon that left as planned has told
+   * which offers it may have taken; any other one was not, and may go to another target. Past its deadline nothing is proved any more.
+   */
+  private async _lost(attempt: string, to: Candidate, end: Extract<ExchangeEnd, { kind: 'lost' }>, deadline: number): Promise<void> {
+    const neverTook = await this._deps.neverTook(to, attempt);
+    const written = !neverTook || monotonicMs() >= deadline;
+    this._push({ kind: 'ended', attempt, end: { ...end, written } });
+  }
+
   private _push(event: CallEvent): void {
     if (this._wake) {
       this._wake(event);
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -5,6 +5,7 @@
 
 /** One daemon: puts its parts together, starts them, and stops them in order. */
 
+import type { Socket } from 'node:net';
 import {
   type Candidate,
   coldStart,
@@ -14,6 +15,7 @@
   plannedStop,
   RetryLedger,
   runProcedure,
+  TakenOffers,
   TargetPicker,
   type TargetState,
 } from '@gentiandrum/core';
@@ -38,6 +40,8 @@
 const kColdStartRounds = 3;
 const kAskedPeers = 3;
 const kMemberRefreshMs = 600_000;
+/** How often a planned stop looks whether what it waits for is over, in milliseconds. */
+const kStopPollMs = 20;
 
 /** One daemon. */
 export class Daemon {
@@ -52,6 +56,8 @@
   readonly config: ConfigService;
   readonly claims: ClaimService;
   readonly meter: ControlMeter;
+  /** Offers of other daemons, by the connections that they came over. */
+  readonly taken = new TakenOffers<Socket>();
   readonly incarnation: number;
   private readonly _pools = new Pools(kPeerConnections);
   private readonly _logPools = new Pools(4);
@@ -104,6 +110,7 @@
         selfId: settings.id,
         pools: this._pools,
         offers: this.offers,
+        neverTook: (to, attempt) => this.members.neverTook(to.daemon, to.incarnation, attempt),
         daemon: { id: settings.id, incarnation: this.incarnation, address },
         stopping: () => this._stopping,
         candidates: (service) => this._candidates.get(service) ?? [],
@@ -186,17 +193,19 @@
         },
         closeGate: () => this.target.gate?.close('stopping'),
         announceLeft: () => {
-          this.members.view.update({ state: 'left' }, monotonicMs());
+          const now = monotonicMs();
+          this.members.view.update({ state: 'left', leaveProof: this.taken.leaveProof(now) }, now);
         },
         limitMs: this.settings.limits.stopMs,
       }),
       {
         spreadWord: async () => {
-          await this.members.spread();
+          await this.members.spread(this.taken.senders);
           return undefined;
         },
         sleep: ({ ms }) => pause(ms),
         awaitIdle: ({ until }) => this._awaitIdle(until),
+        awaitSenders: ({ until }) => this._awaitSenders(until),
         appendMember: () => this._appendMember(true),
       },
     );
@@ -366,10 +375,21 @@
 
   private async _awaitIdle(until: number): Promise<{ inFlight: number }> {
     while (this.inFlight > 0 && monotonicMs() < until) {
-      await pause(20);
+      await pause(kStopPollMs);
     }
     return { inFlight: this.inFlight };
   }
+
+  private async _awaitSenders(until: number): Promise<{ connections: number }> {
+    while (this.taken.connections > 0 && monotonicMs() < until) {
+      await pause(kStopPollMs);
+    }
+    const { connections, senders } = this.taken;
+    if (connections > 0) {
+      this.logger.warn('stop', `Other daemons keep ${connections} connections for offers.`, { connections, senders });
+    }
+    return { connections };
+  }
 }
 
 function takesWork(state: TargetState): boolean {
--- a/packages/daemon/src/app/memberService.ts
+++ b/packages/daemon/src/app/memberService.ts
@@ -5,7 +5,7 @@
 
 /** Keeps the membership view: pings others, answers their pings, and notices when the process was paused. */
 
-import { type Member, type MemberView, monotonicMs } from '@gentiandrum/core';
+import { type Member, type MemberView, monotonicMs, provesNeverTaken } from '@gentiandrum/core';
 import type { PeerClient, Pong } from '../client/peerClient.js';
 import type { Logger } from './logger.js';
 
@@ -15,6 +15,9 @@
 const kSpread = 3;
 /** Periods after which the whole view of another daemon is fetched, against whatever pings did not carry. */
 const kFetchPeriods = 60;
+/** Daemons that are asked for the record of one that ended, and pause before they are asked again, in milliseconds. */
+const kAskedForRecord = 2;
+const kAskAgainMs = 1_000;
 
 /** What others do with membership news. */
 export interface MemberEvents {
@@ -32,6 +35,8 @@
   private _lastTick = monotonicMs();
   private _announced = -1;
   private _periods = Math.floor(Math.random() * kFetchPeriods);
+  /** Latest questions for the records of others, by their ids. */
+  private readonly _asked = new Map<string, { at: number; done: Promise<void> }>();
 
   constructor(
     readonly view: MemberView,
@@ -79,12 +84,25 @@
     this._notify();
   }
 
-  /** Tells some others at once of what changed. */
-  async spread(): Promise<void> {
+  /** Tells some others at once of what changed, and those named here. */
+  async spread(named: readonly string[] = []): Promise<void> {
     const { self } = this.view;
     const near = this.view.someAlive(kSpread, self.zone);
     const far = this.view.someAlive(1);
-    await Promise.all([...near, ...far].map((member) => this.ping(member)));
+    const told = new Set([...near, ...far, ...named.flatMap((id) => this.view.get(id) ?? [])]);
+    await Promise.all([...told].map((member) => this.ping(member)));
+  }
+
+  /**
+   * Whether a daemon left and proved that it never took an attempt. When its record isn't known here, as may be after a pause of this
+   * process, others are asked for it.
+   */
+  async neverTook(id: string, incarnation: number, attempt: string): Promise<boolean> {
+    if (provesNeverTaken(this.view.get(id), incarnation, attempt)) {
+      return true;
+    }
+    await this._askForRecord(id);
+    return provesNeverTaken(this.view.get(id), incarnation, attempt);
   }
 
   /** Pings one daemon. */
@@ -126,6 +144,28 @@
     }
   }
 
+  /** At most one question a second for each daemon: when one crashes, many offers are lost at once. */
+  private _askForRecord(id: string): Promise<void> {
+    const now = monotonicMs();
+    for (const [other, { at }] of this._asked) {
+      if (now - at > kAskAgainMs) {
+        this._asked.delete(other);
+      }
+    }
+    let asked = this._asked.get(id);
+    if (!asked) {
+      asked = { at: now, done: this._fetchRecords(id) };
+      this._asked.set(id, asked);
+    }
+    return asked.done;
+  }
+
+  private async _fetchRecords(id: string): Promise<void> {
+    const others = this.view.someAlive(kAskedForRecord + 1).filter((member) => member.id !== id);
+    const views = await Promise.all(others.slice(0, kAskedForRecord).map(({ address }) => this._peers.fetchMembers(address)));
+    this.learn(views.flatMap((members) => members ?? []));
+  }
+
   private async _fetchView(): Promise<void> {
     const [other] = this.view.someAlive(1);
     const members = other && (await this._peers.fetchMembers(other.address));
--- a/packages/daemon/src/app/peerCodec.ts
+++ b/packages/daemon/src/app/peerCodec.ts
@@ -25,6 +25,7 @@
     configVersion: BigInt(member.configVersion),
     state: kStates[member.state],
     targetState: kTargetStates[member.targetState],
+    leaveProof: member.leaveProof,
   };
   return create(MemberSchema, fields);
 }
@@ -45,6 +46,7 @@
     configVersion: Number(msg.configVersion),
     state: keyOf(kStates, msg.state) ?? 'suspect',
     targetState: keyOf(kTargetStates, msg.targetState) ?? 'absent',
+    leaveProof: msg.leaveProof && { unsettled: msg.leaveProof.unsettled },
   };
 }
 
--- a/packages/daemon/src/client/httpExchange.ts
+++ b/packages/daemon/src/client/httpExchange.ts
@@ -17,7 +17,7 @@
   | { kind: 'answered'; status: number; headers: Record<string, string | string[]>; body: Buffer }
   | { kind: 'truncated' }
   | { kind: 'too_large' }
-  | { kind: 'lost'; written: boolean };
+  | { kind: 'lost'; written: boolean; cause: string };
 
 /** What is sent. */
 export interface ExchangeRequest {
@@ -66,7 +66,7 @@
 
   /** Gives the exchange up and closes its connection. */
   abort(): void {
-    const lost: ExchangeEnd = { kind: 'lost', written: this._written };
+    const lost: ExchangeEnd = { kind: 'lost', written: this._written, cause: 'given up' };
     this._end(lost);
     this._controller?.abort(new Error('given up'));
   }
@@ -105,8 +105,8 @@
     this._end({ kind: 'answered', status: this._status, headers: this._headers ?? {}, body });
   }
 
-  onResponseError(): void {
-    this._end(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written });
+  onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    this._end(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written, cause: err.message });
   }
 
   private _end(end: ExchangeEnd): void {
--- a/packages/daemon/src/server/callRoutes.ts
+++ b/packages/daemon/src/server/callRoutes.ts
@@ -6,8 +6,9 @@
 /** Routes that carry calls: from callers and targets to any service, and offers between daemons. */
 
 import { offerHeadSchema, kOfferHeader, kVerdictHeader } from '@gentiandrum/protocol';
-import { answerOf, failedWith } from '@gentiandrum/core';
+import { answerOf, failedWith, monotonicMs, type OfferEnd, type TakenOffer } from '@gentiandrum/core';
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { verdictHeader } from '../app/callSession.js';
 import type { Daemon } from '../app/daemon.js';
@@ -112,7 +113,7 @@
   if (!head.success) {
     return reply.code(400).send('expected an offer header');
   }
-  const { terms, method, path, headers } = head.data;
+  const { terms, method, path, headers, from } = head.data;
   const body = Buffer.isBuffer(req.body) ? req.body : kNoBody;
   const onClose = (): void => {
     if (!reply.raw.writableEnded) {
@@ -120,11 +121,29 @@
     }
   };
   reply.raw.on('close', onClose);
-  const end = await daemon.offers.offer(terms, { method, path, headers, body });
+  noteOffer(daemon, req.raw.socket, { attempt: terms.attempt, from, until: monotonicMs() + terms.remainingMs });
+  const end: OfferEnd = await daemon.offers.offer(terms, { method, path, headers, body });
   reply.raw.off('close', onClose);
+  if (end.kind === 'refused') {
+    daemon.taken.refused(req.raw.socket, terms.attempt);
+  }
   return reply.header(kVerdictHeader, verdictHeader(end)).send(end.kind === 'answered' ? end.answer.body : kNoBody);
 }
 
+/** A connection that its sender ends, having read what it waited for, ends before this side closes it, and without an error. */
+function noteOffer(daemon: Daemon, socket: Socket, offer: TakenOffer): void {
+  if (!daemon.taken.take(socket, offer)) {
+    return;
+  }
+  let bySender = false;
+  socket.once('end', () => {
+    bySender = true;
+  });
+  socket.once('close', (failed) => {
+    daemon.taken.closed(socket, bySender && !failed, monotonicMs());
+  });
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/daemon/src/server/startServer.ts
+++ b/packages/daemon/src/server/startServer.ts
@@ -10,7 +10,8 @@
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
 import type { FastifyInstance } from 'fastify';
-import { Server as NetServer } from 'node:net';
+import type { IncomingMessage } from 'node:http';
+import { Server as NetServer, type Socket } from 'node:net';
 import type { Daemon } from '../app/daemon.js';
 import { AppModule } from './appModule.js';
 import { callRoutes } from './callRoutes.js';
@@ -44,6 +45,7 @@
   const fastify = adapter.getInstance<FastifyInstance>();
   meterPeers(fastify, daemon);
   closeWhileStopping(fastify, daemon);
+  const unused = unusedConnections(fastify);
   await fastify.register(fastifyConnectPlugin, { routes: peerRoutes(daemon), acceptCompression: [] });
   takeBodiesWhole(fastify);
   await fastify.register((scope, _options, done) => {
@@ -57,7 +59,11 @@
       // The server's own close would also cut idle connections, on which a request may be on its way.
       NetServer.prototype.close.call(fastify.server);
     },
-    close: () => app.close(),
+    close: async () => {
+      // The server would wait for them as for requests, a minute and more.
+      unused.forEach((socket) => socket.destroy());
+      await app.close();
+    },
   };
 }
 
@@ -79,6 +85,19 @@
   });
 }
 
+/** Connections that no request came over yet, kept up to date. */
+function unusedConnections(fastify: FastifyInstance): ReadonlySet<Socket> {
+  const unused = new Set<Socket>();
+  fastify.server.on('connection', (socket: Socket) => {
+    unused.add(socket);
+    socket.once('close', () => unused.delete(socket));
+  });
+  fastify.server.on('request', ({ socket }: IncomingMessage) => {
+    unused.delete(socket);
+  });
+  return unused;
+}
+
 /** Counts the bytes of peer messages. */
 function meterPeers(fastify: FastifyInstance, daemon: Daemon): void {
   fastify.addHook('onResponse', (req, reply, done) => {
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -76,6 +76,8 @@
   method: z.string(),
   path: z.string(),
   headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  /** Daemon that sends the offer; empty when it doesn't say. */
+  from: z.string().default(''),
 });
 
 /** How the gate answered an offer; travels in the verdict header as JSON. */
--- a/tests/matrix/faults.ts
+++ b/tests/matrix/faults.ts
@@ -65,6 +65,7 @@
   spreadWord: [...kAnywhere, 'lost_before'],
   sleep: kAnywhere,
   awaitIdle: [...kAnywhere, 'timeout'],
+  awaitSenders: [...kAnywhere, 'timeout'],
 };
 
 /** A fault at a step of a scenario. */
--- a/tests/matrix/matrixWorld.ts
+++ b/tests/matrix/matrixWorld.ts
@@ -337,6 +337,12 @@
       case 'awaitIdle':
         this._awaitIdle(daemon, effect, resume, fault);
         return;
+      case 'awaitSenders':
+        // Offers travel by themselves here, without connections that could be kept.
+        this.time.after(fault === 'timeout' ? effect.until - this.time.now : 0, () => {
+          resume({ connections: fault === 'timeout' ? 1 : 0 });
+        });
+        return;
     }
   }
 
