A target that was slow once is asked again: its mean time nears the usual one while nothing renews it

Symptom: a host that is ready, and quick, gets no work. Cause: a host's mean time of a call is renewed only by its own answers, and who compares by it alone doesn't ask a host that was slow, so it stayed slow for good. Now what sets a host apart from its route's mean is halved in two seconds without an answer; one that stays slow gets at most 20 of 1000 calls.

--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -40,6 +40,12 @@
 const kAssumedMs = 20;
 /** Weight of the newest answer in the mean time per call. */
 const kMeanWeight = 0.1;
+/**
+ * Time in which what sets the mean time of a host apart from that of its route is halved while no answer renews it, in milliseconds. A
+ * host that was slow gets no calls and can't show that it is quick by now; one at fifteen times the usual is asked again after some ten
+ * seconds, once. Without this it got none in ten seconds of calls (`tests/routing`), and none later.
+ */
+const kMeanHalfLifeMs = 2_000;
 /** Age at which a report of load counts half, in milliseconds. */
 const kReportHalfLifeMs = 500;
 /** Weight of the newest call in the mean charge and size of a route, and age at which a mean charge counts half, in milliseconds. */
@@ -109,7 +115,7 @@
   /** Outstanding calls at the time of the report. */
   outstandingThen: number;
   /** Mean time of a call by its route, in milliseconds. */
-  meanMs: Map<string, number>;
+  meanMs: Map<string, FadingMean>;
   /** Charge for the calls below a route, in milliseconds. */
   chargeMs: Map<string, FadingMean>;
   failures: FadingMean;
@@ -230,7 +236,7 @@
       renewMean(this._routeKib, route, end.bytes / 1_024 + kHeadKib);
     }
     if (end.tookMs !== undefined) {
-      renewMean(stats.meanMs, route, end.tookMs);
+      this._renewHostMean(stats, route, end.tookMs, now);
       renewMean(this._routeMeanMs, route, end.tookMs);
     }
   }
@@ -314,9 +320,21 @@
     return this._routeKib.get(route) ?? kAssumedKib;
   }
 
+  private _renewHostMean(stats: Stats, route: string, tookMs: number, now: number): void {
+    const before = stats.meanMs.has(route) ? this._meanOf(stats, route, now) : tookMs;
+    stats.meanMs.set(route, { value: before + (tookMs - before) * kMeanWeight, at: now });
+  }
+
+  /** Mean time of a call on a host, which nears that of all hosts while it is not renewed. */
+  private _meanOf(stats: Stats, route: string, now: number): number {
+    const usual = this._routeMeanMs.get(route) ?? kAssumedMs;
+    const known = stats.meanMs.get(route);
+    return known === undefined ? usual : usual + (known.value - usual) * 0.5 ** ((now - known.at) / kMeanHalfLifeMs);
+  }
+
   /** Time of a call, weighed by what it takes of the latency target; load breaks ties between equal targets. */
   private _timeOf(stats: Stats, { name: route, latencyTargetMs }: PlacedRoute, load: number, now: number): number {
-    const mean = stats.meanMs.get(route) ?? this._routeMeanMs.get(route) ?? kAssumedMs;
+    const mean = this._meanOf(stats, route, now);
     const weighed = mean * Math.min(1, mean / latencyTargetMs);
     const failures = Math.max(0, faded(stats.failures, now, kFailureHalfLifeMs) - kUsualFailures);
     return weighed + mean * (load * kLoadTie + failures * kFailureCharge);
--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-import { Placement, type TargetRecord } from '@gentiandrum/core';
+import { Placement, seededRandom, type TargetRecord } from '@gentiandrum/core';
 import { describe, itAlone } from '../support/describe.js';
 import { VirtualTime } from '../support/virtualTime.js';
 
@@ -93,6 +93,55 @@
     });
   });
 
+  /**
+   * A target whose answers were slow once, as after its start, beside a quick one. Who compares by times alone never asks it again: its
+   * time stays what it was, as only answers renew it. Two daemons each beside a target showed it: with the first five answers of one at
+   * 300 ms, its own daemon sent it none of the calls of the next ten seconds, though its record said "ready" and it answered in 1 ms.
+   */
+  itAlone('should ask a target again that was slow once, and use it like others when it is quick by now', (t) => {
+    const time = new VirtualTime();
+    try {
+      const random = seededRandom(5);
+      const placement = new Placement('near', 'z1', random);
+      const twin = record('twin', 'z1');
+      for (let i = 0; i < 10; i++) {
+        answer(placement, 'near', 'search', 300);
+        answer(placement, 'twin', 'search', 10);
+      }
+      let slow = 0;
+      let used = 0;
+      for (let now = 0; now < 20_000; now += 20) {
+        time.runUntil(now);
+        const chosen = placement.choose([kNear, twin], kNone, kRoute)?.host ?? '';
+        answer(placement, chosen, 'search', 10);
+        slow += chosen === 'near' && now < 2_000 ? 1 : 0;
+        used += chosen === 'near' && now >= 15_000 ? 1 : 0;
+      }
+      t.is(slow, 0, 'asked while its slow answers are new');
+      t.true(used >= 75, `${used} of 250 calls in the last five seconds`);
+    } finally {
+      time.restore();
+    }
+  });
+
+  itAlone('should offer next to nothing to a target that stays slow', (t) => {
+    const time = new VirtualTime();
+    try {
+      const placement = new Placement('near', 'z1', seededRandom(5));
+      const twin = record('twin', 'z1');
+      let slow = 0;
+      for (let now = 0; now < 20_000; now += 20) {
+        time.runUntil(now);
+        const chosen = placement.choose([kNear, twin], kNone, kRoute)?.host ?? '';
+        answer(placement, chosen, 'search', chosen === 'near' ? 300 : 10);
+        slow += chosen === 'near' ? 1 : 0;
+      }
+      t.true(slow <= 20, `${slow} of 1000 calls`);
+    } finally {
+      time.restore();
+    }
+  });
+
   itAlone('should spread over equal targets by what is outstanding', (t) => {
     withPlacement((placement) => {
       const twin = record('twin', 'z1');
