What was held against a target ends with its return also at its own daemon

A target that can't be reached is passed over for one to eight seconds; other daemons end that when its record says ready again, its own daemon did not (not used in 60 calls after its return). Nor did it forget times and failures of a target that another one replaced.

--- a/packages/mesh/src/app/records/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -105,6 +105,7 @@
   tell(): void {
     this._revision++;
     const record = this.own;
+    this._noteTarget(this._deps.directory.get(record.host), record);
     this._deps.directory.learn(record);
     this._deps.broadcast(record);
     // Others may have to act on a leaving after this daemon's end, so it is written at once; the zone's reader writes the rest.
@@ -187,19 +188,15 @@
   }
 
   private _takeOther(record: TargetRecord): void {
-    const { directory, placement, events } = this._deps;
+    const { directory, events } = this._deps;
     this._takeLearned(record);
     const before = directory.get(record.host);
     if (!directory.learn(record)) {
       return;
     }
     this._deps.follower().updated(record);
+    this._noteTarget(before, record);
     const replaced = before === undefined || !isSameIncarnation(before, record);
-    if (before && replaced) {
-      placement.forget(record.host);
-    } else if (record.state === 'ready' && before?.state !== 'ready') {
-      placement.reached(record.host);
-    }
     // The first records of a start are no changes: one line says how many hosts there are.
     if (before && (replaced || before.state !== record.state)) {
       const { host, state, instance, service } = record;
@@ -207,6 +204,16 @@
     }
   }
 
+  /** What was held against a target ends when another one takes its place, and when it is ready again; also for the own host's. */
+  private _noteTarget(before: TargetRecord | undefined, record: TargetRecord): void {
+    const { placement } = this._deps;
+    if (before && !isSameIncarnation(before, record)) {
+      placement.forget(record.host);
+    } else if (record.state === 'ready' && before?.state !== 'ready') {
+      placement.reached(record.host);
+    }
+  }
+
   /** What an earlier daemon of this host said still binds, and must not look newer than what this one says. */
   private _takeOwn(record: TargetRecord): void {
     if (record.epoch === this._epoch) {
--- a/tests/mesh/deadTarget.spec.ts
+++ b/tests/mesh/deadTarget.spec.ts
@@ -42,6 +42,64 @@
   });
 });
 
+/**
+ * Two hosts of one service. The first answers of b's target are slow, as they are after a start or beside load; from then on it is quick.
+ * Its daemon compared the times of the two, and as only a new answer would renew that of b, none came: not one of the calls of the
+ * next ten seconds went to b, whose record said "ready" all the time. `routing/placement` has the same without a network.
+ */
+describe('a target whose first answers were slow', () => {
+  itAlone('should be used again once it is quick', async (t) => {
+    await withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/s/', service: 's' }]);
+      const a = await fleet.add('a', 's');
+      const b = await fleet.add('b', 's');
+      await fleet.untilServing('/s/1');
+      b.target.workMs = 300;
+      await Promise.all(Array.from({ length: 10 }, () => fleet.call(b, '/s/2')));
+      b.target.workMs = 1;
+      for (let i = 0; i < 50; i++) {
+        t.is((await fleet.call(b, '/s/3')).status, 200);
+      }
+      const before = b.target.seen.length;
+      await fleet.until('the target of b to be used', async () => {
+        await fleet.call(b, '/s/4');
+        return b.target.seen.length > before;
+      });
+      t.true(a.target.seen.length > 0);
+    });
+  });
+});
+
+/** A target that crashes again and again, and comes back each time: what was held against it before must not outlast its return. */
+describe('a target that crashed several times', () => {
+  itAlone('should be used by its own daemon as soon as its record says that it is ready', async (t) => {
+    await withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/s/', service: 's' }]);
+      await fleet.add('a', 's');
+      const b = await fleet.add('b', 's');
+      await fleet.untilServing('/s/1');
+      const [, port = '0'] = b.target.address.split(':');
+      let { target } = b;
+      for (let i = 0; i < 5; i++) {
+        target.close();
+        await fleet.until('the record of b to say that its target is unreachable', async () => {
+          t.is((await fleet.call(b, '/s/2')).status, 200);
+          return b.daemon.record.state === 'unreachable';
+        });
+        target = new UpstreamStandin('i-b', 's');
+        target.port = Number(port);
+        await target.start();
+        await fleet.until('the target of b to be ready again', () => b.daemon.record.state === 'ready');
+        for (let calls = 0; calls < 60; calls++) {
+          t.is((await fleet.call(b, '/s/3')).status, 200);
+        }
+        t.true(target.seen.length > 0, `not used after return ${i + 1}`);
+      }
+      target.close();
+    });
+  });
+});
+
 describe('a daemon that starts before it knows anything', () => {
   itAlone('should use the limits of the configuration that comes after its target is ready', async (t) => {
     await withFleet(async (fleet) => {
