Routing daemons that stop tell which calls they took; what was never written or taken is offered again

The last message on a link of a daemon that stops tells the largest id that it took; a call that a link's end overtook before it was written has not run.

--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -23,7 +23,7 @@
 import { LogClient } from '../client/logClient.js';
 import { PeerClient } from '../client/peerClient.js';
 import { Pools } from '../client/pools.js';
-import { CallService } from './callService.js';
+import { type CallDeps, CallService } from './callService.js';
 import { ChainTokens } from './chainToken.js';
 import { ClaimService } from './claimService.js';
 import { ConfigService } from './configService.js';
@@ -105,30 +105,32 @@
       this.logger,
       settings.limits.announceTimeoutMs,
     );
-    this.calls = new CallService(
-      {
-        selfId: settings.id,
-        pools: this._pools,
-        offers: this.offers,
-        neverTook: (to, attempt) => this.members.neverTook(to.daemon, to.incarnation, attempt),
-        daemon: { id: settings.id, incarnation: this.incarnation, address },
-        stopping: () => this._stopping,
-        candidates: (service) => this._candidates.get(service) ?? [],
-        unreachable: ({ daemon }) => {
-          this.members.doubt(daemon);
-        },
-        addressOf: (id) => view.get(id)?.address,
-        picker: this._picker,
-        ledger: this._ledger,
-        claims: this.claims,
-        peers: this._peers,
-        decisions: this.decisions,
-        metrics: this.metrics,
-        answerBytes: settings.limits.answerBytes,
-        inFlightBytes: settings.limits.inFlightBytes,
+    this.calls = new CallService(this._callDeps(address), this.config.fold.config);
+  }
+
+  private _callDeps(address: string): CallDeps {
+    const { settings } = this;
+    return {
+      selfId: settings.id,
+      pools: this._pools,
+      offers: this.offers,
+      neverTook: (to, attempt) => this.members.neverTook(to.daemon, to.incarnation, attempt),
+      daemon: { id: settings.id, incarnation: this.incarnation, address },
+      stopping: () => this._stopping,
+      candidates: (service) => this._candidates.get(service) ?? [],
+      unreachable: ({ daemon }) => {
+        this.members.doubt(daemon);
       },
-      this.config.fold.config,
-    );
+      addressOf: (id) => this.members.view.get(id)?.address,
+      picker: this._picker,
+      ledger: this._ledger,
+      claims: this.claims,
+      peers: this._peers,
+      decisions: this.decisions,
+      metrics: this.metrics,
+      answerBytes: settings.limits.answerBytes,
+      inFlightBytes: settings.limits.inFlightBytes,
+    };
   }
 
   private _memberEvents(): MemberEvents {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -182,6 +182,7 @@
     this._calls.close();
     await waitUntil(monotonicMs() + kLingerMs, latest, () => this._calls.inFlight + this._gate.pending === 0);
     await Promise.race([goodbye, pause(kStopCheckMs)]);
+    await this._network.leave();
     this._events.notable('stop', 'Stopped.', { calls: this._calls.inFlight, atGate: this._gate.pending });
   }
 
--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -14,10 +14,18 @@
 /** Load that goes with an end that no gate reported. */
 const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0, chargeMs: 0 };
 
-/** Calls on one link, by the ids that the sending end gave them. */
+/** A call that was sent, and how often its link had been written to before. */
+interface SentCall {
+  done: OfferDone;
+  flushes: number;
+}
+
+/** Calls on one link, by the ids that the sending end gave them, which grow. */
 interface LinkCalls {
-  sent: Map<number, OfferDone>;
+  sent: Map<number, SentCall>;
   taken: Map<number, OfferHandle>;
+  /** Largest id that came. */
+  lastTaken: number;
 }
 
 /** Waits for a link and then for the end of a call; also the handle to withdraw it. */
@@ -30,6 +38,7 @@
 export class PeerCalls {
   private readonly _byLink = new Map<PeerLink, LinkCalls>();
   private _nextId = 1;
+  private _leaving = false;
 
   /** @param _onCall takes a call for the target on this host */
   constructor(private readonly _onCall: (call: PeerCall, done: OfferDone) => OfferHandle) {}
@@ -49,7 +58,7 @@
       }
       wait.link = link;
       link.owed++;
-      this._of(link).sent.set(id, done);
+      this._of(link).sent.set(id, { done, flushes: link.flushes });
       link.send({ type: 'call', id, call });
     });
     return {
@@ -59,8 +68,13 @@
     };
   }
 
-  /** Takes a call from another daemon. */
+  /** Takes a call from another daemon; none once the last message was sent, which promises that. */
   take(link: PeerLink, id: number, call: PeerCall): void {
+    if (this._leaving) {
+      return;
+    }
+    const calls = this._of(link);
+    calls.lastTaken = Math.max(calls.lastTaken, id);
     const progress = { ended: false };
     const handle = this._onCall(call, (end, load) => {
       progress.ended = true;
@@ -68,7 +82,24 @@
       link.send(replyOf(id, end, load));
     });
     if (!progress.ended) {
-      this._of(link).taken.set(id, handle);
+      calls.taken.set(id, handle);
+    }
+  }
+
+  /** This daemon is about to end: takes nothing more, and tells the other ends which calls it took. */
+  leave(links: Iterable<PeerLink>): void {
+    this._leaving = true;
+    for (const link of links) {
+      link.send({ type: 'goodbye', taken: this._byLink.get(link)?.lastTaken ?? 0 });
+    }
+  }
+
+  /** The other daemon ends, and never took calls with ids above `taken`. */
+  left(link: PeerLink, taken: number): void {
+    for (const id of [...(this._byLink.get(link)?.sent.keys() ?? [])]) {
+      if (id > taken) {
+        this.settle(link, id, { kind: 'not_run', reason: 'not_accepting', retryAfterMs: 0 });
+      }
     }
   }
 
@@ -80,22 +111,23 @@
   /** A call that was sent has ended. */
   settle(link: PeerLink, id: number, end: CallEnd, load: GateReport = kNoLoad): void {
     const sent = this._byLink.get(link)?.sent;
-    const done = sent?.get(id);
-    if (done) {
+    const call = sent?.get(id);
+    if (call) {
       sent?.delete(id);
       link.owed--;
-      done(end, load);
+      call.done(end, load);
     }
   }
 
-  /** Ends all calls of a link that was lost. */
+  /** Ends all calls of a link that was lost. Those that were not yet written to it have not run. */
   lost(link: PeerLink, reason: string): void {
     const calls = this._byLink.get(link);
     if (!calls) {
       return;
     }
-    for (const id of [...calls.sent.keys()]) {
-      this.settle(link, id, { kind: 'lost', reason });
+    for (const [id, { flushes }] of [...calls.sent]) {
+      const written = link.flushes > flushes;
+      this.settle(link, id, written ? { kind: 'lost', reason } : { kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 });
     }
     this._byLink.delete(link);
     calls.taken.forEach((handle) => {
@@ -119,7 +151,7 @@
   private _of(link: PeerLink): LinkCalls {
     let calls = this._byLink.get(link);
     if (!calls) {
-      calls = { sent: new Map(), taken: new Map() };
+      calls = { sent: new Map(), taken: new Map(), lastTaken: 0 };
       this._byLink.set(link, calls);
     }
     return calls;
--- a/packages/mesh/src/client/peerLink.ts
+++ b/packages/mesh/src/client/peerLink.ts
@@ -46,6 +46,7 @@
   private readonly _writer = new MessageWriter();
   private _outbox: Buffer[] = [];
   private _flushing = false;
+  private _flushes = 0;
   private _heardAt = monotonicMs();
   private _pingedAt = 0;
   private _checkedAt = monotonicMs();
@@ -75,6 +76,11 @@
     return !this._closed;
   }
 
+  /** Times that messages were handed to the socket: what was sent since the latest can't have reached the other end. */
+  get flushes(): number {
+    return this._flushes;
+  }
+
   /** Sends a message, together with all others of this turn of the loop. */
   send(message: PeerMessage): void {
     if (this._closed) {
@@ -136,6 +142,7 @@
     const frames = this._outbox;
     this._outbox = [];
     if (!this._closed) {
+      this._flushes++;
       this._socket.write(frames.length === 1 && frames[0] ? frames[0] : Buffer.concat(frames));
     }
   }
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -47,6 +47,8 @@
   | { type: 'token'; id: number; workspace: string; end: GrantEnd }
   /** Tokens of requests that have not run, by workspace. */
   | { type: 'tokens_back'; tokens: Readonly<Record<string, number>> }
+  /** Last on a link: its sender stops, and takes no call with an id above this one. */
+  | { type: 'goodbye'; taken: number }
   | { type: 'ping' }
   | { type: 'pong' };
 
@@ -76,6 +78,7 @@
   'token_wanted',
   'token',
   'tokens_back',
+  'goodbye',
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
@@ -187,6 +190,8 @@
       return [type, message.id, names.write(message.workspace), ...grantFields(message.end)];
     case 'tokens_back':
       return [type, message.tokens];
+    case 'goodbye':
+      return [type, message.taken];
     case 'config_wanted':
     case 'ping':
     case 'pong':
@@ -236,6 +241,8 @@
       return { type, id, workspace: names.read(fields[2]), end: grantFrom(fields[3]) };
     case 'tokens_back':
       return { type, tokens: fields[1] as Record<string, number> };
+    case 'goodbye':
+      return { type, taken: fields[1] as number };
     case 'call':
       return { type, id, call: callFrom(fields, names) };
     case 'cancel':
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -8,7 +8,8 @@
  */
 
 import { createServer, type Server, type Socket } from 'node:net';
-import { RendezvousRank, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import { setTimeout as pause } from 'node:timers/promises';
+import { monotonicMs, RendezvousRank, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
@@ -23,6 +24,9 @@
 const kWholeFleet = 17;
 /** Links of a larger fleet that are kept without need: over them a version gets around while the zone's readers are cut off. */
 const kKeptLinks = 6;
+/** Longest wait for other daemons to end their links to one that stops, in milliseconds, and pause between looks: some round trips. */
+const kLeaveMs = 100;
+const kLeavePollMs = 5;
 
 /** What the network tells, and asks of, its daemon. */
 export interface PeerNetworkEvents {
@@ -142,6 +146,15 @@
     }
   }
 
+  /** Tells all linked daemons which of their calls were taken, and waits until they have ended the links, for a while. */
+  async leave(): Promise<void> {
+    this._calls.leave(this._all);
+    const latest = monotonicMs() + kLeaveMs;
+    while (this._all.size > 0 && monotonicMs() < latest) {
+      await pause(kLeavePollMs);
+    }
+  }
+
   /** Ends all links. */
   close(): void {
     this._server.close();
@@ -216,6 +229,10 @@
       case 'not_run':
         this._calls.settle(link, message.id, { kind: 'not_run', reason: message.reason, retryAfterMs: message.retryAfterMs }, message.load);
         return;
+      case 'goodbye':
+        this._calls.left(link, message.taken);
+        link.close('the daemon there stopped');
+        return;
       case 'lost':
         this._calls.settle(link, message.id, { kind: 'lost', reason: message.reason }, message.load);
         return;
@@ -232,9 +249,7 @@
         this._events.onLogged(message.epoch, message.revision);
         return;
       case 'reading':
-        this._events.onReading(link.host, message.well);
-        this._events.onVersion(message.version, link);
-        this._events.onDigests(message.digests, link);
+        this._takeReading(link, message);
         return;
       case 'version':
         this._events.onVersion(message.version, link);
@@ -258,6 +273,12 @@
     }
   }
 
+  private _takeReading(link: PeerLink, { well, version, digests }: Extract<PeerMessage, { type: 'reading' }>): void {
+    this._events.onReading(link.host, well);
+    this._events.onVersion(version, link);
+    this._events.onDigests(digests, link);
+  }
+
   /** A daemon that has started again is told what it said before, as that may still bind its target. */
   private _takeHello(link: PeerLink, { host, record, version, digests }: Extract<PeerMessage, { type: 'hello' }>): void {
     this._identify(link, host);
--- a/tests/mesh/links.spec.ts
+++ b/tests/mesh/links.spec.ts
@@ -5,10 +5,32 @@
 
 /** Links to other daemons that are silent, refuse, break, or talk nonsense. */
 
-import { createServer, type Server, type Socket } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { Duplex } from 'node:stream';
+import type { CallEnd } from '@gentiandrum/core';
+import { MessageReader, MessageWriter, type PeerCall, PeerCalls, PeerLink, type PeerMessage } from '@gentiandrum/mesh';
 import { describe, itAlone } from '../support/describe.js';
 import { type FleetHost, type MeshFleet, withFleet } from './meshFleet.js';
 
+const kCall: PeerCall = {
+  route: 'r',
+  service: 's',
+  waitMs: 1,
+  remainingMs: 1,
+  repeat: false,
+  inner: false,
+  idempotent: false,
+  rank: 0,
+  instance: 'i',
+  callerService: 'c',
+  requestId: 'q',
+  method: 'POST',
+  path: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+  workspace: undefined,
+};
 const kTopic = 'keyed.gentiandrum-hosts';
 
 /** Something that listens where another daemon should. */
@@ -95,6 +117,94 @@
     ),
   );
 
+  /**
+   * A daemon that stops as planned ends its links. A sender that had no processor time meanwhile, or was far away, has calls on them
+   * that nobody read; without a word on them each counted as "may have run", and its caller got 502 for a call that was never taken.
+   */
+  describe('with a daemon that stops', () => {
+    const answerWith =
+      (taken: (id: number) => number) =>
+      (socket: Socket): void => {
+        const reader = new MessageReader();
+        const writer = new MessageWriter();
+        socket.on('data', (chunk: Buffer) => {
+          for (const message of reader.push(chunk)) {
+            if (message.type === 'call') {
+              socket.end(writer.encode({ type: 'goodbye', taken: taken(message.id) }));
+            }
+          }
+        });
+      };
+
+    itAlone('should answer 503 to a call that its last message does not count as taken', (t) =>
+      withFleet((fleet) =>
+        withStranger(
+          answerWith((id) => id - 1),
+          async (address) => {
+            const host = await believer(fleet, address);
+            const answer = await fleet.call(host, '/once/x', { method: 'POST', body: 'hold' });
+            t.is(answer.status, 503);
+            t.truthy(answer.headers['retry-after']);
+          },
+        ),
+      ),
+    );
+
+    itAlone('should answer 502 to a call that was taken and has no answer', (t) =>
+      withFleet((fleet) =>
+        withStranger(
+          answerWith((id) => id),
+          async (address) => {
+            const host = await believer(fleet, address);
+            t.is((await fleet.call(host, '/once/x', { method: 'POST', body: 'hold' })).status, 502);
+          },
+        ),
+      ),
+    );
+
+    itAlone('should bring the count of calls that were taken as its last message', (t) =>
+      withFleet(async (fleet) => {
+        fleet.configure([{ prefix: '/a/', service: 'reads' }]);
+        const near = await fleet.add('h1', 'other');
+        const far = await fleet.add('h2', 'reads');
+        await fleet.untilServing('/a/warm');
+        const [host = '', port = ''] = far.daemon.record.peers.split(':');
+        const socket = connect(Number(port), host);
+        const messages: PeerMessage[] = [];
+        const reader = new MessageReader();
+        socket.on('data', (chunk: Buffer) => messages.push(...reader.push(chunk)));
+        const ended = once(socket, 'close');
+        await far.daemon.stop();
+        far.daemon.close();
+        await ended;
+        t.deepEqual(messages.at(-1), { type: 'goodbye', taken: 0 });
+        t.is(near.daemon.reachable, 0);
+      }),
+    );
+  });
+
+  itAlone('should tell that a call was not run which was not yet written when the link ended', (t) => {
+    const ends: CallEnd[] = [];
+    const calls = new PeerCalls(() => ({ cancel: () => undefined }));
+    const socket = new Duplex({ read: () => undefined, write: () => undefined });
+    const link = new PeerLink(Object.assign(socket, { setNoDelay: () => socket }) as unknown as Socket, {
+      onMessage: () => undefined,
+      onClose: (closed, reason) => {
+        calls.lost(closed, reason);
+      },
+      onSilence: () => undefined,
+    });
+    calls.offer(
+      (use) => {
+        use(link);
+      },
+      kCall,
+      (end) => ends.push(end),
+    );
+    socket.emit('close');
+    t.deepEqual(ends, [{ kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 }]);
+  });
+
   itAlone('should lead to the target again once its daemon is back', (t) =>
     withFleet(async (fleet) => {
       fleet.configure([{ prefix: '/a/', service: 'reads' }]);
