Logs tell why a ready target gets no calls; a daemon that can't listen keeps none of its ports

The failing test of the target that is back could not tell who avoided it: lines about requests named no target, and nothing told what was held against one. Requests' lines name the target, and every ten seconds a daemon names the targets of its zone that lost 100 comparisons in a row, with times, failures, avoidance and load.

--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -78,6 +78,11 @@
  */
 const kAvoidMs = 1_000;
 const kLongestAvoidMs = 8_000;
+/**
+ * Comparisons in a row that a target of the own zone loses before that is worth a line in the log: of the eight or so usual ones an
+ * ordinary target wins one in eight, so an engineer who asks why a host gets no work finds only those that something is held against.
+ */
+const kPassedOver = 100;
 
 /** Load of a target as its gate reports it with each answer. */
 export interface LoadReport {
@@ -107,7 +112,24 @@
   at: number;
 }
 
+/** A target of the own zone that lost many comparisons in a row, and what was held against it. */
+export interface PassedOver {
+  host: string;
+  comparisons: number;
+  /** Mean times of its calls by their routes, in milliseconds, and those over all hosts. */
+  meanMs: Record<string, number>;
+  usualMs: Record<string, number>;
+  /** Share of its calls that failed. */
+  failures: number;
+  /** How much longer it is taken for unreachable, in milliseconds. */
+  avoidedMs: number;
+  /** Calls on it and on the way to it, for each that it may run at once. */
+  load: number;
+}
+
 interface Stats {
+  /** Comparisons since it was last chosen, while it is in the own zone. */
+  passedOver: number;
   load: LoadReport;
   reportedAt: number;
   /** Calls sent and not answered. */
@@ -205,6 +227,7 @@
       return undefined;
     }
     renewFading(this._routeChargeMs, route.name, best.chargeMs, now);
+    this._of(best.target.host).passedOver = 0;
     return best.target;
   }
 
@@ -213,6 +236,15 @@
     return Math.min(kMaxChainChargeMs, faded(this._routeChargeMs.get(route), monotonicMs()));
   }
 
+  /** Targets of the own zone among `candidates` that are compared again and again and never chosen, with the reasons. */
+  passedOver(candidates: readonly TargetRecord[]): PassedOver[] {
+    const now = monotonicMs();
+    return candidates.flatMap((target) => {
+      const stats = this._stats.get(target.host);
+      return stats && stats.passedOver >= kPassedOver ? [this._whyPassedOver(target, stats, now)] : [];
+    });
+  }
+
   /** Notes that a call was sent to a host. */
   sent(host: string): void {
     this._of(host).outstanding++;
@@ -263,6 +295,19 @@
     this._stats.delete(host);
   }
 
+  private _whyPassedOver(target: TargetRecord, stats: Stats, now: number): PassedOver {
+    const routes = [...stats.meanMs.keys()];
+    return {
+      host: target.host,
+      comparisons: stats.passedOver,
+      meanMs: Object.fromEntries(routes.map((route) => [route, Math.round(this._meanOf(stats, route, now))])),
+      usualMs: Object.fromEntries(routes.map((route) => [route, Math.round(this._routeMeanMs.get(route) ?? kAssumedMs)])),
+      failures: faded(stats.failures, now, kFailureHalfLifeMs),
+      avoidedMs: Math.max(0, Math.round(stats.avoidUntil - now)),
+      load: loadOf(stats, target, now),
+    };
+  }
+
   private _zoneChargeMs({ name, latencyTargetMs }: PlacedRoute): number {
     return Math.min(kMaxZoneCharge * latencyTargetMs, this._kibOf(name) * kZoneChargePerKib) + kZoneRoundTripMs;
   }
@@ -309,6 +354,7 @@
     const load = loadOf(stats, target, now);
     const chainMs = faded(stats.chargeMs.get(route.name), now);
     const far = target.zone !== this._zone;
+    stats.passedOver += far ? 0 : 1;
     const ownMs = (far ? zoneChargeMs : 0) + fullness(load) * kFullCharge * zoneChargeMs;
     const weighedMs = chainMs * chainWeight * (far ? kFarChainWeight : 1);
     const avoidance = avoidanceMs(stats, now);
@@ -344,6 +390,7 @@
     let stats = this._stats.get(host);
     if (!stats) {
       stats = {
+        passedOver: 0,
         load: { inFlight: 0, queued: 0, limit: 0, meanMs: 0 },
         reportedAt: -Infinity,
         outstanding: 0,
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -87,6 +87,7 @@
   private _handle: OfferHandle | undefined;
   private _offers = 0;
   private _failed: FailedOffer[] | undefined;
+  private _target = '';
   private _ended = false;
 
   constructor(
@@ -107,6 +108,11 @@
     return this._offers;
   }
 
+  /** Host of the target that the latest offer went to; empty before the first. */
+  get target(): string {
+    return this._target;
+  }
+
   /** Offers that brought no success, in their order. */
   get failed(): readonly FailedOffer[] {
     return this._failed ?? kNoOffers;
@@ -153,6 +159,7 @@
   private _make({ target, repeat }: Offer): void {
     const sentAt = monotonicMs();
     this._offers++;
+    this._target = target.host;
     this._deps.sent(target, this._offers === 1);
     const progress = { settled: false };
     const handle = this._deps.offer(target, this._callFor(target, repeat), (end, report) => {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -49,6 +49,8 @@
 const kLearnedMs = 10_000;
 /** How often the totals are logged, in milliseconds: a few lines a minute. */
 const kTotalsMs = 10_000;
+/** Targets that one line about those without calls names at most. */
+const kNamedTargets = 5;
 /** Daemons that one which reads nothing itself tells of a new version. */
 const kSpread = 4;
 /** Connections to a target until its service's limit is known. */
@@ -142,13 +144,13 @@
   /** Listens, and begins to learn. */
   async start(): Promise<void> {
     const { listen } = this._settings;
-    await Promise.all([
-      this._calls.listen(listen.calls),
-      this._network.listen(listen.peers),
-      this._ready.listen(listen.ready),
-      this._announcements.listen(listen.announcements),
-      ...(listen.metrics !== undefined ? [this._metricsServer.listen(listen.metrics)] : []),
-    ]);
+    try {
+      await this._listen();
+    } catch (err) {
+      // What listens already would keep the process alive, and callers waiting for answers.
+      this.close();
+      throw err;
+    }
     this._platform.configs.onConfig((cfg) => {
       this._configs.take(cfg, 'log');
     });
@@ -164,6 +166,21 @@
     this._events.notable('start', 'Listening.', { ...listen, zone: this._settings.zone, service: this._settings.target.service });
   }
 
+  private async _listen(): Promise<void> {
+    const { calls, peers, ready, announcements, metrics } = this._settings.listen;
+    const started = await Promise.allSettled([
+      this._calls.listen(calls),
+      this._network.listen(peers),
+      this._ready.listen(ready),
+      this._announcements.listen(announcements),
+      ...(metrics !== undefined ? [this._metricsServer.listen(metrics)] : []),
+    ]);
+    const failed = started.find((end) => end.status === 'rejected');
+    if (failed) {
+      throw failed.reason;
+    }
+  }
+
   /** Planned stop: resolves once callers have turned away and nothing is in flight, or time is up. */
   async stop(): Promise<void> {
     if (this._stopping) {
@@ -421,6 +438,19 @@
       logCalls: Object.fromEntries(this._platform.logCalls()),
       reads: this._follower.reads,
     });
+    this._logPassedOver();
+  }
+
+  /** Why a host that is ready gets no calls from here: nothing else tells who holds what against it. */
+  private _logPassedOver(): void {
+    const ready = [...this._directory.values()].filter(({ state }) => state === 'ready');
+    const targets = this._placement.passedOver(ready);
+    if (targets.length > 0) {
+      this._events.notable('calls', 'Targets are ready and get no calls from here.', {
+        count: targets.length,
+        targets: targets.slice(0, kNamedTargets),
+      });
+    }
   }
 
   private _view(): MetricsView {
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -238,6 +238,7 @@
       req: requestId,
       route,
       offers: exchange.offers,
+      target: exchange.target,
       ms: Math.round(exchange.ageMs),
       ...(exchange.failed.length > 0 ? { failed: exchange.failed } : {}),
     });
--- a/tests/mesh/deadTarget.spec.ts
+++ b/tests/mesh/deadTarget.spec.ts
@@ -3,6 +3,8 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
+import { once } from 'node:events';
+import { createServer } from 'node:net';
 import { describe, itAlone } from '../support/describe.js';
 import { UpstreamStandin } from '../platform/upstreamStandin.js';
 import { withFleet } from './meshFleet.js';
@@ -100,6 +102,30 @@
   });
 });
 
+/** A daemon whose ports are taken in part ends whole: one that went on listening on the others kept its process, and callers waiting. */
+describe('a daemon that can not listen', () => {
+  itAlone('should say so, and keep none of its ports', async (t) => {
+    await withFleet(async (fleet) => {
+      const prepared = await fleet.prepare('a', 's');
+      const { calls, ready, control } = prepared.host;
+      const [host = '', port = ''] = ready.split(':');
+      const other = createServer().listen(Number(port), host);
+      await once(other, 'listening');
+      try {
+        await t.throwsAsync(fleet.startPrepared(prepared), { code: 'EADDRINUSE' });
+        for (const address of [calls, control]) {
+          const [, free = ''] = address.split(':');
+          const again = createServer().listen(Number(free), host);
+          await once(again, 'listening');
+          again.close();
+        }
+      } finally {
+        other.close();
+      }
+    });
+  });
+});
+
 describe('a daemon that starts before it knows anything', () => {
   itAlone('should use the limits of the configuration that comes after its target is ready', async (t) => {
     await withFleet(async (fleet) => {
--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -124,6 +124,25 @@
     }
   });
 
+  itAlone('should tell which targets of its zone get no calls, and what is held against them', (t) => {
+    withPlacement((placement) => {
+      const twin = record('twin', 'z1');
+      for (let i = 0; i < 10; i++) {
+        answer(placement, 'near', 'search', 300);
+        answer(placement, 'twin', 'search', 10);
+      }
+      for (let i = 0; i < 120; i++) {
+        placement.choose([kNear, kFar, twin], kNone, kRoute);
+      }
+      const [passed, ...more] = placement.passedOver([kNear, kFar, twin]);
+      t.deepEqual(more, []);
+      t.is(passed?.host, 'near');
+      t.is(passed?.comparisons, 120);
+      t.deepEqual(passed?.meanMs, { search: 300 });
+      t.true((passed?.usualMs.search ?? 300) < 200);
+    });
+  });
+
   itAlone('should offer next to nothing to a target that stays slow', (t) => {
     const time = new VirtualTime();
     try {
