--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -14,6 +14,9 @@
 /** Load that goes with an end that no gate reported. */
 const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0, chargeMs: 0 };
 
+/** End of a call that came to, or was sent to, a daemon that had said its last. */
+const kNotTaken: CallEnd = { kind: 'not_run', reason: 'not_accepting', retryAfterMs: 0 };
+
 /** A call that was sent, and how often its link had been written to before. */
 interface SentCall {
   done: OfferDone;
@@ -68,9 +71,10 @@
     };
   }
 
-  /** Takes a call from another daemon; none once the last message was sent, which promises that. */
+  /** Takes a call from another daemon; none once the last messages were sent, which promise that. */
   take(link: PeerLink, id: number, call: PeerCall): void {
     if (this._leaving) {
+      link.send(replyOf(id, kNotTaken, kNoLoad));
       return;
     }
     const calls = this._of(link);
@@ -98,7 +102,7 @@
   left(link: PeerLink, taken: number): void {
     for (const id of [...(this._byLink.get(link)?.sent.keys() ?? [])]) {
       if (id > taken) {
-        this.settle(link, id, { kind: 'not_run', reason: 'not_accepting', retryAfterMs: 0 });
+        this.settle(link, id, kNotTaken);
       }
     }
   }
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -67,6 +67,7 @@
   /** Hosts that links are kept to without need, and how many hosts were known when they were chosen. */
   private _kept = new Set<string>();
   private _ranked = 0;
+  private _leaving = false;
 
   constructor(
     private readonly _self: string,
@@ -148,6 +149,8 @@
 
   /** Tells all linked daemons which of their calls were taken, and waits until they have ended the links, for a while. */
   async leave(): Promise<void> {
+    this._leaving = true;
+    this._server.close();
     this._calls.leave(this._all);
     const latest = monotonicMs() + kLeaveMs;
     while (this._all.size > 0 && monotonicMs() < latest) {
@@ -328,6 +331,9 @@
     for (const link of this._all) {
       link.check();
     }
+    if (this._leaving) {
+      return;
+    }
     this._rankKept();
     for (const record of this._directory.values()) {
       const { host, state } = record;
