--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,6 +53,7 @@
 export * from './procedures/takenOffers.js';
 export * from './retries/repeatBudget.js';
 export * from './routing/classifier.js';
+export * from './routing/hostStats.js';
 export * from './routing/placement.js';
 export * from './routing/routeTable.js';
 export * from './routing/targetPicker.js';
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -10,10 +10,12 @@
  * The charge of the calls below makes work leave a full zone at the top of its chain, where one crossing carries all of it.
  */
 
-import type { RouteReport } from '../admission/chainModel.js';
 import type { TargetRecord } from '../membership/targetRecord.js';
 import { monotonicMs } from '../util/clock.js';
 import { RendezvousRank } from '../util/rendezvous.js';
+import { FadingMeans } from './fadingMeans.js';
+import { HostStats, kChargeHalfLifeMs, kMaxChainChargeMs, type PlacedEnd } from './hostStats.js';
+import { Means } from './means.js';
 import { subsetFor, type TargetSubset } from './targetSubset.js';
 
 /**
@@ -36,33 +38,14 @@
 const kFarChainWeight = 2;
 /** Time for a round trip between zones, in milliseconds; of the order of what deployments report. */
 const kZoneRoundTripMs = 3;
-/** Time per call that is assumed until one ended, in milliseconds. */
-const kAssumedMs = 20;
-/** Weight of the newest answer in the mean time per call. */
-const kMeanWeight = 0.1;
-/**
- * Time in which what sets the mean time of a host apart from that of its route is halved while no answer renews it, in milliseconds. A
- * host that was slow gets no calls and can't show that it is quick by now; one at fifteen times the usual is asked again after some ten
- * seconds, once. Without this it got none in ten seconds of calls (`tests/routing`), and none later.
- */
-const kMeanHalfLifeMs = 2_000;
-/** Age at which a report of load counts half, in milliseconds. */
-const kReportHalfLifeMs = 500;
-/** Weight of the newest call in the mean charge and size of a route, and age at which a mean charge counts half, in milliseconds. */
-const kChargeWeight = 0.1;
-const kChargeHalfLifeMs = 1_000;
-/** Largest charge that is passed on for the calls below a route, in milliseconds: beyond it all ways are alike. */
-const kMaxChainChargeMs = 1_500;
-/** Weight of the newest outcome in the failure share. */
-const kFailureWeight = 0.05;
 /**
  * Share of failures that is not charged, as chains fail for reasons further down too, and the multiple of the mean time per call
  * that is charged for a share of one above that.
  */
 const kUsualFailures = 0.1;
 const kFailureCharge = 20;
-/** Time in which the failure share of a host is halved, in milliseconds: one that gets no calls can't show that it is well again. */
-const kFailureHalfLifeMs = 2_000;
+/** Time per call that is assumed until one ended, in milliseconds. */
+const kAssumedMs = 20;
 /** Share of the mean time that is charged for a load of one, so that of equal targets the emptier one is taken. */
 const kLoadTie = 0.5;
 /**
@@ -72,46 +55,12 @@
 const kFurtherSize = 6;
 /** Charge for a target that can't be reached, in milliseconds: above all others. */
 const kAvoidChargeMs = 1e6;
-/**
- * Time for which a target that can't be reached is passed over, in milliseconds; doubles up to the longest. Links are opened
- * again in the background and end it at once, so it only bounds what a lost word of that would cost.
- */
-const kAvoidMs = 1_000;
-const kLongestAvoidMs = 8_000;
 /**
  * Comparisons in a row that a target of the own zone loses before that is worth a line in the log: of the eight or so usual ones an
  * ordinary target wins one in eight, so an engineer who asks why a host gets no work finds only those that something is held against.
  */
 const kPassedOver = 100;
 
-/** Load of a target as its gate reports it with each answer. */
-export interface LoadReport {
-  inFlight: number;
-  queued: number;
-  limit: number;
-  meanMs: number;
-}
-
-/** What a gate says with each answer: its load, what it knows of the route, and the charge for the calls of one run there. */
-export type GateReport = LoadReport & RouteReport & { chargeMs: number };
-
-/** How a call ended, as its target's statistics need it. */
-export interface PlacedEnd {
-  load?: LoadReport & { chargeMs?: number };
-  /** Set when it was answered. */
-  tookMs?: number;
-  /** Size of its body and of the answer's, set when it was answered. */
-  bytes?: number;
-  /** Whether the target did badly. */
-  failed: boolean;
-}
-
-/** A mean that fades while nothing renews it. */
-interface FadingMean {
-  value: number;
-  at: number;
-}
-
 /** A target of the own zone that lost many comparisons in a row, and what was held against it. */
 export interface PassedOver {
   host: string;
@@ -127,24 +76,6 @@
   load: number;
 }
 
-interface Stats {
-  /** Comparisons since it was last chosen, while it is in the own zone. */
-  passedOver: number;
-  load: LoadReport;
-  reportedAt: number;
-  /** Calls sent and not answered. */
-  outstanding: number;
-  /** Outstanding calls at the time of the report. */
-  outstandingThen: number;
-  /** Mean time of a call by its route, in milliseconds. */
-  meanMs: Map<string, FadingMean>;
-  /** Charge for the calls below a route, in milliseconds. */
-  chargeMs: Map<string, FadingMean>;
-  failures: FadingMean;
-  avoidUntil: number;
-  avoidMs: number;
-}
-
 /** What a choice needs of a route. */
 export interface PlacedRoute {
   name: string;
@@ -169,28 +100,14 @@
   avoided: boolean;
 }
 
-function renewMean(means: Map<string, number>, route: string, value: number): void {
-  const before = means.get(route);
-  means.set(route, before === undefined ? value : before + (value - before) * kMeanWeight);
-}
-
-function renewFading(means: Map<string, FadingMean>, route: string, value: number, now: number): void {
-  const before = faded(means.get(route), now);
-  means.set(route, { value: before + (value - before) * kChargeWeight, at: now });
-}
-
-function faded(mean: FadingMean | undefined, now: number, halfLifeMs = kChargeHalfLifeMs): number {
-  return mean === undefined ? 0 : mean.value * 0.5 ** ((now - mean.at) / halfLifeMs);
-}
-
 /** Chooses targets, and remembers how they did. Times are kept by route: those of different routes can't be compared. */
 export class Placement {
-  private readonly _stats = new Map<string, Stats>();
+  private readonly _stats = new Map<string, HostStats>();
   /** Mean time of a call by its route over all hosts, in milliseconds: what a host is taken for until it has shown better. */
-  private readonly _routeMeanMs = new Map<string, number>();
-  private readonly _routeKib = new Map<string, number>();
+  private readonly _routeMeanMs = new Means();
+  private readonly _routeKib = new Means();
   /** Charges of the targets that calls of a route went to. */
-  private readonly _routeChargeMs = new Map<string, FadingMean>();
+  private readonly _routeChargeMs = new FadingMeans(kChargeHalfLifeMs);
   private readonly _rank: RendezvousRank;
   /** By the list of candidates, which is another one after each change of a record in it. */
   private readonly _subsets = new WeakMap<readonly TargetRecord[], TargetSubset>();
@@ -226,14 +143,14 @@
     if (!best) {
       return undefined;
     }
-    renewFading(this._routeChargeMs, route.name, best.chargeMs, now);
+    this._routeChargeMs.renew(route.name, best.chargeMs, now);
     this._of(best.target.host).passedOver = 0;
     return best.target;
   }
 
   /** Mean charge of the targets that calls of a route went to lately, in milliseconds; it fades when there are none. */
   chargeMs(route: string): number {
-    return Math.min(kMaxChainChargeMs, faded(this._routeChargeMs.get(route), monotonicMs()));
+    return Math.min(kMaxChainChargeMs, this._routeChargeMs.at(route, monotonicMs()));
   }
 
   /** Targets of the own zone among `candidates` that are compared again and again and never chosen, with the reasons. */
@@ -247,47 +164,28 @@
 
   /** Notes that a call was sent to a host. */
   sent(host: string): void {
-    this._of(host).outstanding++;
+    this._of(host).sent();
   }
 
   /** Notes the end of a call. */
   ended(host: string, route: string, end: PlacedEnd): void {
-    const stats = this._of(host);
-    const now = monotonicMs();
-    stats.outstanding = Math.max(0, stats.outstanding - 1);
-    const failures = faded(stats.failures, now, kFailureHalfLifeMs);
-    stats.failures = { value: failures + ((end.failed ? 1 : 0) - failures) * kFailureWeight, at: now };
-    if (end.load) {
-      stats.load = end.load;
-      stats.reportedAt = now;
-      stats.outstandingThen = stats.outstanding;
-      stats.avoidMs = 0;
-      renewFading(stats.chargeMs, route, Math.min(kMaxChainChargeMs, end.load.chargeMs ?? 0), now);
-    }
     if (end.bytes !== undefined) {
-      renewMean(this._routeKib, route, end.bytes / 1_024 + kHeadKib);
+      this._routeKib.renew(route, end.bytes / 1_024 + kHeadKib);
     }
+    this._of(host).ended(route, end, this._usualMs(route), monotonicMs());
     if (end.tookMs !== undefined) {
-      this._renewHostMean(stats, route, end.tookMs, now);
-      renewMean(this._routeMeanMs, route, end.tookMs);
+      this._routeMeanMs.renew(route, end.tookMs);
     }
   }
 
   /** Passes a host over for a while: it could not be reached. */
   avoid(host: string): void {
-    const stats = this._of(host);
-    const now = monotonicMs();
-    if (stats.avoidUntil <= now) {
-      stats.avoidMs = Math.min(kLongestAvoidMs, Math.max(kAvoidMs, stats.avoidMs * 2));
-      stats.avoidUntil = now + stats.avoidMs;
-    }
+    this._of(host).avoid(monotonicMs());
   }
 
   /** Ends the avoidance of a host: it was heard of again. */
   reached(host: string): void {
-    const stats = this._of(host);
-    stats.avoidUntil = 0;
-    stats.avoidMs = 0;
+    this._of(host).reached();
   }
 
   /** Starts afresh with a host whose target is a new one. */
@@ -295,16 +193,16 @@
     this._stats.delete(host);
   }
 
-  private _whyPassedOver(target: TargetRecord, stats: Stats, now: number): PassedOver {
-    const routes = [...stats.meanMs.keys()];
+  private _whyPassedOver(target: TargetRecord, stats: HostStats, now: number): PassedOver {
+    const { routes } = stats;
     return {
       host: target.host,
       comparisons: stats.passedOver,
-      meanMs: Object.fromEntries(routes.map((route) => [route, Math.round(this._meanOf(stats, route, now))])),
-      usualMs: Object.fromEntries(routes.map((route) => [route, Math.round(this._routeMeanMs.get(route) ?? kAssumedMs)])),
-      failures: faded(stats.failures, now, kFailureHalfLifeMs),
-      avoidedMs: Math.max(0, Math.round(stats.avoidUntil - now)),
-      load: loadOf(stats, target, now),
+      meanMs: Object.fromEntries(routes.map((route) => [route, Math.round(stats.meanMs(route, this._usualMs(route), now))])),
+      usualMs: Object.fromEntries(routes.map((route) => [route, Math.round(this._usualMs(route))])),
+      failures: stats.failures(now),
+      avoidedMs: Math.round(stats.avoidedMs(now)),
+      load: stats.load(target, now),
     };
   }
 
@@ -351,75 +249,45 @@
 
   private _compare(target: TargetRecord, { route, now, zoneChargeMs, chainWeight }: Comparison): Compared {
     const stats = this._of(target.host);
-    const load = loadOf(stats, target, now);
-    const chainMs = faded(stats.chargeMs.get(route.name), now);
+    const load = stats.load(target, now);
+    const chainMs = stats.chargeMs(route.name, now);
     const far = target.zone !== this._zone;
     stats.passedOver += far ? 0 : 1;
     const ownMs = (far ? zoneChargeMs : 0) + fullness(load) * kFullCharge * zoneChargeMs;
     const weighedMs = chainMs * chainWeight * (far ? kFarChainWeight : 1);
-    const avoidance = avoidanceMs(stats, now);
-    const score = this._timeOf(stats, route, load, now) + ownMs + weighedMs + avoidance + this._random();
-    return { target, score, chargeMs: ownMs + chainMs, load, avoided: avoidance > 0 };
+    const avoided = stats.avoidedMs(now) > 0;
+    const score = this._timeOf(stats, route, load, now) + ownMs + weighedMs + (avoided ? kAvoidChargeMs : 0) + this._random();
+    return { target, score, chargeMs: ownMs + chainMs, load, avoided };
   }
 
   private _kibOf(route: string): number {
-    return this._routeKib.get(route) ?? kAssumedKib;
-  }
-
-  private _renewHostMean(stats: Stats, route: string, tookMs: number, now: number): void {
-    const before = stats.meanMs.has(route) ? this._meanOf(stats, route, now) : tookMs;
-    stats.meanMs.set(route, { value: before + (tookMs - before) * kMeanWeight, at: now });
+    return this._routeKib.of(route) ?? kAssumedKib;
   }
 
-  /** Mean time of a call on a host, which nears that of all hosts while it is not renewed. */
-  private _meanOf(stats: Stats, route: string, now: number): number {
-    const usual = this._routeMeanMs.get(route) ?? kAssumedMs;
-    const known = stats.meanMs.get(route);
-    return known === undefined ? usual : usual + (known.value - usual) * 0.5 ** ((now - known.at) / kMeanHalfLifeMs);
+  /** What a host is taken for that has not shown otherwise, in milliseconds. */
+  private _usualMs(route: string): number {
+    return this._routeMeanMs.of(route) ?? kAssumedMs;
   }
 
   /** Time of a call, weighed by what it takes of the latency target; load breaks ties between equal targets. */
-  private _timeOf(stats: Stats, { name: route, latencyTargetMs }: PlacedRoute, load: number, now: number): number {
-    const mean = this._meanOf(stats, route, now);
+  private _timeOf(stats: HostStats, { name: route, latencyTargetMs }: PlacedRoute, load: number, now: number): number {
+    const mean = stats.meanMs(route, this._usualMs(route), now);
     const weighed = mean * Math.min(1, mean / latencyTargetMs);
-    const failures = Math.max(0, faded(stats.failures, now, kFailureHalfLifeMs) - kUsualFailures);
+    const failures = Math.max(0, stats.failures(now) - kUsualFailures);
     return weighed + mean * (load * kLoadTie + failures * kFailureCharge);
   }
 
-  private _of(host: string): Stats {
+  private _of(host: string): HostStats {
     let stats = this._stats.get(host);
     if (!stats) {
-      stats = {
-        passedOver: 0,
-        load: { inFlight: 0, queued: 0, limit: 0, meanMs: 0 },
-        reportedAt: -Infinity,
-        outstanding: 0,
-        outstandingThen: 0,
-        meanMs: new Map(),
-        chargeMs: new Map(),
-        failures: { value: 0, at: 0 },
-        avoidUntil: 0,
-        avoidMs: 0,
-      };
+      stats = new HostStats();
       this._stats.set(host, stats);
     }
     return stats;
   }
 }
 
-/** Calls at a target and on the way to it, for each one that it may run at once; a full target is left before people wait for it. */
-function loadOf(stats: Stats, { slots }: TargetRecord, now: number): number {
-  const limit = stats.load.limit > 0 ? stats.load.limit : Math.max(1, slots);
-  const age = 0.5 ** ((now - stats.reportedAt) / kReportHalfLifeMs);
-  const others = Math.max(0, stats.load.inFlight + stats.load.queued - stats.outstandingThen) * age;
-  return (others + stats.outstanding + 1) / limit;
-}
-
 /** How full a target is, from 0 at an easy load to 1. */
 function fullness(load: number): number {
   return Math.min(1, Math.max(0, (load - kEasyLoad) / (kFullLoad - kEasyLoad)));
 }
-
-function avoidanceMs({ avoidUntil }: Stats, now: number): number {
-  return avoidUntil > now ? kAvoidChargeMs : 0;
-}
