The last record of a daemon is kept, and asked for, at the same three others

Symptom: one run of the new test in ten, beside a load average of 25, lost four holds as 'may have been taken'. Cause: the sender asked two daemons drawn at random, and the leaver had told others. Now both take the three that rank first for the leaver's name, and the leaver goes on until two of them know. The stops tests print all daemons' lines about what was lost, as a single failure could not be traced.

--- a/packages/core/src/membership/memberView.ts
+++ b/packages/core/src/membership/memberView.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Random } from '../util/random.js';
+import { RendezvousRank } from '../util/rendezvous.js';
 
 /** State of a daemon. */
 export type MemberState = 'alive' | 'suspect' | 'dead' | 'left';
@@ -68,6 +69,8 @@
 const kSpreadAlready = 1_000;
 /** Share of the probes that go to the dead. */
 const kProbeDead = 0.1;
+/** Daemons that keep the last record of another one: two may be unreachable, or short of time, at the same moment. */
+const kKeepers = 3;
 const kStateRank: Record<MemberState, number> = { alive: 0, suspect: 1, dead: 2, left: 3 };
 
 /** Membership view of one daemon. */
@@ -233,6 +236,20 @@
     return drawn;
   }
 
+  /**
+   * Daemons that know the last record of one that leaves before anybody else: that one tells them, and whoever needs the record asks them.
+   * All rank alike, so no message is needed to agree.
+   */
+  keepersOf(id: string): Member[] {
+    const ranked = new RendezvousRank(id).order(
+      this._others((state) => state === 'alive' || state === 'suspect').map((member) => ({ host: member.id, member })),
+    );
+    return ranked
+      .map(({ member }) => member)
+      .filter((member) => member.id !== id)
+      .slice(0, kKeepers);
+  }
+
   private _others(wanted: (state: MemberState) => boolean): Member[] {
     return this.all().filter((member) => member.id !== this._self.id && wanted(member.state));
   }
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -202,7 +202,7 @@
       }),
       {
         spreadWord: async () => {
-          await this.members.spread(this.taken.senders);
+          await this.members.spreadLeave(this.taken.senders);
           return undefined;
         },
         sleep: ({ ms }) => pause(ms),
--- a/packages/daemon/src/app/memberService.ts
+++ b/packages/daemon/src/app/memberService.ts
@@ -15,9 +15,12 @@
 const kSpread = 3;
 /** Periods after which the whole view of another daemon is fetched, against whatever pings did not carry. */
 const kFetchPeriods = 60;
-/** Daemons that are asked for the record of one that ended, and pause before they are asked again, in milliseconds. */
-const kAskedForRecord = 2;
+/** Pause before others are asked again for the record of a daemon that ended, in milliseconds. */
 const kAskAgainMs = 1_000;
+/** Times that a daemon which leaves tries to reach those who keep its last record; a ping waits half a second at most. */
+const kLeaveTries = 3;
+/** Keepers of it that may be left untold: one that stands still would hold up the stop. */
+const kUntoldKeepers = 1;
 
 /** What others do with membership news. */
 export interface MemberEvents {
@@ -84,13 +87,20 @@
     this._notify();
   }
 
-  /** Tells some others at once of what changed, and those named here. */
-  async spread(named: readonly string[] = []): Promise<void> {
-    const { self } = this.view;
-    const near = this.view.someAlive(kSpread, self.zone);
-    const far = this.view.someAlive(1);
-    const told = new Set([...near, ...far, ...named.flatMap((id) => this.view.get(id) ?? [])]);
-    await Promise.all([...told].map((member) => this.ping(member)));
+  /** Tells some others at once of what changed. */
+  async spread(): Promise<void> {
+    await this._tell([...this.view.someAlive(kSpread, this.view.self.zone), ...this.view.someAlive(1)]);
+  }
+
+  /** Tells the same of a leave to the daemons named, and again to those who keep the last record until nearly all know it. */
+  async spreadLeave(named: readonly string[]): Promise<void> {
+    const senders = named.flatMap((id) => this.view.get(id) ?? []);
+    let untold = this.view.keepersOf(this.view.self.id);
+    await Promise.all([this.spread(), this._tell(senders)]);
+    untold = await this._tell(untold);
+    for (let tries = 1; untold.length > kUntoldKeepers && tries < kLeaveTries; tries++) {
+      untold = await this._tell(untold);
+    }
   }
 
   /**
@@ -161,11 +171,16 @@
   }
 
   private async _fetchRecords(id: string): Promise<void> {
-    const others = this.view.someAlive(kAskedForRecord + 1).filter((member) => member.id !== id);
-    const views = await Promise.all(others.slice(0, kAskedForRecord).map(({ address }) => this._peers.fetchMembers(address)));
+    const views = await Promise.all(this.view.keepersOf(id).map(({ address }) => this._peers.fetchMembers(address)));
     this.learn(views.flatMap((members) => members ?? []));
   }
 
+  /** Pings daemons; returns those that did not answer. */
+  private async _tell(members: readonly Member[]): Promise<Member[]> {
+    const told = await Promise.all(members.map((member) => this.ping(member)));
+    return members.filter((_, at) => told[at] !== true);
+  }
+
   private async _fetchView(): Promise<void> {
     const [other] = this.view.someAlive(1);
     const members = other && (await this._peers.fetchMembers(other.address));
--- a/tests/e2e/leavingDaemon.spec.ts
+++ b/tests/e2e/leavingDaemon.spec.ts
@@ -88,7 +88,7 @@
         a1.daemon.kill('SIGCONT');
       }
       await holders.stop();
-      t.deepEqual(holders.lost, [], a1.logs.filter((line) => line.includes('"lost"')).join('\n'));
+      t.deepEqual(holders.lost, [], fleet.linesAbout(holders.lost));
     } finally {
       fleet.stop();
       await callers.destroy();
--- a/tests/e2e/stops.spec.ts
+++ b/tests/e2e/stops.spec.ts
@@ -113,7 +113,7 @@
     await Promise.all([callers.stop(), holders.stop()]);
     await fleet.setLogFaults({});
     t.is(code, 0);
-    t.deepEqual([...callers.lost, ...holders.lost], []);
+    t.deepEqual([...callers.lost, ...holders.lost], [], fleet.linesAbout([...callers.lost, ...holders.lost]));
     t.true(fleet.host('b2').logs.some((line) => line.includes('Nothing was cut.')));
     await fleet.startHost({ id: 'b2', zone: 'west', service: 'beta', behaviour: { workMs: 5 } }, {}, fleet.host('b2').address);
     await fleet.untilTargets('beta', 3);
@@ -132,7 +132,7 @@
       await fleet.untilTargets('beta', 3);
     }
     await callers.stop();
-    t.deepEqual(callers.lost, []);
+    t.deepEqual(callers.lost, [], fleet.linesAbout(callers.lost));
     t.true(callers.answered > 40);
   });
 });
--- a/tests/membership/view.spec.ts
+++ b/tests/membership/view.spec.ts
@@ -45,6 +45,27 @@
     t.is(seen.get('b')?.incarnation, 2);
   });
 
+  it('should agree with others on who keeps the last record of one that leaves', (t) => {
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+    const keepers = (of: string, at: string): string[] =>
+      view(
+        at,
+        ids.filter((id) => id !== at),
+      )
+        .keepersOf(of)
+        .map(({ id }) => id);
+    const told = keepers('a', 'a');
+    t.is(told.length, 3);
+    for (const sender of ids.slice(1)) {
+      const asked = keepers('a', sender);
+      t.is(asked.length, 3);
+      t.deepEqual(
+        told.filter((id) => id !== sender),
+        asked.filter((id) => told.includes(id)),
+      );
+    }
+  });
+
   it('should let no suspicion ripen while the process was paused', (t) => {
     const seen = view('a', ['b']);
     seen.suspect('b', 0);
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -52,6 +52,8 @@
 export class Fleet {
   readonly hosts = new Map<string, FleetHost>();
   logUrl = '';
+  /** All lines of all daemons so far, also of those that ended and started again. */
+  private readonly _lines: string[] = [];
   private readonly _folder = mkdtempSync(join(tmpdir(), 'gentiandrum-'));
   private readonly _processes = new Set<ChildProcess>();
 
@@ -77,7 +79,7 @@
     const daemon = spawn(process.execPath, [kDaemonBin, '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] });
     this._processes.add(daemon);
     const host: FleetHost = { id: plan.id, zone: plan.zone, address, daemon, targetUrl: '', logs: [] };
-    collect(daemon, host.logs);
+    collect(daemon, host.logs, this._lines);
     this.hosts.set(plan.id, host);
     await until(`daemon ${plan.id} answers`, async () => {
       if (daemon.exitCode !== null) {
@@ -108,6 +110,12 @@
     return host;
   }
 
+  /** Lines of all daemons about the requests that are named in some texts, such as answers of the kind of a problem. */
+  linesAbout(texts: readonly string[]): string {
+    const requests = texts.flatMap((text) => /"instance":"([^"]+)"/.exec(text)?.[1] ?? []);
+    return this._lines.filter((line) => requests.some((id) => line.includes(`"${id}"`))).join('\n');
+  }
+
   /** Runs a command of the client. */
   async client(args: string[], input?: unknown): Promise<ClientRun> {
     const file = join(this._folder, `input-${Math.random().toString(36).slice(2)}.yaml`);
@@ -229,9 +237,13 @@
   );
 }
 
-function collect(child: ChildProcess, lines: string[]): void {
-  child.stdout?.on('data', (data: Buffer) => lines.push(...data.toString().split('\n').filter(Boolean)));
-  child.stderr?.on('data', (data: Buffer) => lines.push(...data.toString().split('\n').filter(Boolean)));
+function collect(child: ChildProcess, ...lists: string[][]): void {
+  const take = (data: Buffer): void => {
+    const lines = data.toString().split('\n').filter(Boolean);
+    lists.forEach((list) => list.push(...lines));
+  };
+  child.stdout?.on('data', take);
+  child.stderr?.on('data', take);
 }
 
 async function text(stream: NodeJS.ReadableStream | null): Promise<string> {
