--- a/tests/e2e/stops.spec.ts
+++ b/tests/e2e/stops.spec.ts
@@ -33,6 +33,12 @@
   await Promise.all([fleet.untilTargets('beta', 3), fleet.untilTargets('alpha', 1)]);
 });
 
+test.afterEach.always(async (t) => {
+  if (!t.passed) {
+    t.log(await fleet.report());
+  }
+});
+
 test.after.always(() => {
   link.close();
   fleet.stop();
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -116,6 +116,15 @@
     return this._lines.filter((line) => requests.some((id) => line.includes(`"${id}"`))).join('\n');
   }
 
+  /** What each daemon believes of the others now, and all lines about that so far: for a failure that does not come again. */
+  async report(): Promise<string> {
+    const views = [...this.hosts.keys()].map(async (id) => {
+      const status = await this.status(id).catch((err: unknown) => String(err));
+      return `${id}: ${JSON.stringify(status)}`;
+    });
+    return [...(await Promise.all(views)), ...this._lines.filter((line) => /"(members|start|stop|target): /.test(line))].join('\n');
+  }
+
   /** Runs a command of the client. */
   async client(args: string[], input?: unknown): Promise<ClientRun> {
     const file = join(this._folder, `input-${Math.random().toString(36).slice(2)}.yaml`);
