Only a sender's own word ends the doubt about an offer that was taken

Found by reading: the end of a connection counted as a sign that its sender had read the answer. An answer lost on the way, beside an end that came from elsewhere or from an answer that could not be read, would have let a hold run twice; and the sender's deadline was taken when the offer was lost, not when it was sent. Now a sender says in its answer to a ping that it has no open offers at the daemon that leaves, which that daemon waits for; all others' latest offers that must not run twice are named, for a minute beyond their deadlines. A last record names 50 at most, as it goes to every daemon.

--- a/packages/core/src/procedures/effects.ts
+++ b/packages/core/src/procedures/effects.ts
@@ -128,8 +128,8 @@
   sleep: { ask: { ms: number }; reply: undefined };
   /** Waits until nothing is in flight, or `until` passes; replies how many calls still are. */
   awaitIdle: { ask: { until: number }; reply: { inFlight: number } };
-  /** Waits until no other daemon keeps a connection for offers, or `until` passes; replies how many are still kept. */
-  awaitSenders: { ask: { until: number }; reply: { connections: number } };
+  /** Waits until all daemons that sent offers have none open, and send none any more, or `until` passes; replies how many have not. */
+  awaitSenders: { ask: { until: number }; reply: { senders: number } };
 }
 
 /** Name of an effect. */
--- a/packages/core/src/procedures/lifecycle.ts
+++ b/packages/core/src/procedures/lifecycle.ts
@@ -56,15 +56,12 @@
 /** Time in which the word of a leave reaches those who still send. */
 const kSpreadMs = 300;
 const kIdlePollMs = 1_000;
-/**
- * Longest time for which senders are waited for that keep connections for offers, in milliseconds: they let go of them within the 500 of
- * a tick once they know that this daemon leaves, and a ping that tells them may take as long.
- */
+/** Longest wait for senders to say that they have no open offers, in milliseconds: four times what a ping may take. */
 const kSendersMs = 2_000;
 
 /**
- * Stops without cutting anything: the word first, then the queue back, then what runs, then the senders' connections, then goodbye.
- * Senders close those themselves, as a connection that ends here may have an offer on its way.
+ * Stops without cutting anything: the word first, then the queue back, then what runs, then the word of the
+ * senders that nothing of theirs is on its way, then goodbye.
  */
 export function* plannedStop(ctx: StopContext): Procedure<{ cut: number }> {
   const startedAt = monotonicMs();
--- a/packages/core/src/procedures/takenOffers.ts
+++ b/packages/core/src/procedures/takenOffers.ts
@@ -4,51 +4,50 @@
  */
 
 /**
- * Offers that a gate took from other daemons, for as long as their senders may not know how they ended. A daemon that stops as planned
- * names them in its last record; an offer that is lost and not named there was never taken, so it may be made to another target.
+ * Offers that must not run twice and that a gate took from other daemons, for as long as their senders may not know how they ended. A
+ * daemon that stops as planned names them in its last record; an offer that is lost and not named there was never taken, so it may be
+ * made to another target.
  *
- * A connection carries one offer at a time, so the next one proves that the answer to the one before was read, and so does an end of
- * the connection that its sender chose.
+ * Only a sender can tell that it knows an end: a connection carries one offer at a time, so the next one on it does, and a sender that
+ * knows of the leave and has no open offer says so. The end of a connection tells nothing, as the answer may be lost on the way.
  */
 
 import type { LeaveProof } from '../membership/memberView.js';
 
-/**
- * Most offers that a last record names; it goes to every daemon. Senders that let go of their connections leave none, so more means that
- * many are cut off, and then nothing is proved.
- */
-const kMaxNamed = 200;
+/** Most offers that a last record names, as it goes to every daemon; with more, from senders that are cut off, nothing is proved. */
+const kMaxNamed = 50;
+/** Time for which an offer is named after its deadline, in milliseconds: the clock of a sender's host may have stood still. */
+const kNamedAfterMs = 60_000;
 
-/** An offer that was taken. */
+/** An offer that was taken, and its deadline on the monotonic clock. */
 export interface TakenOffer {
   attempt: string;
-  /** Daemon that sent it; empty when it didn't say. */
+  deadline: number;
+}
+
+interface Unsettled extends TakenOffer {
   from: string;
-  /** When its sender has given it up at the latest, on the monotonic clock. */
-  until: number;
 }
 
 /** Follows the offers on connections, which are told apart by identity. */
 export class TakenOffers<C extends object> {
-  /** The newest offer of each open connection; `undefined` once its sender knows its end. */
-  private readonly _open = new Map<C, { from: string; unsettled: TakenOffer | undefined }>();
-  /** Offers of connections that broke. */
-  private _broken: TakenOffer[] = [];
-
-  /** Open connections over which offers came. */
-  get connections(): number {
-    return this._open.size;
-  }
+  /** The newest offer of each open connection, unless it may run twice or was refused. */
+  private readonly _open = new Map<C, { from: string; unsettled: Unsettled | undefined }>();
+  /** Offers of connections that ended. */
+  private _ended: Unsettled[] = [];
+  /** Senders that know of the leave and have no open offers. */
+  private readonly _released = new Set<string>();
 
-  /** Daemons at the other ends of those. */
+  /** Daemons whose offers came, and that have not said that they have none open. */
   get senders(): string[] {
-    return [...new Set([...this._open.values()].map(({ from }) => from))].filter((from) => from !== '');
+    const all = [...this._open.values(), ...this._ended].map(({ from }) => from);
+    return [...new Set(all)].filter((from) => from !== '' && !this._released.has(from));
   }
 
-  /** Notes an offer; true when it is the first on its connection. */
-  take(connection: C, offer: TakenOffer): boolean {
+  /** Notes an offer of a daemon; `offer` is undefined for one that may run twice. True when it is the first on its connection. */
+  take(connection: C, from: string, offer: TakenOffer | undefined): boolean {
     const first = !this._open.has(connection);
-    this._open.set(connection, { from: offer.from, unsettled: offer });
+    this._open.set(connection, { from, unsettled: offer && { ...offer, from } });
     return first;
   }
 
@@ -58,23 +57,32 @@
     if (known?.unsettled?.attempt === attempt) {
       known.unsettled = undefined;
     }
-    this._broken = this._broken.filter((offer) => offer.attempt !== attempt);
+    this._ended = this._ended.filter((offer) => offer.attempt !== attempt);
   }
 
-  /** A connection ended; `bySender`: its sender closed it in order, and waits for nothing on it. */
-  closed(connection: C, bySender: boolean, now: number): void {
+  /** A connection ended. */
+  closed(connection: C, now: number): void {
     const unsettled = this._open.get(connection)?.unsettled;
     this._open.delete(connection);
-    this._broken = this._broken.filter(({ until }) => until > now);
-    if (unsettled && !bySender) {
-      this._broken.push(unsettled);
+    this._ended = this._ended.filter((offer) => isNamed(offer, now));
+    if (unsettled) {
+      this._ended.push(unsettled);
     }
   }
 
+  /** A sender knows that this daemon leaves, and has no open offer here. */
+  released(from: string): void {
+    this._released.add(from);
+  }
+
   /** What this daemon can prove once it takes nothing any more; undefined when that is too much to tell. */
   leaveProof(now: number): LeaveProof | undefined {
     const open = [...this._open.values()].flatMap(({ unsettled }) => unsettled ?? []);
-    const unsettled = [...open, ...this._broken].filter(({ until }) => until > now).map(({ attempt }) => attempt);
-    return unsettled.length <= kMaxNamed ? { unsettled } : undefined;
+    const named = [...open, ...this._ended].filter((offer) => isNamed(offer, now) && !this._released.has(offer.from));
+    return named.length <= kMaxNamed ? { unsettled: named.map(({ attempt }) => attempt) } : undefined;
   }
 }
+
+function isNamed({ deadline }: TakenOffer, now: number): boolean {
+  return now < deadline + kNamedAfterMs;
+}
--- a/packages/daemon/src/app/callSession.ts
+++ b/packages/daemon/src/app/callSession.ts
@@ -10,6 +10,7 @@
 import { exchange, type ExchangeEnd, HttpExchange } from '../client/httpExchange.js';
 import type { Pools } from '../client/pools.js';
 import type { OfferService } from './offerService.js';
+import type { OpenOffers } from './openOffers.js';
 import { isErrorKind, kAllOpen } from '@gentiandrum/core';
 
 /** Time for the word whether a cancelled attempt had started, in milliseconds. */
@@ -21,6 +22,8 @@
   selfId: string;
   pools: Pools;
   offers: OfferService;
+  /** Offers to other daemons that have no end yet, by the daemons' ids. */
+  openOffers: OpenOffers;
   /** Whether the daemon of a target has left and proved that it never took an attempt. */
   neverTook: (to: Candidate, attempt: string) => Promise<boolean>;
 }
@@ -103,12 +106,16 @@
 
   private _send(attempt: string, to: Candidate, terms: OfferTerms, payload: Payload): void {
     const { method, path, headers, body } = payload;
-    const offer = JSON.stringify({ terms, method, path, headers, from: this._deps.selfId });
+    const { openOffers, selfId } = this._deps;
+    const deadline = monotonicMs() + terms.remainingMs;
+    const offer = JSON.stringify({ terms, method, path, headers, from: selfId });
     const req = { method: 'POST', path: '/-/offer', headers: { [kOfferHeader]: offer, 'content-type': 'application/octet-stream' }, body };
+    openOffers.sent(to.daemon);
     const exchanged = new HttpExchange(this._deps.pools.to(`http://${to.address}`), req, kMaxReplyBytes, (end) => {
       const wanted = this._running.delete(attempt);
+      openOffers.ended(to.daemon);
       if (end.kind === 'lost' && end.written && wanted && !terms.idempotent) {
-        void this._lost(attempt, to, end, monotonicMs() + terms.remainingMs);
+        void this._lost(attempt, to, end, deadline);
       } else {
         this._push({ kind: 'ended', attempt, end: offerEnd(end) });
       }
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -33,6 +33,7 @@
 import { type MemberEvents, MemberService } from './memberService.js';
 import { Metrics } from './metrics.js';
 import { OfferService } from './offerService.js';
+import { OpenOffers } from './openOffers.js';
 import { ControlMeter } from './controlMeter.js';
 
 const kPeerConnections = 128;
@@ -63,6 +64,7 @@
   private readonly _logPools = new Pools(4);
   private readonly _log: LogClient;
   private readonly _peers = new PeerClient();
+  private readonly _openOffers = new OpenOffers();
   private readonly _ledger = new RetryLedger();
   private readonly _picker: TargetPicker;
   private _candidates = new Map<string, Candidate[]>();
@@ -80,7 +82,7 @@
     this.meter = new ControlMeter(this._log.traffic);
     this._picker = new TargetPicker(settings.zone, settings.region, Math.random);
     const view = new MemberView(this._ownRecord(address), Math.random, monotonicMs());
-    this.members = new MemberService(view, this._peers, this._memberEvents(), this.logger);
+    this.members = new MemberService(view, this._peers, this._memberEvents(), this.logger, this._openOffers);
     this.config = new ConfigService(this._log, this._peers, view, this.logger, (cfg) => {
       this._configure(cfg);
     });
@@ -114,6 +116,7 @@
       selfId: settings.id,
       pools: this._pools,
       offers: this.offers,
+      openOffers: this._openOffers,
       neverTook: (to, attempt) => this.members.neverTook(to.daemon, to.incarnation, attempt),
       daemon: { id: settings.id, incarnation: this.incarnation, address },
       stopping: () => this._stopping,
@@ -202,7 +205,7 @@
       }),
       {
         spreadWord: async () => {
-          await this.members.spreadLeave(this.taken.senders);
+          await this.members.spreadLeave();
           return undefined;
         },
         sleep: ({ ms }) => pause(ms),
@@ -382,15 +385,19 @@
     return { inFlight: this.inFlight };
   }
 
-  private async _awaitSenders(until: number): Promise<{ connections: number }> {
-    while (this.taken.connections > 0 && monotonicMs() < until) {
+  private async _awaitSenders(until: number): Promise<{ senders: number }> {
+    while (this.taken.senders.length > 0 && monotonicMs() < until) {
+      const released = await this.members.askForRelease(this.taken.senders);
+      released.forEach((id) => {
+        this.taken.released(id);
+      });
       await pause(kStopPollMs);
     }
-    const { connections, senders } = this.taken;
-    if (connections > 0) {
-      this.logger.warn('stop', `Other daemons keep ${connections} connections for offers.`, { connections, senders });
+    const { senders } = this.taken;
+    if (senders.length > 0) {
+      this.logger.warn('stop', `${senders.length} daemons have not said that they have no open offers here.`, { senders });
     }
-    return { connections };
+    return { senders: senders.length };
   }
 }
 
--- a/packages/daemon/src/app/memberService.ts
+++ b/packages/daemon/src/app/memberService.ts
@@ -8,6 +8,7 @@
 import { type Member, type MemberView, monotonicMs, provesNeverTaken } from '@gentiandrum/core';
 import type { PeerClient, Pong } from '../client/peerClient.js';
 import type { Logger } from './logger.js';
+import type { OpenOffers } from './openOffers.js';
 
 const kPeriodMs = 1_000;
 /** A period that took this long means that the process was paused. */
@@ -46,6 +47,7 @@
     private readonly _peers: PeerClient,
     private readonly _events: MemberEvents,
     private readonly _logger: Logger,
+    private readonly _openOffers: OpenOffers,
   ) {}
 
   /** Starts to ping. */
@@ -68,7 +70,8 @@
     this.view.answered(from, now);
     this._compareConfig(from, configVersion);
     this._notify();
-    return { configVersion: this.view.self.configVersion, changes: [this.view.self, ...this.view.takeChanges()] };
+    const { self } = this.view;
+    return { configVersion: self.configVersion, changes: [self, ...this.view.takeChanges()], openOffers: this._openOffers.at(from) };
   }
 
   /** A call could not connect to a daemon: it is suspected at once, and pinged. */
@@ -92,12 +95,10 @@
     await this._tell([...this.view.someAlive(kSpread, this.view.self.zone), ...this.view.someAlive(1)]);
   }
 
-  /** Tells the same of a leave to the daemons named, and again to those who keep the last record until nearly all know it. */
-  async spreadLeave(named: readonly string[]): Promise<void> {
-    const senders = named.flatMap((id) => this.view.get(id) ?? []);
-    let untold = this.view.keepersOf(this.view.self.id);
-    await Promise.all([this.spread(), this._tell(senders)]);
-    untold = await this._tell(untold);
+  /** Tells the same of a leave, and again to those who keep the last record until nearly all know it. */
+  async spreadLeave(): Promise<void> {
+    const [, first] = await Promise.all([this.spread(), this._tell(this.view.keepersOf(this.view.self.id))]);
+    let untold = first;
     for (let tries = 1; untold.length > kUntoldKeepers && tries < kLeaveTries; tries++) {
       untold = await this._tell(untold);
     }
@@ -115,8 +116,19 @@
     return provesNeverTaken(this.view.get(id), incarnation, attempt);
   }
 
-  /** Pings one daemon. */
+  /** Pings one daemon; true when it answered. */
   async ping(member: Member): Promise<boolean> {
+    return (await this._ping(member)) !== undefined;
+  }
+
+  /** Tells daemons that this one leaves; returns those that know it, and have no open offers here. */
+  async askForRelease(senders: readonly string[]): Promise<string[]> {
+    const members = senders.flatMap((id) => this.view.get(id) ?? []);
+    const pongs = await Promise.all(members.map((member) => this._ping(member)));
+    return members.filter((_, at) => pongs[at]?.openOffers === 0).map(({ id }) => id);
+  }
+
+  private async _ping(member: Member): Promise<Pong | undefined> {
     const { self } = this.view;
     const rumour = member.state === 'alive' ? [] : [member];
     const changes = [self, ...rumour, ...this.view.takeChanges()];
@@ -125,13 +137,13 @@
     if (!pong) {
       this.view.suspect(member.id, now);
       this._notify();
-      return false;
+      return undefined;
     }
     this._merge(pong.changes);
     this.view.answered(member.id, now);
     this._compareConfig(member.id, pong.configVersion);
     this._notify();
-    return true;
+    return pong;
   }
 
   private _tick(): void {
--- a/packages/daemon/src/client/peerClient.ts
+++ b/packages/daemon/src/client/peerClient.ts
@@ -28,6 +28,8 @@
 export interface Pong {
   configVersion: number;
   changes: Member[];
+  /** Offers of the answering daemon at the pinging one that have no end yet. */
+  openOffers: number;
 }
 
 /** Client of the other daemons. */
@@ -39,7 +41,7 @@
   async ping(address: string, msg: { from: string; to: string; configVersion: number; changes: Member[] }): Promise<Pong | undefined> {
     const req = { from: msg.from, to: msg.to, configVersion: BigInt(msg.configVersion), changes: msg.changes.map(encodeMember) };
     const res = await quiet(this._to(address).ping(req, { timeoutMs: kTimeoutMs }));
-    return res && { configVersion: Number(res.configVersion), changes: res.changes.map(decodeMember) };
+    return res && { configVersion: Number(res.configVersion), changes: res.changes.map(decodeMember), openOffers: res.openOffers };
   }
 
   /** Asks for the configuration records from an offset on. */
--- a/packages/daemon/src/server/callRoutes.ts
+++ b/packages/daemon/src/server/callRoutes.ts
@@ -5,8 +5,8 @@
 
 /** Routes that carry calls: from callers and targets to any service, and offers between daemons. */
 
-import { offerHeadSchema, kOfferHeader, kVerdictHeader } from '@gentiandrum/protocol';
-import { answerOf, failedWith, monotonicMs, type OfferEnd, type TakenOffer } from '@gentiandrum/core';
+import { offerHeadSchema, kOfferHeader, kVerdictHeader, type OfferTerms } from '@gentiandrum/protocol';
+import { answerOf, failedWith, monotonicMs, type OfferEnd } from '@gentiandrum/core';
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
@@ -121,7 +121,7 @@
     }
   };
   reply.raw.on('close', onClose);
-  noteOffer(daemon, req.raw.socket, { attempt: terms.attempt, from, until: monotonicMs() + terms.remainingMs });
+  noteOffer(daemon, req.raw.socket, from, terms);
   const end: OfferEnd = await daemon.offers.offer(terms, { method, path, headers, body });
   reply.raw.off('close', onClose);
   if (end.kind === 'refused') {
@@ -130,18 +130,13 @@
   return reply.header(kVerdictHeader, verdictHeader(end)).send(end.kind === 'answered' ? end.answer.body : kNoBody);
 }
 
-/** A connection that its sender ends, having read what it waited for, ends before this side closes it, and without an error. */
-function noteOffer(daemon: Daemon, socket: Socket, offer: TakenOffer): void {
-  if (!daemon.taken.take(socket, offer)) {
-    return;
+function noteOffer({ taken }: Daemon, socket: Socket, from: string, { attempt, remainingMs, idempotent }: OfferTerms): void {
+  const offer = idempotent ? undefined : { attempt, deadline: monotonicMs() + remainingMs };
+  if (taken.take(socket, from, offer)) {
+    socket.once('close', () => {
+      taken.closed(socket, monotonicMs());
+    });
   }
-  let bySender = false;
-  socket.once('end', () => {
-    bySender = true;
-  });
-  socket.once('close', (failed) => {
-    daemon.taken.closed(socket, bySender && !failed, monotonicMs());
-  });
 }
 
 function parseJson(text: string): unknown {
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -26,7 +26,7 @@
     router.service(PeerService, {
       ping: ({ from, configVersion, changes }) => {
         const pong = daemon.members.pinged(from, Number(configVersion), changes.map(decodeMember));
-        return { configVersion: BigInt(pong.configVersion), changes: pong.changes.map(encodeMember) };
+        return { configVersion: BigInt(pong.configVersion), changes: pong.changes.map(encodeMember), openOffers: pong.openOffers };
       },
       fetchMembers: () => ({ members: daemon.members.view.all().map(encodeMember) }),
       fetchConfig: ({ next }) => {
--- a/tests/matrix/matrixWorld.ts
+++ b/tests/matrix/matrixWorld.ts
@@ -338,9 +338,9 @@
         this._awaitIdle(daemon, effect, resume, fault);
         return;
       case 'awaitSenders':
-        // Offers travel by themselves here, without connections that could be kept.
+        // Senders are told of a leave at once here.
         this.time.after(fault === 'timeout' ? effect.until - this.time.now : 0, () => {
-          resume({ connections: fault === 'timeout' ? 1 : 0 });
+          resume({ senders: fault === 'timeout' ? 1 : 0 });
         });
         return;
     }
--- a/tests/membership/takenOffers.spec.ts
+++ b/tests/membership/takenOffers.spec.ts
@@ -8,58 +8,64 @@
 import { type Effect, type Member, plannedStop, provesNeverTaken, type Reply, TakenOffers } from '@gentiandrum/core';
 import { describe, it } from '../support/describe.js';
 
-const kUntil = 1_000;
+const kDeadline = 1_000;
+/** Time for which an offer is named after its deadline, in milliseconds. */
+const kNamedAfterMs = 60_000;
 
-function offer(attempt: string, from = 'a1'): { attempt: string; from: string; until: number } {
-  return { attempt, from, until: kUntil };
+function offer(attempt: string): { attempt: string; deadline: number } {
+  return { attempt, deadline: kDeadline };
 }
 
 describe('offers that a daemon took', () => {
-  it('should be named while their senders may not know how they ended', (t) => {
+  it('should be named until the next one on their connection shows that the answer was read', (t) => {
     const taken = new TakenOffers<object>();
     const connection = {};
-    t.true(taken.take(connection, offer('first')));
+    t.true(taken.take(connection, 'a1', offer('first')));
     t.deepEqual(taken.leaveProof(0), { unsettled: ['first'] });
-    t.false(taken.take(connection, offer('second')));
+    t.false(taken.take(connection, 'a1', offer('second')));
     t.deepEqual(taken.leaveProof(0), { unsettled: ['second'] });
+    t.false(taken.take(connection, 'a1', undefined));
+    t.deepEqual(taken.leaveProof(0), { unsettled: [] });
     t.deepEqual(taken.senders, ['a1']);
-    t.is(taken.connections, 1);
   });
 
-  it('should not be named once their sender closed the connection', (t) => {
+  it('should be named after the end of their connection, whoever ended it, until nobody can wait any more', (t) => {
     const taken = new TakenOffers<object>();
     const connection = {};
-    taken.take(connection, offer('first'));
-    taken.closed(connection, true, 0);
-    t.deepEqual(taken.leaveProof(0), { unsettled: [] });
-    t.deepEqual(taken.senders, []);
-    t.is(taken.connections, 0);
+    taken.take(connection, 'a1', offer('first'));
+    taken.closed(connection, 0);
+    t.deepEqual(taken.senders, ['a1']);
+    t.deepEqual(taken.leaveProof(kDeadline + kNamedAfterMs - 1), { unsettled: ['first'] });
+    t.deepEqual(taken.leaveProof(kDeadline + kNamedAfterMs), { unsettled: [] });
   });
 
-  it('should be named when their connection broke, until nobody waits any more', (t) => {
+  it('should not be named once their sender said that it has no open offers', (t) => {
     const taken = new TakenOffers<object>();
-    const connection = {};
-    taken.take(connection, offer('first'));
-    taken.closed(connection, false, 0);
-    t.deepEqual(taken.leaveProof(kUntil - 1), { unsettled: ['first'] });
-    t.deepEqual(taken.leaveProof(kUntil), { unsettled: [] });
+    const ended = {};
+    taken.take(ended, 'a1', offer('first'));
+    taken.closed(ended, 0);
+    taken.take({}, 'a1', offer('second'));
+    taken.take({}, 'a2', offer('third'));
+    taken.released('a1');
+    t.deepEqual(taken.senders, ['a2']);
+    t.deepEqual(taken.leaveProof(0), { unsettled: ['third'] });
   });
 
-  it('should not be named when they were refused, also after their connection broke', (t) => {
+  it('should not be named when they were refused, also after the end of their connection', (t) => {
     const taken = new TakenOffers<object>();
     const [one, other] = [{}, {}];
-    taken.take(one, offer('first'));
+    taken.take(one, 'a1', offer('first'));
     taken.refused(one, 'first');
-    taken.take(other, offer('second'));
-    taken.closed(other, false, 0);
+    taken.take(other, 'a1', offer('second'));
+    taken.closed(other, 0);
     taken.refused(other, 'second');
     t.deepEqual(taken.leaveProof(0), { unsettled: [] });
   });
 
   it('should prove nothing when there are too many to name', (t) => {
     const taken = new TakenOffers<object>();
-    for (let i = 0; i <= 200; i++) {
-      taken.take({}, offer(`attempt ${i}`));
+    for (let i = 0; i <= 50; i++) {
+      taken.take({}, 'a1', offer(`attempt ${i}`));
     }
     t.is(taken.leaveProof(0), undefined);
   });
@@ -94,7 +100,7 @@
     t.false(provesNeverTaken(undefined, 7, 'other'));
   });
 
-  it('should come after the senders have let go of their connections, and what runs has ended', (t) => {
+  it('should come after what runs has ended, and the senders have no open offers', (t) => {
     const steps: string[] = [];
     const note = (step: string) => (): void => {
       steps.push(step);
@@ -112,7 +118,7 @@
     case 'awaitIdle':
       return { inFlight: 0 };
     case 'awaitSenders':
-      return { connections: 0 };
+      return { senders: 0 };
     case 'appendMember':
       return { kind: 'refused' };
     default:
