--- a/tests/e2e/leavingDaemon.spec.ts
+++ b/tests/e2e/leavingDaemon.spec.ts
@@ -14,9 +14,9 @@
  * The lines that showed it: a1 logged "route to b2-target" 3 ms before it stood still, b2 "Nothing was cut." 0.8 s later and never a
  * line of that request, a1 the error 25 ms after it went on. Four of five trials lost a hold like this.
  *
- * Two promises keep it from happening. Who leaves tells each daemon that keeps a connection for offers, and waits a while until those
- * have let go of it. And its last record names the offers whose senders may not know their ends: whoever lost an offer that it doesn't
- * name knows that it was never taken.
+ * Two promises keep it from happening. Who leaves asks each daemon that keeps a connection for offers, and waits a while until it says
+ * that it has none open and sends none any more. And its last record names the offers whose senders have not said so and may not know
+ * their ends: whoever lost an offer that it doesn't name knows that it was never taken.
  */
 
 import { once } from 'node:events';
