--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -14,7 +14,7 @@
 /** Load that goes with an end that no gate reported. */
 const kNoLoad: GateReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0, level: 0, inner: undefined, height: 0, chargeMs: 0 };
 
-/** End of a call that came to, or was sent to, a daemon that had said its last. */
+/** End of a call that came to, or was sent to, a daemon that stops and takes nothing any more. */
 const kNotTaken: CallEnd = { kind: 'not_run', reason: 'not_accepting', retryAfterMs: 0 };
 
 /** A call that was sent, and how often its link had been written to before. */
@@ -71,7 +71,7 @@
     };
   }
 
-  /** Takes a call from another daemon; none once the last messages were sent, which promise that. */
+  /** Takes a call from another daemon; none once this one has told the others which calls it took. */
   take(link: PeerLink, id: number, call: PeerCall): void {
     if (this._leaving) {
       link.send(replyOf(id, kNotTaken, kNoLoad));
