--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -49,6 +49,8 @@
   padding = 0;
   /** Fails a request before it has read its body, keeps the connection, and reads on later. */
   answersEarly = false;
+  /** Called with each request that begins to run; the run lasts until the promise resolves, if there is one. */
+  onRun: (req: SeenRequest) => Promise<void> | undefined = () => undefined;
   readonly seen: SeenRequest[] = [];
   /** Requests whose connection closed before the answer. */
   left = 0;
@@ -102,7 +104,7 @@
     return res.statusCode;
   }
 
-  /** Stops at once. */
+  /** Stops at once, as a process does that crashes: connections end without an answer, and new ones are refused. */
   close(): void {
     this._server.close();
     this._server.closeAllConnections();
@@ -118,7 +120,7 @@
       return;
     }
     const header = (name: string): string => String(req.headers[name] ?? '');
-    this.seen.push({
+    const seen: SeenRequest = {
       id: header('x-attempt-id'),
       method: req.method ?? '',
       path: req.url ?? '',
@@ -128,14 +130,15 @@
       workspace: req.headers['x-tenant-id']?.toString(),
       credentials: req.headers.authorization,
       body: body.toString('utf8'),
-    });
+    };
+    this.seen.push(seen);
     if (header('x-target-instance') !== this.instance) {
       res.writeHead(421, { 'x-attempt-id': header('x-attempt-id'), 'x-instance-id': this.instance }).end();
       return;
     }
     this.running++;
     this.mostRunning = Math.max(this.mostRunning, this.running);
-    await new Promise((resolve) => setTimeout(resolve, this.workMs));
+    await (this.onRun(seen) ?? new Promise((resolve) => setTimeout(resolve, this.workMs)));
     this.running--;
     if (res.destroyed) {
       this.left++;
