A kind of request that ends its targets is found by the third end, and held back everywhere

Callers saw all targets of a service down together, again and again. Cause: nothing outlived a request that was lost with its target. It was sent on to the next one as if a connection had broken, up to its attempts, and again whenever it came.

Now the gate that sees its target end tells all daemons the kinds that ran there. Each is a suspect until one of its requests runs to its end anywhere. Until then all daemons send the kind to one target (rendezvous hash), whose gate runs one of it at a time; after a second end one suspect alone is on trial there, and only while half of the service's targets are left; an end during a trial names the kind, and it is refused at once, as not run. What daemons know is joined as a union of ends, named by incarnation, so late, lost and repeated messages change nothing; a call brings what is known of it to its gate, and a gate that knows more says so.

Weighed: counting ends alone (a lookup that many share is under way at nearly every end); trying each suspect alone at an emptied target (25 to 40 are under way at an end, so a target would be closed for seconds); all suspects one by one instead of from the second end on. Not measured, as the first two fail on paper; trying a second time beside each other costs no capacity.

--- a/packages/core/src/admission/notRunReason.ts
+++ b/packages/core/src/admission/notRunReason.ts
@@ -26,6 +26,8 @@
     case 'target_refused':
     case 'wrong_instance':
     case 'key_not_valid':
+    case 'suspected':
+    case 'quarantined':
     case 'cancelled':
       return false;
   }
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -22,7 +22,17 @@
 const kColdShares = [0.5, 0.75] as const;
 
 /** Why a gate refuses a call. None of these has run. */
-export type GateRefusal = 'not_accepting' | 'unreachable' | 'overloaded' | 'repeat_budget' | 'wait_too_long' | 'key_not_valid';
+export type GateRefusal =
+  | 'not_accepting'
+  | 'unreachable'
+  | 'overloaded'
+  | 'repeat_budget'
+  | 'wait_too_long'
+  | 'key_not_valid'
+  /** Targets may have ended by its kind, and it can't be tried here now. */
+  | 'suspected'
+  /** Targets have ended by its kind: it does not run. */
+  | 'quarantined';
 
 /** A call that asks to be let in. */
 export interface GatedCall {
--- a/packages/core/src/membership/targetDirectory.ts
+++ b/packages/core/src/membership/targetDirectory.ts
@@ -89,6 +89,11 @@
     return Object.fromEntries(this._digests);
   }
 
+  /** Targets of a service that take no connections now, and may again. */
+  unreachable(service: string): number {
+    return this.all().filter((record) => record.service === service && record.state === 'unreachable').length;
+  }
+
   /** Whether any host's record names the service. */
   knows(service: string): boolean {
     return this.all().some((record) => record.service === service);
--- /dev/null
+++ b/packages/core/src/quarantine/suspectLane.ts
@@ -0,0 +1,100 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Order of suspects at one target: one of each kind at a time, and of those on trial one at all. All daemons send a kind to the same
+ * target, so copies that come at many hosts together end one target and not one each.
+ */
+
+import type { Verdict } from './suspicion.js';
+
+/** A suspect at a gate. */
+export interface LaneCall {
+  print: string;
+}
+
+/** Suspects at one target. */
+export class SuspectLane<T extends LaneCall> {
+  private readonly _running = new Map<string, T>();
+  private _onTrial: T | undefined;
+  private _waiting: T[] = [];
+
+  /** @param _verdict what follows for a kind as of now */
+  constructor(private readonly _verdict: (print: string) => Verdict) {}
+
+  /** Suspects that wait for others to end, in the order in which they came. */
+  get waiting(): readonly T[] {
+    return this._waiting;
+  }
+
+  /** Whether a call is the one on trial. */
+  isOnTrial(call: T): boolean {
+    return this._onTrial === call;
+  }
+
+  /** Takes a suspect: true when it may run now, else it waits. */
+  enter(call: T): boolean {
+    if (this._mayRun(call)) {
+      this._start(call);
+      return true;
+    }
+    this._waiting.push(call);
+    return false;
+  }
+
+  /** A suspect has ended, or was refused; returns those that may go on now, whatever is left of the suspicion against them. */
+  leave(call: T): T[] {
+    if (this._running.get(call.print) === call) {
+      this._running.delete(call.print);
+    }
+    if (this._onTrial === call) {
+      this._onTrial = undefined;
+    }
+    this._waiting = this._waiting.filter((other) => other !== call);
+    return this._next();
+  }
+
+  /** Takes out all that wait. */
+  drain(): T[] {
+    return this._waiting.splice(0);
+  }
+
+  private _next(): T[] {
+    const next: T[] = [];
+    this._waiting = this._waiting.filter((call) => {
+      if (!this._mayRun(call)) {
+        return true;
+      }
+      this._start(call);
+      next.push(call);
+      return false;
+    });
+    return next;
+  }
+
+  private _mayRun({ print }: T): boolean {
+    const verdict = this._verdict(print);
+    switch (verdict) {
+      case 'clear':
+      case 'held':
+        // Decided meanwhile: there is nothing to wait for.
+        return true;
+      case 'suspect':
+        return !this._running.has(print);
+      case 'trial':
+        return !this._running.has(print) && this._onTrial === undefined;
+    }
+  }
+
+  private _start(call: T): void {
+    const verdict = this._verdict(call.print);
+    if (verdict === 'suspect' || verdict === 'trial') {
+      this._running.set(call.print, call);
+    }
+    if (verdict === 'trial') {
+      this._onTrial = call;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/quarantine/suspectTable.ts
@@ -0,0 +1,190 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Kinds of requests that ran on targets while those ended, as one daemon knows them. A target that ends takes dozens of requests with
+ * it, of which one is guilty at most: all are suspects, and each that runs to its end somewhere is cleared.
+ */
+
+import { monotonicMs } from '../util/clock.js';
+import { printOf, type RequestIdentity, screenOf } from './requestPrint.js';
+import { type CrashMark, crashesOf, kMaxCrashes, mergeMarks, type Suspicion, type Verdict, verdictOf } from './suspicion.js';
+
+/** Kinds that are known at once. */
+const kMaxKinds = 1_000;
+/** Time after which nothing is held any more against a kind that no end was proved of, in milliseconds. */
+const kForgetMs = 60 * 60_000;
+/** Time after which a kind that is held back is tried once more, in milliseconds; doubles with each further end. */
+const kFirstHoldMs = 60 * 60_000;
+/** Further ends that such trials may cost; after these only an operator lets the kind run. */
+const kMaxFurtherCrashes = 3;
+
+/** The end of one incarnation of a target. */
+export interface Crash {
+  /** Names the incarnation, the same in every report of its end. */
+  id: number;
+  /** In milliseconds of the wall clock. */
+  at: number;
+}
+
+/** A request that ran on a target when that ended. */
+export interface CrashedRun {
+  identity: RequestIdentity;
+  route: string;
+  /** Whether it was the only suspect on trial there. */
+  tested: boolean;
+}
+
+interface Entry {
+  suspicion: Suspicion;
+  /** When it last changed here, on the monotonic clock. */
+  changedAt: number;
+}
+
+/** The suspects that one daemon knows. */
+export class SuspectTable {
+  private readonly _entries = new Map<string, Entry>();
+  /** Kinds by their screen: of one screen there may be several, which differ in their bodies. */
+  private readonly _screens = new Map<number, number>();
+
+  /** Kinds that are known, cleared ones too. */
+  get size(): number {
+    return this._entries.size;
+  }
+
+  /** What is known of a request's kind; undefined when nothing is. Costs nothing while no target has ended. */
+  find(identity: RequestIdentity): Suspicion | undefined {
+    if (this._entries.size === 0 || !this._screens.has(screenOf(identity))) {
+      return undefined;
+    }
+    return this._entries.get(printOf(identity))?.suspicion;
+  }
+
+  /** What follows for the next request of a kind as of now. */
+  verdict(print: string): Verdict {
+    const entry = this._entries.get(print);
+    if (!entry) {
+      return 'clear';
+    }
+    const verdict = verdictOf(entry.suspicion);
+    return verdict === 'held' && this._holdEnded(entry) ? 'trial' : verdict;
+  }
+
+  /** Time since something was last learned of a kind, in milliseconds. */
+  quietMs(print: string): number {
+    return monotonicMs() - (this._entries.get(print)?.changedAt ?? -Infinity);
+  }
+
+  /** All kinds that something is held against, the gravest first. */
+  list(): Suspicion[] {
+    return [...this._entries.values()]
+      .map(({ suspicion }) => suspicion)
+      .filter((suspicion) => crashesOf(suspicion) > 0)
+      .sort((a, b) => crashesOf(b) - crashesOf(a));
+  }
+
+  /** Notes the end of a target; returns what others should know. */
+  crashed(crash: Crash, runs: readonly CrashedRun[]): Suspicion[] {
+    return this.merge(runs.map((run) => suspicionFrom(crash, run)));
+  }
+
+  /** Notes that a request of a known kind ran to its end; returns what others should know. */
+  completed(print: string): Suspicion[] {
+    const held = this._entries.has(print) && this._isHeld(print);
+    return this._change(print, (mark) => ({ ...mark, cleared: true, released: mark.released || held }));
+  }
+
+  /** Lets a kind run again; returns what others should know, nothing when it isn't known. */
+  release(print: string): Suspicion[] {
+    return this._change(print, (mark) => ({ ...mark, released: true }));
+  }
+
+  /** Takes what others know; returns what was new in it. */
+  merge(told: readonly Suspicion[]): Suspicion[] {
+    const changed: Suspicion[] = [];
+    for (const suspicion of told) {
+      const known = this._entries.get(suspicion.print)?.suspicion;
+      const marks = mergeMarks(known?.marks ?? [], suspicion.marks);
+      if (marks) {
+        changed.push(this._set({ ...(known ?? suspicion), marks }));
+      }
+    }
+    this._forgetSome();
+    return changed;
+  }
+
+  /** Forgets what is old; called now and then. */
+  prune(): void {
+    const before = monotonicMs() - kForgetMs;
+    for (const [print, { changedAt }] of this._entries) {
+      if (changedAt < before && !this._isHeld(print)) {
+        this._delete(print);
+      }
+    }
+  }
+
+  private _change(print: string, change: (mark: CrashMark) => CrashMark): Suspicion[] {
+    const known = this._entries.get(print)?.suspicion;
+    return known ? this.merge([{ ...known, marks: known.marks.map(change) }]) : [];
+  }
+
+  private _isHeld(print: string): boolean {
+    const entry = this._entries.get(print);
+    return entry !== undefined && verdictOf(entry.suspicion) === 'held';
+  }
+
+  private _holdEnded({ suspicion, changedAt }: Entry): boolean {
+    const further = crashesOf(suspicion) - kMaxCrashes;
+    return further < kMaxFurtherCrashes && monotonicMs() - changedAt > kFirstHoldMs * 2 ** Math.max(0, further);
+  }
+
+  private _set(suspicion: Suspicion): Suspicion {
+    const { print, screen } = suspicion;
+    if (!this._entries.delete(print)) {
+      this._screens.set(screen, (this._screens.get(screen) ?? 0) + 1);
+    }
+    // Set anew, so that the order is that of the latest changes.
+    this._entries.set(print, { suspicion, changedAt: monotonicMs() });
+    return suspicion;
+  }
+
+  private _delete(print: string): void {
+    const screen = this._entries.get(print)?.suspicion.screen;
+    if (screen === undefined) {
+      return;
+    }
+    this._entries.delete(print);
+    const left = (this._screens.get(screen) ?? 0) - 1;
+    if (left > 0) {
+      this._screens.set(screen, left);
+    } else {
+      this._screens.delete(screen);
+    }
+  }
+
+  /** Keeps the table small: what least is held against goes first, and of that the oldest. */
+  private _forgetSome(): void {
+    const surplus = this._entries.size - kMaxKinds;
+    if (surplus <= 0) {
+      return;
+    }
+    const oldestFirst = [...this._entries.values()].map(({ suspicion }) => suspicion);
+    oldestFirst
+      .sort((a, b) => crashesOf(a) - crashesOf(b))
+      .slice(0, surplus)
+      .forEach(({ print }) => {
+        this._delete(print);
+      });
+  }
+}
+
+function suspicionFrom({ id, at }: Crash, { identity, route, tested }: CrashedRun): Suspicion {
+  return {
+    print: printOf(identity),
+    screen: screenOf(identity),
+    route,
+    marks: [{ crash: id, at, tested, cleared: false, released: false }],
+  };
+}
--- /dev/null
+++ b/packages/core/src/quarantine/trialTarget.ts
@@ -0,0 +1,42 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Where, and when, one kind of request is tried. */
+
+import type { TargetRecord } from '../membership/targetRecord.js';
+import { hashText } from '../util/hashText.js';
+
+/** Time after which a kind is tried also where few targets are left, in milliseconds: those that are down may be so for good. */
+const kRecoverMs = 5_000;
+
+/** Targets of a service, as one daemon knows them. */
+export interface ServiceTargets {
+  ready: number;
+  unreachable: number;
+}
+
+/**
+ * Whether a trial may cost a service one more target: half of them should be left then. Two kinds that each end three targets within
+ * a tenth of a second leave nothing of a service with six.
+ *
+ * @param quietMs time since something was last learned of the kind, in milliseconds
+ */
+export function sparesTarget({ ready, unreachable }: ServiceTargets, quietMs: number): boolean {
+  return unreachable === 0 || (ready - 1) * 2 >= ready + unreachable || quietMs > kRecoverMs;
+}
+
+/** The target where all daemons try a kind: the same for all that know the same targets, without a message; another kind has another one, so that suspects are spread. */
+export function trialTarget(print: string, candidates: readonly TargetRecord[], excluded: ReadonlySet<string>): TargetRecord | undefined {
+  let best: TargetRecord | undefined;
+  let most = -1;
+  for (const candidate of candidates) {
+    const weight = hashText(`${print} ${candidate.host}`);
+    if (weight > most && !excluded.has(candidate.host)) {
+      best = candidate;
+      most = weight;
+    }
+  }
+  return best;
+}
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -20,11 +20,17 @@
   type RouteEnd,
   isVain,
   routeRequest,
+  sparesTarget,
+  type Suspicion,
   type TargetRecord,
+  trialTarget,
+  type Verdict,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
 import type { PeerCall } from '../../client/callCodec.js';
 import type { Deadlines, Due } from './deadlines.js';
+import { identityOf } from './requestIdentity.js';
+import type { Suspects } from './suspects.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
 
 /** Time that an answer needs on its way back, in milliseconds; an offer with less left is not made. */
@@ -34,14 +40,20 @@
 /** The same for a call of a target: refused, it would cost the work above it, so it may wait longer. */
 const kInnerWaitShare = 0.5;
 
+/** Share of the time that is left for which a suspect may wait at a gate. */
+const kSuspectWaitShare = 0.5;
+
 const kNoOffers: readonly FailedOffer[] = [];
 
 /** What an exchange uses of its daemon. */
 export interface ExchangeDeps {
   candidates(service: string): readonly TargetRecord[];
+  /** Targets of a service that take no connections now. */
+  unreachable(service: string): number;
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
+  suspects: Pick<Suspects, 'any' | 'find' | 'verdict' | 'quietMs'>;
   deadlines: Deadlines;
   sent(target: TargetRecord, first: boolean): void;
   ended(host: string, route: string, end: PlacedEnd): void;
@@ -95,9 +107,10 @@
     private readonly _deps: ExchangeDeps,
     private readonly _done: (end: ExchangeEnd) => void,
   ) {
-    const { route, service } = _req;
-    this._procedure = routeRequest(route, {
-      choose: (excluded) => _deps.choose(_deps.candidates(service), excluded, route),
+    this._procedure = routeRequest(_req.route, {
+      choose: (excluded) => this._choose(excluded),
+      verdict: () => this._verdict(),
+      mayTry: () => this._mayTry(),
       remainingMs: () => this._remainingMs(),
       usefulMs: () => kUsefulMs,
     });
@@ -140,6 +153,33 @@
     this._handle?.cancel();
   }
 
+  /** What is known of the request's kind; nothing is asked while no target has ended. */
+  private get _suspicion(): Suspicion | undefined {
+    return this._deps.suspects.any ? this._deps.suspects.find(identityOf(this._req)) : undefined;
+  }
+
+  private _verdict(): Verdict {
+    const suspicion = this._suspicion;
+    return suspicion ? this._deps.suspects.verdict(suspicion.print) : 'clear';
+  }
+
+  private _mayTry(): boolean {
+    const { service } = this._req;
+    const targets = { ready: this._deps.candidates(service).length, unreachable: this._deps.unreachable(service) };
+    return sparesTarget(targets, this._deps.suspects.quietMs(this._suspicion?.print ?? ''));
+  }
+
+  /** A suspect goes where all daemons send its kind, so that its copies meet at one gate. */
+  private _choose(excluded: ReadonlySet<string>): TargetRecord | undefined {
+    const { route, service } = this._req;
+    const candidates = this._deps.candidates(service);
+    const suspicion = this._suspicion;
+    if (suspicion && this._deps.suspects.verdict(suspicion.print) !== 'clear') {
+      return trialTarget(suspicion.print, candidates, excluded);
+    }
+    return this._deps.choose(candidates, excluded, route);
+  }
+
   private _remainingMs(): number {
     return this._req.deadline - monotonicMs();
   }
@@ -156,13 +196,14 @@
     this._make(step.value);
   }
 
-  private _make({ target, repeat }: Offer): void {
+  private _make(offer: Offer): void {
+    const { target } = offer;
     const sentAt = monotonicMs();
     this._offers++;
     this._target = target.host;
     this._deps.sent(target, this._offers === 1);
     const progress = { settled: false };
-    const handle = this._deps.offer(target, this._callFor(target, repeat), (end, report) => {
+    const handle = this._deps.offer(target, this._callFor(offer), (end, report) => {
       progress.settled = true;
       this._note(target, end, report, monotonicMs() - sentAt);
       if (!this._ended) {
@@ -204,14 +245,17 @@
     this._failed.push({ host, end: text, ms: Math.round(tookMs), inFlight, queued, limit });
   }
 
-  private _callFor(target: TargetRecord, repeat: boolean): PeerCall {
+  private _callFor({ target, repeat, suspect }: Offer): PeerCall {
     const { route, callerService, requestId, method, path, headers, body, rank, workspace } = this._req;
     const remainingMs = Math.max(1, this._remainingMs());
     const inner = !workspace && this._deps.chains.inner(route.name) === true;
     return {
       route: route.name,
       service: target.service,
-      waitMs: Math.max(0, route.latencyTargetMs * (inner ? kInnerWaitShare : kWaitShare) - this.ageMs),
+      // A suspect waits for the others of its kind: late is better than not at all.
+      waitMs: suspect
+        ? remainingMs * kSuspectWaitShare
+        : Math.max(0, route.latencyTargetMs * (inner ? kInnerWaitShare : kWaitShare) - this.ageMs),
       remainingMs: Math.floor(remainingMs),
       repeat,
       inner,
@@ -219,6 +263,7 @@
       rank: inner ? undefined : rank,
       instance: target.instance,
       callerService,
+      suspicion: suspect ? this._suspicion : undefined,
       requestId,
       method,
       path,
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -15,7 +15,9 @@
   type GateReport,
   type ChainModel,
   monotonicMs,
+  hashText,
   printOf,
+  wallMs,
   type CallEnd,
   type ReachEvidence,
   type RepeatBound,
@@ -26,6 +28,7 @@
   isSameIncarnation,
   isWantOfRoom,
   type NotRunReason,
+  SuspectLane,
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
@@ -33,6 +36,7 @@
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { identityOf } from './requestIdentity.js';
+import type { Suspects } from './suspects.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
 /** How often calls that waited too long are looked for, in milliseconds: a tenth of the tightest latency targets seen. */
@@ -68,12 +72,15 @@
   /** Called after each change of the target's state. */
   onChange(): void;
   chains: ChainModel;
+  suspects: Suspects;
   metrics: MeshMetrics;
   events: EventLog;
 }
 
 interface Waiting extends GatedCall {
   call: PeerCall;
+  /** Name of its kind while that is suspected; empty otherwise. */
+  print: string;
   expiresAt: number;
   /** Until when the key of its workspace may be relied on. */
   validUntil: number;
@@ -86,6 +93,8 @@
 export class TargetGate {
   private readonly _gate: SlotGate<Waiting>;
   private readonly _budget: RepeatBudget;
+  private readonly _lane: SuspectLane<Waiting>;
+  private readonly _running = new Map<PeerCall, Waiting>();
   private _client: TargetClient | undefined;
   private readonly _life: TargetLife;
   private _reach = new TargetReach();
@@ -103,6 +112,7 @@
   constructor(private readonly _deps: TargetGateDeps) {
     this._life = new TargetLife(_deps.address);
     this._budget = new RepeatBudget(_deps.bound);
+    this._lane = new SuspectLane((print) => _deps.suspects.verdict(print));
     this._gate = new SlotGate<Waiting>(
       {
         onStart: (waiting) => {
@@ -143,7 +153,7 @@
 
   /** Calls that run or wait. */
   get pending(): number {
-    return this._gate.inFlight + this._gate.queued;
+    return this._gate.inFlight + this._gate.queued + this._lane.waiting.length;
   }
 
   /** Takes an announcement of the target; true when it changed anything. */
@@ -220,6 +230,7 @@
       waitUntil: now + Math.min(call.waitMs, call.remainingMs),
       rank: call.rank,
       call,
+      print: '',
       expiresAt: now + call.remainingMs,
       validUntil: now + (call.workspace?.validMs ?? Infinity),
       run: undefined,
@@ -227,12 +238,26 @@
       done,
     };
     this._deps.chains.arrived(call.route, call.callerService, call.workspace !== undefined);
-    const refusal = this._refusalAtOnce(call);
+    const refusal = this._refusalAtOnce(call) ?? this._suspectRefusal(waiting);
     if (refusal) {
       this._refuse(waiting, refusal);
       return { cancel: () => undefined };
     }
     this._level.came(call.waitMs);
+    if (waiting.print === '' || this._lane.enter(waiting)) {
+      this._letIn(waiting);
+    } else {
+      this._expireLater();
+    }
+    return {
+      cancel: () => {
+        this._cancel(waiting);
+      },
+    };
+  }
+
+  /** Hands a call to the gate, which starts it, lets it wait for a slot, or refuses it. */
+  private _letIn(waiting: Waiting): void {
     const decision = this._gate.offer(waiting);
     switch (decision.kind) {
       case 'started':
@@ -246,15 +271,62 @@
         this._expireLater();
         break;
     }
-    return {
-      cancel: () => {
-        this._cancel(waiting);
-      },
-    };
   }
 
-  private _refuse({ call, done }: Waiting, reason: GateRefusal): void {
+  private _refuse(waiting: Waiting, reason: GateRefusal): void {
+    const { call, done } = waiting;
     done(this._refusal(reason), this.report(call.route));
+    this._leaveLane(waiting);
+  }
+
+  /** Whether a call may not run because of what is known of its kind; one that may is named, and goes through the lane. */
+  private _suspectRefusal(waiting: Waiting): GateRefusal | undefined {
+    const { suspects } = this._deps;
+    const { suspicion } = waiting.call;
+    if (suspicion) {
+      suspects.learn(suspicion);
+    }
+    const known = suspects.any ? suspects.find(identityOf(waiting.call)) : undefined;
+    const verdict = known ? suspects.verdict(known.print) : 'clear';
+    if (!known || verdict === 'clear') {
+      return undefined;
+    }
+    if (verdict === 'held' || !suspicion) {
+      // Its ingress does not know, and so may have sent it to another target than the other daemons do.
+      suspects.remind(known);
+      return verdict === 'held' ? 'quarantined' : 'suspected';
+    }
+    waiting.print = known.print;
+    return undefined;
+  }
+
+  /** A suspect is over, and others may go on: those that wait for their kind, or all when it has been cleared. */
+  private _leaveLane(waiting: Waiting): void {
+    if (waiting.print === '') {
+      return;
+    }
+    for (const next of this._lane.leave(waiting)) {
+      if (this._deps.suspects.verdict(next.print) === 'held') {
+        this._refuse(next, 'quarantined');
+      } else {
+        this._letIn(next);
+      }
+    }
+  }
+
+  /** Refuses suspects that have waited for long enough. */
+  private _expireLane(): void {
+    const now = monotonicMs();
+    for (const waiting of this._lane.waiting.filter(({ waitUntil }) => waitUntil <= now)) {
+      this._refuse(waiting, 'suspected');
+    }
+  }
+
+  private _closeGate(reason?: GateRefusal): void {
+    this._gate.close(reason);
+    for (const waiting of this._lane.drain()) {
+      this._refuse(waiting, reason ?? 'not_accepting');
+    }
   }
 
   /** A call that could not be started for want of room is work beyond what the target can do. */
@@ -268,7 +340,8 @@
     this._expiryTimer ??= setTimeout(() => {
       this._expiryTimer = undefined;
       this._gate.expire();
-      if (this._gate.queued > 0) {
+      this._expireLane();
+      if (this._gate.queued + this._lane.waiting.length > 0) {
         this._expireLater();
       }
     }, kExpireMs);
@@ -306,7 +379,7 @@
   private _openOrClose(): void {
     const { state, instance, address, slots } = this._life.known;
     if (state !== 'ready' || this._held || this._stopping) {
-      this._gate.close();
+      this._closeGate();
       return;
     }
     const reach = this._reach;
@@ -321,7 +394,7 @@
     if (this._reach.reachable) {
       this._gate.open(slots, this._warmFrom);
     } else {
-      this._gate.close('unreachable');
+      this._closeGate('unreachable');
     }
   }
 
@@ -340,7 +413,7 @@
 
   /** A target that was to leave has ended as it said; one that was ready has crashed, with all that ran on it. */
   private _takeCrash(calls: readonly PeerCall[]): void {
-    const { instance, born, state } = this._life.known;
+    const { address, instance, born, state } = this._life.known;
     if (state !== 'ready') {
       return;
     }
@@ -351,6 +424,16 @@
       running: calls.length,
       requests: calls.slice(0, kNamedRequests).map((call) => ({ req: call.requestId, route: call.route, kind: printOf(identityOf(call)) })),
     });
+    const crash = { id: hashText(`${address} ${instance} ${born}`), at: wallMs() };
+    this._deps.suspects.crashed(
+      crash,
+      calls.map((call) => ({ identity: identityOf(call), route: call.route, tested: this._isOnTrial(call) })),
+    );
+  }
+
+  private _isOnTrial(call: PeerCall): boolean {
+    const waiting = this._running.get(call);
+    return waiting !== undefined && this._lane.isOnTrial(waiting);
   }
 
   private _start(waiting: Waiting): void {
@@ -370,12 +453,17 @@
       return;
     }
     this._deps.chains.ran(waiting.call.route);
+    this._running.set(waiting.call, waiting);
     waiting.run = client.run(waiting.call, remaining, (end) => {
       this._ended(waiting, end);
     });
   }
 
   private _ended(waiting: Waiting, { end, answered }: RunEnd): void {
+    this._running.delete(waiting.call);
+    if (answered && end.kind === 'answered') {
+      this._clear(waiting.call);
+    }
     const ran = answered && end.kind === 'answered' && end.answer.status < 400;
     const tookMs = monotonicMs() - waiting.startedAt;
     if (end.kind === 'not_run' && isWantOfRoom(end.reason)) {
@@ -385,11 +473,22 @@
     }
     this._gate.ended(waiting.id, ran ? tookMs : undefined);
     waiting.done(end, this.report(waiting.call.route));
+    this._leaveLane(waiting);
+  }
+
+  /** A request that ran to its end speaks for its kind: one that ends its targets never does. */
+  private _clear(call: PeerCall): void {
+    const { suspects } = this._deps;
+    const known = suspects.any ? suspects.find(identityOf(call)) : undefined;
+    if (known) {
+      suspects.completed(known.print);
+    }
   }
 
   private _cancel(waiting: Waiting): void {
-    if (this._gate.withdraw(waiting)) {
+    if (this._gate.withdraw(waiting) || this._lane.waiting.includes(waiting)) {
       waiting.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.report(waiting.call.route));
+      this._leaveLane(waiting);
     } else if (waiting.call.idempotent) {
       waiting.run?.abort();
     }
--- a/packages/mesh/src/app/eventLog.ts
+++ b/packages/mesh/src/app/eventLog.ts
@@ -12,7 +12,7 @@
 import { createLogger, format, type Logger as WinstonLogger, transports } from 'winston';
 
 /** Parts of the daemon, the fixed prefixes of its log lines. */
-export type EventPart = 'calls' | 'config' | 'gate' | 'log' | 'peers' | 'start' | 'stop' | 'target' | 'workspaces';
+export type EventPart = 'calls' | 'config' | 'gate' | 'log' | 'peers' | 'quarantine' | 'start' | 'stop' | 'target' | 'workspaces';
 
 /** Values that go with a line. */
 export type EventFields = Record<string, unknown>;
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -22,6 +22,7 @@
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
+import { Suspects } from './calls/suspects.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './calls/targetGate.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
@@ -66,6 +67,7 @@
   private readonly _records: HostRecords;
   private readonly _follower: LogFollower;
   private readonly _gate: TargetGate;
+  private readonly _suspects: Suspects;
   private readonly _workspaces: Workspaces;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
@@ -100,6 +102,15 @@
     this._follower = new LogFollower(this._followerDeps());
     this._workspaces = new Workspaces(this._workspacesDeps());
     this._records = new HostRecords(this._recordsDeps());
+    this._suspects = new Suspects({
+      broadcast: (suspects) => {
+        this._network.broadcast({ type: 'suspects', suspects });
+      },
+      sendSome: (count, suspects) => {
+        this._network.sendSome(count, { type: 'suspects', suspects });
+      },
+      events: _events,
+    });
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
@@ -112,6 +123,7 @@
         this._records.tell();
       },
       chains: this._chains,
+      suspects: this._suspects,
       metrics: this._metrics,
       events: _events,
     });
@@ -156,6 +168,7 @@
     });
     this._records.start();
     this._follower.start();
+    this._suspects.start();
     this._tickLater(kTickMs);
     this._learnedTimer = setInterval(() => {
       this._records.tellLearned();
@@ -211,6 +224,7 @@
     clearInterval(this._totalsTimer);
     clearInterval(this._learnedTimer);
     this._workspaces.close();
+    this._suspects.close();
     this._platform.configs.stop();
     this._platform.records.stop();
     this._network.close();
@@ -326,6 +340,10 @@
       onConfig: (cfg) => {
         this._configs.take(cfg, 'peer');
       },
+      onSuspects: (suspects) => {
+        this._suspects.take(suspects);
+      },
+      suspects: () => this._suspects.told,
       onTakenOver: (host) => {
         this._directory.presumeGone(host);
       },
@@ -361,10 +379,12 @@
       keysRequired: () => this._workspaces.required,
       stopping: () => this._stopping,
       chains: this._chains,
+      suspects: this._suspects,
       deadlines: this._deadlines,
       metrics: this._metrics,
       events: this._events,
       candidates: (service) => this._directory.ready(service),
+      unreachable: (service) => this._directory.unreachable(service),
       choose: (candidates, excluded, route) => this._placement.choose(candidates, excluded, route),
       offer: (target, call, done) => this._offer(target, call, done),
       sent: (target, first) => {
@@ -469,6 +489,7 @@
       logCalls: this._platform.logCalls(),
       reads: this._follower.reads,
       proofAge: this._workspaces.proofs.ageSeconds,
+      suspects: this._suspects.counts,
       quotas: { ...this._workspaces.quotas.counts, buckets: this._workspaces.quotas.buckets },
     };
   }
--- a/packages/mesh/src/client/callCodec.ts
+++ b/packages/mesh/src/client/callCodec.ts
@@ -5,7 +5,7 @@
 
 /** Calls and gates' reports in messages between daemons: arrays of fields, in which names that come again are short numbers. */
 
-import type { GateReport } from '@gentiandrum/core';
+import type { GateReport, Suspicion } from '@gentiandrum/core';
 import type { NameReader, NameWriter } from './sharedNames.js';
 
 /** Levels travel as whole thousandths. */
@@ -15,7 +15,7 @@
 /** In place of a rank: that the call has none. */
 const kNoRank = -1;
 /** Fields of a call before those of its workspace, with its type and id. */
-const kCallFields = 17;
+const kCallFields = 18;
 /** In place of a time: that there is no limit. */
 const kNoLimit = -1;
 
@@ -53,6 +53,8 @@
   callerService: string;
   /** Whose request it is; undefined for calls of targets, on exempt routes, and without workspaces. */
   workspace: CallWorkspace | undefined;
+  /** What is held against the call's kind, if its targets may have ended by it: the gate may not have heard of that yet. */
+  suspicion: Suspicion | undefined;
   /** The caller's own id of this attempt. */
   requestId: string;
   method: string;
@@ -80,6 +82,7 @@
     call.path,
     call.headers.map((text) => names.write(text)),
     call.body,
+    call.suspicion,
     ...workspaceFields(call.workspace, names),
   ];
 }
@@ -131,6 +134,7 @@
     path: fields[14] as string,
     headers: headersFrom(fields[15], names),
     body: fields[16] as Buffer,
+    suspicion: (fields[17] ?? undefined) as Suspicion | undefined,
     workspace: workspaceFrom(fields, names),
   };
 }
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -8,7 +8,7 @@
  * come again and again (routes, services, headers) travel as short numbers once both ends know them.
  */
 
-import type { GateReport, GrantEnd, NotRunReason, TargetRecord, WholeAnswer } from '@gentiandrum/core';
+import type { GateReport, GrantEnd, NotRunReason, Suspicion, TargetRecord, WholeAnswer } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { Packr, Unpackr } from 'msgpackr';
 import { callFields, callFrom, headersFrom, loadFields, loadFrom, type PeerCall } from './callCodec.js';
@@ -47,6 +47,8 @@
   | { type: 'token'; id: number; workspace: string; end: GrantEnd }
   /** Tokens of requests that have not run, by workspace. */
   | { type: 'tokens_back'; tokens: Readonly<Record<string, number>> }
+  /** Kinds of requests that targets may have ended by, with all that is known of each. */
+  | { type: 'suspects'; suspects: Suspicion[] }
   /** Last on a link: its sender stops, and takes no call with an id above this one. */
   | { type: 'goodbye'; taken: number }
   | { type: 'ping' }
@@ -79,6 +81,7 @@
   'token',
   'tokens_back',
   'goodbye',
+  'suspects',
 ] as const satisfies PeerMessage['type'][];
 
 const kLengthBytes = 4;
@@ -192,6 +195,8 @@
       return [type, message.tokens];
     case 'goodbye':
       return [type, message.taken];
+    case 'suspects':
+      return [type, message.suspects];
     case 'config_wanted':
     case 'ping':
     case 'pong':
@@ -232,17 +237,15 @@
         digests: fields[4] as Digests,
       };
     case 'proof_wanted':
-      return { type, id };
     case 'proof':
-      return { type, id, ageMs: fields[2] as number, version: fields[3] as number };
     case 'token_wanted':
-      return { type, id, workspace: names.read(fields[2]) };
     case 'token':
-      return { type, id, workspace: names.read(fields[2]), end: grantFrom(fields[3]) };
     case 'tokens_back':
-      return { type, tokens: fields[1] as Record<string, number> };
+      return workspaceMessageFrom(type, fields, names);
     case 'goodbye':
       return { type, taken: fields[1] as number };
+    case 'suspects':
+      return { type, suspects: fields[1] as Suspicion[] };
     case 'call':
       return { type, id, call: callFrom(fields, names) };
     case 'cancel':
@@ -275,3 +278,19 @@
       return { type };
   }
 }
+
+function workspaceMessageFrom(type: WorkspaceMessage['type'], fields: unknown[], names: NameReader): WorkspaceMessage {
+  const id = fields[1] as number;
+  switch (type) {
+    case 'proof_wanted':
+      return { type, id };
+    case 'proof':
+      return { type, id, ageMs: fields[2] as number, version: fields[3] as number };
+    case 'token_wanted':
+      return { type, id, workspace: names.read(fields[2]) };
+    case 'token':
+      return { type, id, workspace: names.read(fields[2]), end: grantFrom(fields[3]) };
+    case 'tokens_back':
+      return { type, tokens: fields[1] as Record<string, number> };
+  }
+}
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -9,7 +9,7 @@
 
 import { createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
-import { monotonicMs, RendezvousRank, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import { type CallEnd, monotonicMs, RendezvousRank, type Suspicion, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
@@ -43,6 +43,10 @@
   /** Another daemon has this version. */
   onVersion(version: number, link: PeerLink): void;
   onConfig(cfg: MeshConfig): void;
+  /** Another daemon knows of kinds that targets may have ended by. */
+  onSuspects(suspects: Suspicion[]): void;
+  /** Kinds that a daemon which was just linked should know of. */
+  suspects(): Suspicion[];
   /** Another host answers at the address of this one. */
   onTakenOver(host: string, by: string): void;
   /** A link to a host was opened or lost. */
@@ -205,6 +209,10 @@
     });
     this._all.add(link);
     link.send(this._events.hello());
+    const suspects = this._events.suspects();
+    if (suspects.length > 0) {
+      link.send({ type: 'suspects', suspects });
+    }
     return link;
   }
 
@@ -227,18 +235,14 @@
         this._calls.cancel(link, message.id);
         return;
       case 'answer':
-        this._calls.settle(link, message.id, { kind: 'answered', answer: message.answer }, message.load);
-        return;
       case 'not_run':
-        this._calls.settle(link, message.id, { kind: 'not_run', reason: message.reason, retryAfterMs: message.retryAfterMs }, message.load);
+      case 'lost':
+        this._calls.settle(link, message.id, callEndOf(message), message.load);
         return;
       case 'goodbye':
         this._calls.left(link, message.taken);
         link.close('the daemon there stopped');
         return;
-      case 'lost':
-        this._calls.settle(link, message.id, { kind: 'lost', reason: message.reason }, message.load);
-        return;
       case 'records':
         this._events.onRecords(message.records);
         return;
@@ -270,6 +274,9 @@
       case 'tokens_back':
         this._events.onWorkspaceMessage(message, link);
         return;
+      case 'suspects':
+        this._events.onSuspects(message.suspects);
+        return;
       case 'ping':
       case 'pong':
         return;
@@ -356,3 +363,14 @@
     this._kept = new Set(hosts.slice(0, count).map(({ host }) => host));
   }
 }
+
+function callEndOf(message: Extract<PeerMessage, { type: 'answer' | 'not_run' | 'lost' }>): CallEnd {
+  switch (message.type) {
+    case 'answer':
+      return { kind: 'answered', answer: message.answer };
+    case 'not_run':
+      return { kind: 'not_run', reason: message.reason, retryAfterMs: message.retryAfterMs };
+    case 'lost':
+      return { kind: 'lost', reason: message.reason };
+  }
+}
--- a/tests/admission/refusalLevel.spec.ts
+++ b/tests/admission/refusalLevel.spec.ts
@@ -17,6 +17,8 @@
   target_refused: false,
   wrong_instance: false,
   key_not_valid: false,
+  suspected: false,
+  quarantined: false,
   cancelled: false,
 };
 const kStepMs = 100;
--- a/tests/mesh/links.spec.ts
+++ b/tests/mesh/links.spec.ts
@@ -29,6 +29,7 @@
   path: '/',
   headers: [],
   body: Buffer.alloc(0),
+  suspicion: undefined,
   workspace: undefined,
 };
 const kTopic = 'keyed.gentiandrum-hosts';
--- a/tests/mesh/sharedNames.spec.ts
+++ b/tests/mesh/sharedNames.spec.ts
@@ -65,6 +65,7 @@
       path: '/a/x?page=2',
       headers: ['Host', 'app.example', 'User-Agent', 'field-client/1.9.3', 'Accept', '*/*', 'Accept-Encoding', 'identity'],
       rank: undefined,
+      suspicion: undefined,
       workspace: undefined,
       body: Buffer.alloc(0),
     },
--- a/tests/routing/deadTargets.spec.ts
+++ b/tests/routing/deadTargets.spec.ts
@@ -88,6 +88,8 @@
     const procedure = routeRequest(kRoute, {
       choose: (excluded) => placement.choose(this._directory.ready('s'), excluded, kRoute),
       remainingMs: () => 1_000,
+      verdict: () => 'clear',
+      mayTry: () => true,
       usefulMs: () => 5,
     });
     const advance = (step: ReturnType<typeof procedure.next>): void => {
--- a/tests/routing/routeRequest.spec.ts
+++ b/tests/routing/routeRequest.spec.ts
@@ -21,7 +21,13 @@
   const hosts = ['a', 'b', 'c', 'd', 'e'].map(record);
   const procedure = routeRequest(
     { idempotent, maxAttempts },
-    { choose: (excluded) => hosts.find(({ host }) => !excluded.has(host)), remainingMs: () => 1_000, usefulMs: () => 5 },
+    {
+      choose: (excluded) => hosts.find(({ host }) => !excluded.has(host)),
+      remainingMs: () => 1_000,
+      verdict: () => 'clear',
+      mayTry: () => true,
+      usefulMs: () => 5,
+    },
   );
   const offers: Offer[] = [];
   let step = procedure.next();
