One kind of request stays one, whichever host it comes in at

Callers send it at any host, and hosts of other services name another calling service, which was part of its identity: up to four kinds that each may end three targets. What a target is asked to do is the same, so it is left out; a caller's own copies that run to their end still clear the kind. Test: hosts of three other services.

--- a/packages/core/src/quarantine/requestPrint.ts
+++ b/packages/core/src/quarantine/requestPrint.ts
@@ -3,7 +3,10 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Tells whether two requests are of one kind: the same work, whoever sent them, and with whatever id, key or deadline. */
+/**
+ * Tells whether two requests are of one kind: the same work, whoever sent them, and with whatever id, key or deadline. The service that
+ * a call comes from is no part of it: one request that comes in at hosts of four services would be four kinds, and end targets for each.
+ */
 
 import { hashBytes, hashText } from '../util/hashText.js';
 
@@ -13,8 +16,6 @@
   host: string;
   /** Path with query. */
   path: string;
-  /** Service that the call comes from. */
-  callerService: string;
   body: Uint8Array;
 }
 
@@ -39,6 +40,6 @@
 }
 
 /** Joined so that no two identities give one text: the length stands for the body, and no other part holds the separator. */
-function headOf({ method, host, path, callerService, body }: RequestIdentity): string {
-  return [method, host.toLowerCase(), path, callerService, body.length].join(kSeparator);
+function headOf({ method, host, path, body }: RequestIdentity): string {
+  return [method, host.toLowerCase(), path, body.length].join(kSeparator);
 }
--- a/packages/mesh/src/app/calls/requestIdentity.ts
+++ b/packages/mesh/src/app/calls/requestIdentity.ts
@@ -14,8 +14,8 @@
 }
 
 /** What tells a request's kind. */
-export function identityOf({ method, path, callerService, body, headers }: IdentifiedRequest): RequestIdentity {
-  return { method, host: hostOf(headers), path, callerService, body };
+export function identityOf({ method, path, body, headers }: IdentifiedRequest): RequestIdentity {
+  return { method, host: hostOf(headers), path, body };
 }
 
 function hostOf(headers: readonly string[]): string {
--- a/tests/mesh/lethalRequests.spec.ts
+++ b/tests/mesh/lethalRequests.spec.ts
@@ -38,6 +38,8 @@
   /** Every so many milliseconds a target ends by itself. */
   endsEveryMs?: number;
   idempotent?: boolean;
+  /** Hosts of other services, where requests come in too. */
+  otherHosts?: number;
 }
 
 interface Tally {
@@ -49,7 +51,11 @@
   failures: Map<string, number>;
 }
 
-async function buildFleet(fleet: MeshFleet, idempotent: boolean): Promise<{ hosts: FleetHost[]; targets: CrashingTarget[] }> {
+async function buildFleet(
+  fleet: MeshFleet,
+  idempotent: boolean,
+  others: number,
+): Promise<{ hosts: FleetHost[]; targets: CrashingTarget[] }> {
   fleet.configure([
     { prefix: '/s/', service: 's', maxAttempts: 3 },
     { prefix: '/once/', service: 's', maxAttempts: 3, idempotent },
@@ -65,6 +71,9 @@
     targets.push(target);
     hosts.push(host);
   }
+  for (let i = 0; i < others; i++) {
+    hosts.push(await fleet.add(`o${i}`, `other-${i}`));
+  }
   await fleet.untilServing('/s/first');
   return { hosts, targets };
 }
@@ -78,8 +87,8 @@
 }
 
 /** Sends the load for a while; every answer is counted. */
-async function play(fleet: MeshFleet, { lethal = [], endsEveryMs, idempotent = true }: Load): Promise<Tally> {
-  const { hosts, targets } = await buildFleet(fleet, idempotent);
+async function play(fleet: MeshFleet, { lethal = [], endsEveryMs, idempotent = true, otherHosts = 0 }: Load): Promise<Tally> {
+  const { hosts, targets } = await buildFleet(fleet, idempotent, otherHosts);
   const tally: Tally = { innocent: 0, notServed: 0, lethal: 0, ends: 0, failures: new Map() };
   const calls: Promise<void>[] = [];
   const innocent = async (i: number): Promise<void> => {
@@ -147,6 +156,13 @@
     });
   });
 
+  itAlone('should end three at most when it comes in at hosts of several services', async (t) => {
+    await withFleet(async (fleet) => {
+      const lethal = [{ everyMs: 300, method: 'GET' as const, path: '/s/lethal' }];
+      check(t, await play(fleet, { lethal, otherHosts: 3 }), kMaxEnds);
+    });
+  });
+
   itAlone('should end three at most also beside another kind of such requests', async (t) => {
     await withFleet(async (fleet) => {
       const kinds = ['/s/lethal/a', '/s/lethal/b'];
