--- a/packages/core/src/quarantine/suspectTable.ts
+++ b/packages/core/src/quarantine/suspectTable.ts
@@ -10,7 +10,7 @@
 
 import { monotonicMs } from '../util/clock.js';
 import { printOf, type RequestIdentity, screenOf } from './requestPrint.js';
-import { type CrashMark, crashesOf, kMaxCrashes, mergeMarks, type Suspicion, type Verdict, verdictOf } from './suspicion.js';
+import { type CrashMark, crashesOf, isProved, kMaxCrashes, mergeMarks, type Suspicion, type Verdict, verdictOf } from './suspicion.js';
 
 /** Kinds that are known at once. */
 const kMaxKinds = 1_000;
@@ -18,6 +18,11 @@
 const kForgetMs = 60 * 60_000;
 /** Time after which a kind that is held back is tried once more, in milliseconds; doubles with each further end. */
 const kFirstHoldMs = 60 * 60_000;
+/**
+ * The same for a kind that has not been on trial, in milliseconds: copies of it ran on three targets that ended together, which a
+ * lookup that many share may have done too.
+ */
+const kUnprovedHoldMs = 30_000;
 /** Further ends that such trials may cost; after these only an operator lets the kind run. */
 const kMaxFurtherCrashes = 3;
 
@@ -136,6 +141,9 @@
   }
 
   private _holdEnded({ suspicion, changedAt }: Entry): boolean {
+    if (!isProved(suspicion)) {
+      return monotonicMs() - changedAt > kUnprovedHoldMs;
+    }
     const further = crashesOf(suspicion) - kMaxCrashes;
     return further < kMaxFurtherCrashes && monotonicMs() - changedAt > kFirstHoldMs * 2 ** Math.max(0, further);
   }
--- a/packages/mesh/src/app/calls/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -3,26 +3,24 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Kinds of requests that targets may have ended by, as this daemon knows them, and how daemons tell each other. */
-
-import {
-  type Crash,
-  type CrashedRun,
-  crashesOf,
-  type RequestIdentity,
-  type Suspicion,
-  SuspectTable,
-  type Verdict,
-  verdictOf,
-} from '@gentiandrum/core';
-import type { EventLog } from '../eventLog.js';
+/** The suspects as one daemon knows them, and how daemons tell each other: each change goes to all that are linked, and is passed on once. */
+
+import type { RequestIdentity } from './requestPrint.js';
+import { type Crash, type CrashedRun, SuspectTable } from './suspectTable.js';
+import { type Suspicion, type Verdict, verdictOf } from './suspicion.js';
 
 /** Daemons that one which hears of a change passes it on to: those that the first one doesn't reach hear of it from others. */
 const kSpread = 4;
 /** Kinds that a new link is told of at most, the gravest ones. */
 const kToldAtFirst = 100;
-/** Pause between two looks for what is old, in milliseconds. */
-const kPruneMs = 60_000;
+
+/** What an operator should be able to see. */
+export type SuspectEvent =
+  /** From now on the kind does not run. */
+  | { kind: 'held'; suspicion: Suspicion }
+  /** A request of the kind ran to its end here. */
+  | { kind: 'cleared'; print: string; before: Verdict }
+  | { kind: 'released'; print: string };
 
 /** What the suspects use of their daemon. */
 export interface SuspectsDeps {
@@ -30,32 +28,29 @@
   broadcast(suspects: Suspicion[]): void;
   /** Tells some of them. */
   sendSome(count: number, suspects: Suspicion[]): void;
-  events: EventLog;
+  note(event: SuspectEvent): void;
+}
+
+/** A kind that something is held against, with what follows from it. */
+export interface ListedSuspect extends Suspicion {
+  verdict: Verdict;
 }
 
 /** The suspects of one daemon. */
 export class Suspects {
   private readonly _table = new SuspectTable();
-  private _pruneTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _deps: SuspectsDeps) {}
 
-  /** Begins to forget what is old. */
-  start(): void {
-    this._pruneTimer = setInterval(() => {
-      this._table.prune();
-    }, kPruneMs);
-  }
-
-  /** Ends timers. */
-  close(): void {
-    clearInterval(this._pruneTimer);
+  /** Whether anything is known at all: without that no request needs a look. */
+  get any(): boolean {
+    return this._table.size > 0;
   }
 
-  /** Kinds that something is held against, and how many of them don't run. */
+  /** How many kinds are suspected, and how many of them don't run. */
   get counts(): { suspected: number; held: number } {
-    const suspects = this._table.list();
-    return { suspected: suspects.length, held: suspects.filter(({ print }) => this._table.verdict(print) === 'held').length };
+    const listed = this.list();
+    return { suspected: listed.length, held: listed.filter(({ verdict }) => verdict === 'held').length };
   }
 
   /** What a daemon that was just linked should know. */
@@ -63,8 +58,8 @@
     return this._table.list().slice(0, kToldAtFirst);
   }
 
-  /** Kinds that something is held against, with what follows from it. */
-  list(): (Suspicion & { verdict: Verdict })[] {
+  /** Kinds that something is held against, the gravest first. */
+  list(): ListedSuspect[] {
     return this._table.list().map((suspicion) => ({ ...suspicion, verdict: this._table.verdict(suspicion.print) }));
   }
 
@@ -73,11 +68,6 @@
     return this._table.find(identity);
   }
 
-  /** Whether anything is known at all: without that no request needs a look. */
-  get any(): boolean {
-    return this._table.size > 0;
-  }
-
   /** What follows for the next request of a kind. */
   verdict(print: string): Verdict {
     return this._table.verdict(print);
@@ -88,6 +78,11 @@
     return this._table.quietMs(print);
   }
 
+  /** Forgets what is old; called now and then. */
+  prune(): void {
+    this._table.prune();
+  }
+
   /** The target of this host ended while these ran. */
   crashed(crash: Crash, runs: readonly CrashedRun[]): void {
     this._tell(this._table.crashed(crash, runs));
@@ -98,16 +93,16 @@
     const before = this._table.verdict(print);
     const changed = this._table.completed(print);
     if (changed.length > 0) {
-      this._deps.events.notable('quarantine', 'A request of a suspected kind ran to its end.', { kind: print, before });
+      this._deps.note({ kind: 'cleared', print, before });
     }
     this._tell(changed);
   }
 
-  /** Lets a kind run again; false when nothing is known of it. */
+  /** Lets a kind run again; false when nothing is held against it. */
   release(print: string): boolean {
     const changed = this._table.release(print);
     if (changed.length > 0) {
-      this._deps.events.warn('quarantine', 'A kind of request was released by an operator.', { kind: print });
+      this._deps.note({ kind: 'released', print });
     }
     this._tell(changed);
     return changed.length > 0;
@@ -139,17 +134,10 @@
     }
   }
 
-  /** One line for each kind that is held back from now on. */
   private _note(changed: readonly Suspicion[]): void {
     for (const suspicion of changed) {
       if (verdictOf(suspicion) === 'held') {
-        const { print, route, marks } = suspicion;
-        this._deps.events.warn('quarantine', 'A kind of request is held back: targets ended by it.', {
-          kind: print,
-          route,
-          ends: crashesOf(suspicion),
-          crashes: marks.map(({ crash, at, tested }) => ({ crash, at: new Date(at).toISOString(), tested })),
-        });
+        this._deps.note({ kind: 'held', suspicion });
       }
     }
   }
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -59,12 +59,17 @@
   return marks.filter(counts).length;
 }
 
+/** Whether an end was seen while the kind was on trial: no other can have caused it but by chance. */
+export function isProved({ marks }: Pick<Suspicion, 'marks'>): boolean {
+  return marks.some((mark) => mark.tested && !mark.released);
+}
+
 /** What follows from a suspicion alone, however long ago. */
 export function verdictOf(suspicion: Pick<Suspicion, 'marks'>): Verdict {
   const { marks } = suspicion;
   const crashes = crashesOf(suspicion);
   const tested = marks.filter((mark) => mark.tested && !mark.released).length;
-  if (tested >= kProvedCrashes || (tested > 0 && crashes >= kMaxCrashes)) {
+  if (tested >= kProvedCrashes || crashes >= kMaxCrashes) {
     return 'held';
   }
   if (crashes >= kTrialCrashes) {
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -21,6 +21,7 @@
   isVain,
   routeRequest,
   sparesTarget,
+  type Suspects,
   type Suspicion,
   type TargetRecord,
   trialTarget,
@@ -30,7 +31,6 @@
 import type { PeerCall } from '../../client/callCodec.js';
 import type { Deadlines, Due } from './deadlines.js';
 import { identityOf } from './requestIdentity.js';
-import type { Suspects } from './suspects.js';
 import type { OfferDone, OfferHandle } from './targetGate.js';
 
 /** Time that an answer needs on its way back, in milliseconds; an offer with less left is not made. */
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -28,7 +28,9 @@
   isSameIncarnation,
   isWantOfRoom,
   type NotRunReason,
-  SuspectLane,
+  SuspectGate,
+  type SuspectCall,
+  type Suspects,
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
@@ -36,7 +38,6 @@
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { identityOf } from './requestIdentity.js';
-import type { Suspects } from './suspects.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
 /** How often calls that waited too long are looked for, in milliseconds: a tenth of the tightest latency targets seen. */
@@ -65,6 +66,8 @@
   maxConnections(service: string): number;
   /** Targets of the service, this one included. */
   targets(service: string): number;
+  /** Whether a kind of request to a service is tried on this host. */
+  isTrialTarget(print: string, service: string): boolean;
   /** Mean charge of calls on a route that begin on this host, in milliseconds. */
   chargeMs(route: string): number;
   /** Whether a key is still its workspace's, as far as this daemon knows. */
@@ -77,10 +80,8 @@
   events: EventLog;
 }
 
-interface Waiting extends GatedCall {
-  call: PeerCall;
-  /** Name of its kind while that is suspected; empty otherwise. */
-  print: string;
+interface Waiting extends GatedCall, SuspectCall {
+  readonly call: PeerCall;
   expiresAt: number;
   /** Until when the key of its workspace may be relied on. */
   validUntil: number;
@@ -93,7 +94,9 @@
 export class TargetGate {
   private readonly _gate: SlotGate<Waiting>;
   private readonly _budget: RepeatBudget;
-  private readonly _lane: SuspectLane<Waiting>;
+  private readonly _suspects: SuspectGate<Waiting>;
+  /** End that was counted last. */
+  private _lastCrash: number | undefined;
   private readonly _running = new Map<PeerCall, Waiting>();
   private _client: TargetClient | undefined;
   private readonly _life: TargetLife;
@@ -112,7 +115,15 @@
   constructor(private readonly _deps: TargetGateDeps) {
     this._life = new TargetLife(_deps.address);
     this._budget = new RepeatBudget(_deps.bound);
-    this._lane = new SuspectLane((print) => _deps.suspects.verdict(print));
+    this._suspects = new SuspectGate<Waiting>(_deps.suspects, {
+      onPass: (waiting) => {
+        this._letIn(waiting);
+      },
+      onRefuse: (waiting, reason) => {
+        this._refuse(waiting, reason);
+      },
+      isTrialTarget: (print) => _deps.isTrialTarget(print, this._life.known.service),
+    });
     this._gate = new SlotGate<Waiting>(
       {
         onStart: (waiting) => {
@@ -153,7 +164,7 @@
 
   /** Calls that run or wait. */
   get pending(): number {
-    return this._gate.inFlight + this._gate.queued + this._lane.waiting.length;
+    return this._gate.inFlight + this._gate.queued + this._suspects.waiting;
   }
 
   /** Takes an announcement of the target; true when it changed anything. */
@@ -230,7 +241,9 @@
       waitUntil: now + Math.min(call.waitMs, call.remainingMs),
       rank: call.rank,
       call,
-      print: '',
+      identity: () => identityOf(call),
+      route: call.route,
+      suspicion: call.suspicion,
       expiresAt: now + call.remainingMs,
       validUntil: now + (call.workspace?.validMs ?? Infinity),
       run: undefined,
@@ -238,17 +251,11 @@
       done,
     };
     this._deps.chains.arrived(call.route, call.callerService, call.workspace !== undefined);
-    const refusal = this._refusalAtOnce(call) ?? this._suspectRefusal(waiting);
+    const refusal = this._refusalAtOnce(call) ?? this._takeSuspect(waiting);
     if (refusal) {
       this._refuse(waiting, refusal);
       return { cancel: () => undefined };
     }
-    this._level.came(call.waitMs);
-    if (waiting.print === '' || this._lane.enter(waiting)) {
-      this._letIn(waiting);
-    } else {
-      this._expireLater();
-    }
     return {
       cancel: () => {
         this._cancel(waiting);
@@ -256,8 +263,24 @@
     };
   }
 
+  /** Lets a call through unless it has to wait for other suspects; returns why it is refused. */
+  private _takeSuspect(waiting: Waiting): GateRefusal | undefined {
+    const decision = this._suspects.offer(waiting);
+    switch (decision.kind) {
+      case 'pass':
+        this._letIn(waiting);
+        return undefined;
+      case 'wait':
+        this._expireLater();
+        return undefined;
+      case 'refused':
+        return decision.reason;
+    }
+  }
+
   /** Hands a call to the gate, which starts it, lets it wait for a slot, or refuses it. */
   private _letIn(waiting: Waiting): void {
+    this._level.came(waiting.call.waitMs);
     const decision = this._gate.offer(waiting);
     switch (decision.kind) {
       case 'started':
@@ -276,55 +299,12 @@
   private _refuse(waiting: Waiting, reason: GateRefusal): void {
     const { call, done } = waiting;
     done(this._refusal(reason), this.report(call.route));
-    this._leaveLane(waiting);
-  }
-
-  /** Whether a call may not run because of what is known of its kind; one that may is named, and goes through the lane. */
-  private _suspectRefusal(waiting: Waiting): GateRefusal | undefined {
-    const { suspects } = this._deps;
-    const { suspicion } = waiting.call;
-    if (suspicion) {
-      suspects.learn(suspicion);
-    }
-    const known = suspects.any ? suspects.find(identityOf(waiting.call)) : undefined;
-    const verdict = known ? suspects.verdict(known.print) : 'clear';
-    if (!known || verdict === 'clear') {
-      return undefined;
-    }
-    if (verdict === 'held' || !suspicion) {
-      // Its ingress does not know, and so may have sent it to another target than the other daemons do.
-      suspects.remind(known);
-      return verdict === 'held' ? 'quarantined' : 'suspected';
-    }
-    waiting.print = known.print;
-    return undefined;
-  }
-
-  /** A suspect is over, and others may go on: those that wait for their kind, or all when it has been cleared. */
-  private _leaveLane(waiting: Waiting): void {
-    if (waiting.print === '') {
-      return;
-    }
-    for (const next of this._lane.leave(waiting)) {
-      if (this._deps.suspects.verdict(next.print) === 'held') {
-        this._refuse(next, 'quarantined');
-      } else {
-        this._letIn(next);
-      }
-    }
-  }
-
-  /** Refuses suspects that have waited for long enough. */
-  private _expireLane(): void {
-    const now = monotonicMs();
-    for (const waiting of this._lane.waiting.filter(({ waitUntil }) => waitUntil <= now)) {
-      this._refuse(waiting, 'suspected');
-    }
+    this._suspects.leave(waiting);
   }
 
   private _closeGate(reason?: GateRefusal): void {
     this._gate.close(reason);
-    for (const waiting of this._lane.drain()) {
+    for (const waiting of this._suspects.drain()) {
       this._refuse(waiting, reason ?? 'not_accepting');
     }
   }
@@ -340,8 +320,8 @@
     this._expiryTimer ??= setTimeout(() => {
       this._expiryTimer = undefined;
       this._gate.expire();
-      this._expireLane();
-      if (this._gate.queued + this._lane.waiting.length > 0) {
+      this._suspects.expire(monotonicMs());
+      if (this._gate.queued + this._suspects.waiting > 0) {
         this._expireLater();
       }
     }, kExpireMs);
@@ -417,25 +397,23 @@
     if (state !== 'ready') {
       return;
     }
-    this._deps.metrics.targetCrashed();
+    const crash = { id: hashText(`${address} ${instance} ${born}`), at: wallMs() };
+    if (crash.id !== this._lastCrash) {
+      this._lastCrash = crash.id;
+      this._deps.metrics.targetCrashed();
+    }
     this._deps.events.warn('target', 'The target ended while requests ran on it.', {
       instance,
       born,
       running: calls.length,
       requests: calls.slice(0, kNamedRequests).map((call) => ({ req: call.requestId, route: call.route, kind: printOf(identityOf(call)) })),
     });
-    const crash = { id: hashText(`${address} ${instance} ${born}`), at: wallMs() };
-    this._deps.suspects.crashed(
+    this._suspects.crashed(
       crash,
-      calls.map((call) => ({ identity: identityOf(call), route: call.route, tested: this._isOnTrial(call) })),
+      calls.map((call) => ({ identity: identityOf(call), route: call.route, call: this._running.get(call) })),
     );
   }
 
-  private _isOnTrial(call: PeerCall): boolean {
-    const waiting = this._running.get(call);
-    return waiting !== undefined && this._lane.isOnTrial(waiting);
-  }
-
   private _start(waiting: Waiting): void {
     const now = monotonicMs();
     waiting.startedAt = now;
@@ -461,8 +439,9 @@
 
   private _ended(waiting: Waiting, { end, answered }: RunEnd): void {
     this._running.delete(waiting.call);
-    if (answered && end.kind === 'answered') {
-      this._clear(waiting.call);
+    // A failure may have come before the work that ends the target.
+    if (answered && end.kind === 'answered' && end.answer.status < 500) {
+      this._suspects.completed(waiting);
     }
     const ran = answered && end.kind === 'answered' && end.answer.status < 400;
     const tookMs = monotonicMs() - waiting.startedAt;
@@ -473,22 +452,13 @@
     }
     this._gate.ended(waiting.id, ran ? tookMs : undefined);
     waiting.done(end, this.report(waiting.call.route));
-    this._leaveLane(waiting);
-  }
-
-  /** A request that ran to its end speaks for its kind: one that ends its targets never does. */
-  private _clear(call: PeerCall): void {
-    const { suspects } = this._deps;
-    const known = suspects.any ? suspects.find(identityOf(call)) : undefined;
-    if (known) {
-      suspects.completed(known.print);
-    }
+    this._suspects.leave(waiting);
   }
 
   private _cancel(waiting: Waiting): void {
-    if (this._gate.withdraw(waiting) || this._lane.waiting.includes(waiting)) {
+    if (this._gate.withdraw(waiting) || this._suspects.withdraw(waiting)) {
       waiting.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.report(waiting.call.route));
-      this._leaveLane(waiting);
+      this._suspects.leave(waiting);
     } else if (waiting.call.idempotent) {
       waiting.run?.abort();
     }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -6,7 +6,16 @@
 /** One routing daemon: puts its parts together, starts them, and stops them in order. */
 
 import { setTimeout as pause } from 'node:timers/promises';
-import { type Announcement, ChainModel, monotonicMs, Placement, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import {
+  type Announcement,
+  ChainModel,
+  monotonicMs,
+  Placement,
+  Suspects,
+  TargetDirectory,
+  type TargetRecord,
+  trialTarget,
+} from '@gentiandrum/core';
 import type { MeshSettings } from '@gentiandrum/protocol';
 import type { PeerCall } from '../client/callCodec.js';
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
@@ -22,7 +31,7 @@
 import { type CallPlace, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
-import { Suspects } from './calls/suspects.js';
+import { logSuspectEvent } from './calls/suspectLines.js';
 import { type OfferDone, type OfferHandle, TargetGate } from './calls/targetGate.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
@@ -57,6 +66,8 @@
 /** Connections to a target until its service's limit is known. */
 const kAssumedConnections = 100;
 
+const kNoHosts: ReadonlySet<string> = new Set();
+
 /** One routing daemon. */
 export class MeshDaemon {
   private readonly _directory = new TargetDirectory();
@@ -109,7 +120,9 @@
       sendSome: (count, suspects) => {
         this._network.sendSome(count, { type: 'suspects', suspects });
       },
-      events: _events,
+      note: (event) => {
+        logSuspectEvent(_events, event);
+      },
     });
     this._gate = new TargetGate({
       names: dialect.headers,
@@ -117,6 +130,7 @@
       address: _settings.target.address,
       maxConnections: (service) => this._configs.maxConnections(service) ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
+      isTrialTarget: (print, service) => trialTarget(print, this._directory.ready(service), kNoHosts)?.host === _settings.id,
       chargeMs: (route) => this._placement.chargeMs(route),
       keyHolds: (workspace) => this._workspaces.keyHolds(workspace),
       onChange: () => {
@@ -168,10 +182,10 @@
     });
     this._records.start();
     this._follower.start();
-    this._suspects.start();
     this._tickLater(kTickMs);
     this._learnedTimer = setInterval(() => {
       this._records.tellLearned();
+      this._suspects.prune();
     }, kLearnedMs);
     this._totalsTimer = setInterval(() => {
       void this._logTotals();
@@ -224,7 +238,6 @@
     clearInterval(this._totalsTimer);
     clearInterval(this._learnedTimer);
     this._workspaces.close();
-    this._suspects.close();
     this._platform.configs.stop();
     this._platform.records.stop();
     this._network.close();
