A caller that leaves does not end the run: such runs count when the target ends

A lethal request whose caller had gone, or whose deadline had passed, was not among those that ran when its target ended, so nothing was held against its kind. Calls broken off or lost in the last second count now, also when the word of the end comes with a later connection; and a daemon that stood still reads the refusal before it concludes that there is none. Test: crashEvidence, "caller had left before".

--- a/packages/mesh/src/client/crashInquiry.ts
+++ b/packages/mesh/src/client/crashInquiry.ts
@@ -9,13 +9,27 @@
  * connection has come about or not; on the same host that takes a round trip.
  */
 
+import { monotonicMs } from '@gentiandrum/core';
 import type { PeerCall } from './callCodec.js';
 
 /** Longest wait for the next connection, in milliseconds; a target that is alive and busy may take as long to accept it. */
 const kLongestMs = 250;
+/**
+ * Time for which calls that were broken off, or lost in another way, still count as under way, in milliseconds: a caller that leaves
+ * does not end the run, and word of the target's end may come late.
+ */
+const kRecentMs = 1_000;
+/** Such calls that are kept at most. */
+const kMaxRecent = 200;
 /** Time for the other connections of an ended target to bring what was on its way, in milliseconds. */
 const kSettleMs = 5;
 
+/** A call that may still be running though nobody waits for it. */
+interface RecentCall {
+  call: PeerCall;
+  at: number;
+}
+
 /** A run whose connection was cut. */
 interface CutRun {
   call: PeerCall;
@@ -37,6 +51,7 @@
   private _cutRuns: CutRun[] = [];
   private _timer: NodeJS.Timeout | undefined;
   private _refused = false;
+  private _recent: RecentCall[] = [];
 
   constructor(private readonly _tools: InquiryTools) {}
 
@@ -47,7 +62,10 @@
       return;
     }
     this._timer = setTimeout(() => {
-      this._conclude(false);
+      // A process that stood still has the refusal in hand, and reads it before what is due next.
+      this._timer = setTimeout(() => {
+        this._conclude(false);
+      }, 0);
     }, kLongestMs);
     if (!this._tools.probe()) {
       this._conclude(false);
@@ -63,7 +81,11 @@
 
   /** The target refused a connection. */
   refused(): void {
-    if (!this._timer || this._refused) {
+    if (this._refused) {
+      return;
+    }
+    if (!this._timer) {
+      this._report([]);
       return;
     }
     this._refused = true;
@@ -74,6 +96,14 @@
     }, kSettleMs);
   }
 
+  /** A run was broken off from here, or brought no whole answer: the target may be at work on it. */
+  abandoned(call: PeerCall): void {
+    this._recent.push({ call, at: monotonicMs() });
+    if (this._recent.length > kMaxRecent) {
+      this._recent.shift();
+    }
+  }
+
   /** Nothing more will be known. */
   close(): void {
     this._conclude(this._refused);
@@ -85,11 +115,23 @@
     this._refused = false;
     const runs = this._cutRuns;
     this._cutRuns = [];
-    if (ended && runs.length > 0) {
-      this._tools.onCrash(runs.map(({ call }) => call));
+    if (ended) {
+      this._report(runs.map(({ call }) => call));
     }
-    for (const { tell } of runs) {
+    for (const { call, tell } of runs) {
+      if (!ended) {
+        this.abandoned(call);
+      }
       tell(ended);
     }
   }
+
+  private _report(calls: readonly PeerCall[]): void {
+    const since = monotonicMs() - kRecentMs;
+    const recent = this._recent.filter(({ at }) => at > since).map(({ call }) => call);
+    this._recent = [];
+    if (calls.length + recent.length > 0) {
+      this._tools.onCrash([...calls, ...recent]);
+    }
+  }
 }
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -99,6 +99,9 @@
         return;
       }
       const end = this._judge(call, outcome, run.aborted);
+      if (outcome.kind === 'broken') {
+        this._inquiry.abandoned(call);
+      }
       if (end.end.kind === 'lost') {
         // What is still to come on the connection can't be told apart.
         connection.close('no whole answer');
--- a/tests/mesh/crashEvidence.spec.ts
+++ b/tests/mesh/crashEvidence.spec.ts
@@ -46,6 +46,19 @@
     });
   });
 
+  itAlone('should be seen also when the caller had left before', async (t) => {
+    await withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/s/', service: 's' }]);
+      const host = await fleet.add('a', 's');
+      await fleet.untilServing('/s/1');
+      host.target.workMs = kRunMs;
+      t.is((await fleet.call(host, '/s/2', { remainingMs: 100 })).status, 504);
+      host.target.close();
+      t.is((await fleet.call(host, '/s/3')).status, 503);
+      t.is(await crashes(fleet, host), 1);
+    });
+  });
+
   itAlone('should not be seen in a connection that ends without an answer', async (t) => {
     await withFleet(async (fleet) => {
       const { host, call } = await withCallUnderWay(fleet);
