Kinds that are held back outlast a start of all daemons; operators list and release them

After a loss of power everywhere nobody knew of a held kind, so it ended three more targets. The record of each host whose target ended by a held kind keeps it (8 at the most, 0.3 KB each) and so does the platform's log; a daemon that starts reads it there or hears it on its first link. `gentiandrum suspects` and `gentiandrum release KIND` ask any daemon (routing daemons: at their metrics address). Tests: refused at once, not run, with a time to come again; known after one and after all daemons started again; released everywhere, cleared by a success.

--- a/packages/cli/src/client/main.ts
+++ b/packages/cli/src/client/main.ts
@@ -9,6 +9,7 @@
 import { apply, type CommonOptions, diff, drain, get, history, validate } from './configCommands.js';
 import { CommandError, type ExitCode, kExit } from './output.js';
 import { explain, status } from './statusCommands.js';
+import { release, suspects } from './suspectCommands.js';
 
 const kDaemon = process.env.GENTIANDRUM_DAEMON ?? '127.0.0.1:7400';
 const kWaitSeconds = 10;
@@ -53,6 +54,14 @@
     .command('explain <request>', 'Print what was decided for a request, and why')
     .example('  gentiandrum explain host-1~lq3x~9')
     .action((request: string, options: CommonOptions) => explain(request, options));
+  cli
+    .command('suspects', 'Print kinds of requests that targets ended by, and which of them are held back')
+    .example('  gentiandrum suspects --daemon 10.1.0.8:9464')
+    .action((options: CommonOptions) => suspects(options));
+  cli
+    .command('release <kind>', 'Let a kind of request run again that is held back')
+    .example('  gentiandrum release 1k2x9ab-7qz03f')
+    .action((kind: string, options: CommonOptions) => release(kind, options));
   return runCommand(cli, argv);
 }
 
--- /dev/null
+++ b/packages/cli/src/client/suspectCommands.ts
@@ -0,0 +1,41 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Commands about kinds of requests that targets ended by. */
+
+import type { ListedSuspect } from '@gentiandrum/core';
+import { type CommonOptions, unwrap } from './configCommands.js';
+import { DaemonClient } from './daemonClient.js';
+import { printJson, printLine, printTable } from './output.js';
+
+/** Prints the kinds that something is held against. */
+export async function suspects(options: CommonOptions): Promise<void> {
+  const answer = unwrap(await new DaemonClient(options.daemon).get<{ suspects: ListedSuspect[] }>('/-/suspects'));
+  if (options.json === true) {
+    printJson(answer);
+    return;
+  }
+  printTable(
+    ['KIND', 'ROUTE', 'VERDICT', 'ENDS', 'LATEST'],
+    answer.suspects.map(({ print, route, verdict, marks }) => [
+      print,
+      route,
+      verdict,
+      String(marks.filter(({ released }) => !released).length),
+      new Date(Math.max(...marks.map(({ at }) => at))).toISOString(),
+    ]),
+  );
+}
+
+/** Lets a kind run again, on all daemons. */
+export async function release(kind: string, options: CommonOptions): Promise<void> {
+  const path = `/-/suspects/${encodeURIComponent(kind)}/release`;
+  const answer = unwrap(await new DaemonClient(options.daemon).post<{ released: string }>(path, {}));
+  if (options.json === true) {
+    printJson(answer);
+    return;
+  }
+  printLine(`released ${answer.released}`);
+}
--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -6,6 +6,7 @@
 /** What daemons tell each other, and the log, of the target on their host. */
 
 import type { LearnedChains } from '../admission/learnedChains.js';
+import type { Suspicion } from '../quarantine/suspicion.js';
 
 /** Life of a target by its own announcements: `gone` is final for its instance, `unknown` holds until the target has spoken. */
 export type TargetLifeState = 'ready' | 'draining' | 'gone' | 'unknown';
@@ -30,6 +31,8 @@
   slots: number;
   /** Kept here for the time after a restart; absent until enough was seen. */
   learned?: LearnedChains | undefined;
+  /** Kinds of requests that are held back since the target here ended by them: kept for a start of all daemons. */
+  suspects?: readonly Suspicion[] | undefined;
   /** Start of the daemon that wrote the record, in milliseconds of the wall clock. */
   epoch: number;
   /** Number of the change within the epoch. */
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -14,6 +14,9 @@
 /** Kinds that a new link is told of at most, the gravest ones. */
 const kToldAtFirst = 100;
 
+/** Kinds that the record of one host keeps at most, the gravest ones. */
+const kLasting = 8;
+
 /** What an operator should be able to see. */
 export type SuspectEvent =
   /** From now on the kind does not run. */
@@ -39,6 +42,8 @@
 /** The suspects of one daemon. */
 export class Suspects {
   private readonly _table = new SuspectTable();
+  /** Ends of this host's own targets. */
+  private readonly _ownCrashes = new Set<number>();
 
   constructor(private readonly _deps: SuspectsDeps) {}
 
@@ -58,6 +63,14 @@
     return this._table.list().slice(0, kToldAtFirst);
   }
 
+  /** Kinds that are held back since a target of this host ended by them: what its record keeps for a start of all daemons. */
+  get lasting(): Suspicion[] {
+    return this._table
+      .list()
+      .filter((suspicion) => verdictOf(suspicion) === 'held' && suspicion.marks.some(({ crash }) => this._ownCrashes.has(crash)))
+      .slice(0, kLasting);
+  }
+
   /** Kinds that something is held against, the gravest first. */
   list(): ListedSuspect[] {
     return this._table.list().map((suspicion) => ({ ...suspicion, verdict: this._table.verdict(suspicion.print) }));
@@ -83,8 +96,17 @@
     this._table.prune();
   }
 
+  /** Takes what an earlier daemon of this host wrote into its record. */
+  recall(lasting: readonly Suspicion[]): void {
+    for (const { crash } of lasting.flatMap(({ marks }) => marks)) {
+      this._ownCrashes.add(crash);
+    }
+    this.take(lasting);
+  }
+
   /** The target of this host ended while these ran. */
   crashed(crash: Crash, runs: readonly CrashedRun[]): void {
+    this._ownCrashes.add(crash.id);
     this._tell(this._table.crashed(crash, runs));
   }
 
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -21,6 +21,7 @@
 import { PeerNetwork, type PeerNetworkEvents } from '../client/peerNetwork.js';
 import type { Platform } from '../ports.js';
 import { CallServer, type CallServerDeps } from '../server/callServer.js';
+import { serveSuspects } from '../server/suspectControl.js';
 import { HostServer, type HostReply, type HostRequest } from '../server/hostServer.js';
 import { splitAddress } from './addresses.js';
 import { ConfigHolder } from './log/configHolder.js';
@@ -100,11 +101,7 @@
     const { dialect } = _platform;
     this._placement = new Placement(_settings.id, _settings.zone, Math.random);
     this._metrics = new MeshMetrics(_settings.zone, () => this._view());
-    this._metricsServer = new HostServer(async () => ({
-      status: 200,
-      contentType: 'text/plain; version=0.0.4',
-      body: await this._metrics.text(),
-    }));
+    this._metricsServer = new HostServer(async (req) => serveSuspects(req, this._suspects) ?? (await this._serveMetrics()));
     this._configs = new ConfigHolder((cfg) => {
       this._calls.configure(cfg);
       this._workspaces.inForce(cfg);
@@ -112,7 +109,6 @@
     }, _events);
     this._follower = new LogFollower(this._followerDeps());
     this._workspaces = new Workspaces(this._workspacesDeps());
-    this._records = new HostRecords(this._recordsDeps());
     this._suspects = new Suspects({
       broadcast: (suspects) => {
         this._network.broadcast({ type: 'suspects', suspects });
@@ -122,8 +118,13 @@
       },
       note: (event) => {
         logSuspectEvent(_events, event);
+        // Once what is being learned now is all there.
+        setImmediate(() => {
+          this._records.tellSuspects();
+        });
       },
     });
+    this._records = new HostRecords(this._recordsDeps());
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
@@ -294,6 +295,7 @@
       directory: this._directory,
       placement: this._placement,
       chains: this._chains,
+      suspects: this._suspects,
       log: this._platform.records,
       follower: () => this._follower,
       onReadAll: () => {
@@ -424,6 +426,10 @@
     return zone === this._settings.zone ? 'own_zone' : 'other_zone';
   }
 
+  private async _serveMetrics(): Promise<HostReply> {
+    return { status: 200, contentType: 'text/plain; version=0.0.4', body: await this._metrics.text() };
+  }
+
   private _serveReady(req: HostRequest): HostReply {
     if (req.path !== this._platform.dialect.readyPath) {
       return { status: 404 };
--- a/packages/mesh/src/app/records/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -10,6 +10,8 @@
   isSameIncarnation,
   type LearnedChains,
   type Placement,
+  type Suspects,
+  type Suspicion,
   type TargetDirectory,
   type TargetRecord,
 } from '@gentiandrum/core';
@@ -31,6 +33,7 @@
   directory: TargetDirectory;
   placement: Placement;
   chains: ChainModel;
+  suspects: Suspects;
   log: RecordLog;
   follower: () => LogFollower;
   /** Called when all records of the log were read. */
@@ -51,6 +54,7 @@
   /** Start of this host's previous daemon, on the wall clock; undefined when nobody knows of one. */
   private _predecessorAt: number | undefined;
   private _learned: LearnedChains | undefined;
+  private _suspects: Suspicion[] = [];
   private _published: Promise<boolean> = Promise.resolve(true);
   private _recallTimer: NodeJS.Timeout | undefined;
 
@@ -80,6 +84,7 @@
       state,
       slots,
       ...(this._learned ? { learned: this._learned } : {}),
+      ...(this._suspects.length > 0 ? { suspects: this._suspects } : {}),
       epoch: this._epoch,
       revision: this._revision,
     };
@@ -131,6 +136,16 @@
     }
   }
 
+  /** Makes known which kinds are held back since the target here ended by them, when the record says something else. */
+  tellSuspects(): void {
+    const { lasting } = this._deps.suspects;
+    const same = lasting.length === this._suspects.length && lasting.every((suspicion, i) => suspicion === this._suspects[i]);
+    if (!same) {
+      this._suspects = lasting;
+      this.tell();
+    }
+  }
+
   /** Takes records that another daemon passed on. */
   take(records: TargetRecord[]): void {
     for (const record of records) {
@@ -188,8 +203,11 @@
   }
 
   private _takeOther(record: TargetRecord): void {
-    const { directory, events } = this._deps;
+    const { directory, events, suspects } = this._deps;
     this._takeLearned(record);
+    if (record.suspects) {
+      suspects.take(record.suspects);
+    }
     const before = directory.get(record.host);
     if (!directory.learn(record)) {
       return;
@@ -222,6 +240,7 @@
     this._predecessorAt = Math.max(this._predecessorAt ?? 0, record.epoch);
     this._deps.gate().remember(record);
     this._takeLearned(record);
+    this._deps.suspects.recall(record.suspects ?? []);
     if (record.epoch > this._epoch) {
       this._epoch = record.epoch + 1;
       this.tell();
--- /dev/null
+++ b/tests/mesh/quarantineLasts.spec.ts
@@ -0,0 +1,136 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import type { ListedSuspect } from '@gentiandrum/core';
+import { request } from 'undici';
+import { CrashingTarget } from '../platform/crashingTarget.js';
+import { describe, itAlone } from '../support/describe.js';
+import { type FleetHost, type MeshFleet, withFleet } from './meshFleet.js';
+
+const kLethalPath = '/s/lethal';
+const kHosts = 4;
+
+/** Hosts whose targets end by one request until `mended` says otherwise. */
+async function buildFleet(fleet: MeshFleet, mended: () => boolean): Promise<CrashingTarget[]> {
+  fleet.configure([{ prefix: '/s/', service: 's', maxAttempts: 3 }]);
+  const targets: CrashingTarget[] = [];
+  for (let i = 0; i < kHosts; i++) {
+    const target = new CrashingTarget(`i-${i}`, 's', ({ path }) => path === kLethalPath && !mended());
+    await target.start();
+    const host = await fleet.add(`h${i}`, 's', { target: target.current, beat: false });
+    target.control = host.control;
+    await target.current.beat(host.control);
+    targets.push(target);
+  }
+  await fleet.untilServing('/s/first');
+  return targets;
+}
+
+function endsOf(targets: readonly CrashingTarget[]): number {
+  return targets.reduce((sum, { ends }) => sum + ends, 0);
+}
+
+function anyHost(fleet: MeshFleet): FleetHost {
+  const [host] = fleet.hosts;
+  if (!host) {
+    throw new Error('expected a fleet with hosts, got none');
+  }
+  return host;
+}
+
+async function suspectsOf(host: FleetHost): Promise<ListedSuspect[]> {
+  const res = await request(`http://${host.metrics}/-/suspects`);
+  const { suspects } = (await res.body.json()) as { suspects: ListedSuspect[] };
+  return suspects;
+}
+
+/** Sends the request until it is held back everywhere. */
+async function untilHeld(fleet: MeshFleet): Promise<void> {
+  await fleet.until('the kind to be held back', async () => {
+    const { status, body } = await fleet.call(anyHost(fleet), kLethalPath);
+    return status === 503 && body.includes('quarantined');
+  });
+}
+
+describe('a kind of request that is held back', () => {
+  itAlone('should be refused at once as not run, with a time to come again', async (t) => {
+    await withFleet(async (fleet) => {
+      const targets = await buildFleet(fleet, () => false);
+      await untilHeld(fleet);
+      for (const host of fleet.hosts) {
+        const { status, headers, body } = await fleet.call(host, kLethalPath);
+        t.is(status, 503);
+        t.true(body.includes('not run: quarantined'));
+        t.true(Number(headers['retry-after']) >= 30);
+      }
+      t.is(endsOf(targets), 3);
+      targets.forEach((target) => {
+        target.close();
+      });
+    });
+  });
+
+  itAlone('should stay held back by a daemon that starts again, and by all of them', async (t) => {
+    await withFleet(async (fleet) => {
+      const targets = await buildFleet(fleet, () => false);
+      await untilHeld(fleet);
+      const one = anyHost(fleet);
+      fleet.kill(one);
+      const restarted = await fleet.restart(one);
+      await fleet.until('the daemon to know the kind again', async () => (await suspectsOf(restarted)).length === 1);
+
+      await fleet.until('the log to hold the kind', () =>
+        [...fleet.store.newest('keyed.gentiandrum-hosts').values()].some((text) => text.includes('suspects')),
+      );
+      const all = [...fleet.hosts];
+      all.forEach((host) => {
+        fleet.kill(host);
+      });
+      for (const host of all) {
+        await fleet.restart(host);
+      }
+      await Promise.all(targets.map(({ current, control }) => current.beat(control)));
+      await fleet.until('every daemon to know the kind again', async () => {
+        const known = await Promise.all(fleet.hosts.map((host) => suspectsOf(host)));
+        return known.every((suspects) => suspects.some(({ verdict }) => verdict === 'held'));
+      });
+      for (const host of fleet.hosts) {
+        await fleet.until('the daemon to serve', async () => (await fleet.call(host, '/s/good')).status === 200);
+        t.is((await fleet.call(host, kLethalPath)).status, 503);
+      }
+      t.is(endsOf(targets), 3);
+      targets.forEach((target) => {
+        target.close();
+      });
+    });
+  });
+
+  itAlone('should run again everywhere once an operator lets it, and be cleared by its first success', async (t) => {
+    await withFleet(async (fleet) => {
+      let mended = false;
+      const targets = await buildFleet(fleet, () => mended);
+      await untilHeld(fleet);
+      const [held] = await suspectsOf(anyHost(fleet));
+      t.is(held?.verdict, 'held');
+      t.is(held?.marks.length, 3);
+      mended = true;
+      await fleet.until('all targets to be back', () => fleet.hosts.every(({ daemon }) => daemon.record.state === 'ready'));
+      const path = `/-/suspects/${held?.print ?? ''}/release`;
+      const unknown = await request(`http://${anyHost(fleet).metrics}/-/suspects/none/release`, { method: 'POST' });
+      t.is(unknown.statusCode, 404);
+      await unknown.body.dump();
+      const released = await request(`http://${anyHost(fleet).metrics}${path}`, { method: 'POST' });
+      t.is(released.statusCode, 200);
+      await released.body.dump();
+      for (const host of fleet.hosts) {
+        await fleet.until('the kind to run again', async () => (await fleet.call(host, kLethalPath)).status === 200);
+        t.deepEqual(await suspectsOf(host), []);
+      }
+      targets.forEach((target) => {
+        target.close();
+      });
+    });
+  });
+});
