The daemon for callers with headers holds back calls that end their targets, too

A run whose connection was cut waits for one connection to its target; when that is refused, all that ran there is suspected. Not kept here over a loss of power of all daemons (the routing daemons keep it in their records).

--- a/bench/policy/layerPolicy.ts
+++ b/bench/policy/layerPolicy.ts
@@ -31,6 +31,7 @@
   type AdmitEnd,
   TargetPicker,
   type NamedClass,
+  Suspects,
 } from '@gentiandrum/core';
 import type { OfferTerms } from '@gentiandrum/protocol';
 import { kAllowance, kDeadlineMs } from './deployment.js';
@@ -358,6 +359,8 @@
       unreachable: ({ target }) => {
         this._suspect(knownGone, host, target);
       },
+      absent: () => 0,
+      suspects: new Suspects({ broadcast: () => undefined, sendSome: () => undefined, note: () => undefined }),
       picker: new TargetPicker(host.zone, 'one', this._world.random),
       rootFilter: new RootFilter(() => this._favour),
       ledger,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,7 @@
 export * from './procedures/served.js';
 export * from './procedures/settleCall.js';
 export * from './procedures/submitPatch.js';
+export * from './procedures/suspectChoice.js';
 export * from './procedures/takenOffers.js';
 export * from './quarantine/requestPrint.js';
 export * from './quarantine/suspectGate.js';
--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -15,6 +15,8 @@
 import type { KeySettler } from '../claims/keySettler.js';
 import type { NamedClass } from '../routing/classifier.js';
 import type { Candidate, Choice, TargetPicker } from '../routing/targetPicker.js';
+import type { Suspects } from '../quarantine/suspects.js';
+import type { Suspicion } from '../quarantine/suspicion.js';
 import type { Payload } from './effects.js';
 import type { Served } from './served.js';
 
@@ -76,6 +78,10 @@
   candidates: (service: string) => readonly Candidate[];
   /** Told that nothing answers at a candidate's daemon. */
   unreachable: (candidate: Candidate) => void;
+  /** Targets of a service that take no work now, and may again. */
+  absent: (service: string) => number;
+  /** Kinds of calls that targets may have ended by. */
+  suspects: Pick<Suspects, 'any' | 'find' | 'verdict' | 'quietMs' | 'learn'>;
   picker: TargetPicker;
   rootFilter: RootFilter;
   ledger: RetryLedger;
@@ -88,8 +94,18 @@
   decide: (decision: Decision) => void;
 }
 
+/** One attempt of a call as its offer tells it. */
+export interface OfferedAttempt {
+  attempt: string;
+  choice: Choice;
+  allowance: number;
+  now: number;
+  /** What is held against the call's kind. */
+  suspicion: Suspicion | undefined;
+}
+
 /** Terms of an offer for an attempt of a call. */
-export function offerTerms(call: Call, attempt: string, choice: Choice, allowance: number, now: number): OfferTerms {
+export function offerTerms(call: Call, { attempt, choice, allowance, now, suspicion }: OfferedAttempt): OfferTerms {
   const { chain, cls } = call;
   return {
     attempt,
@@ -109,6 +125,7 @@
     rootDaemon: chain.rootDaemon,
     rootAddress: chain.rootAddress,
     rootIncarnation: chain.rootIncarnation,
+    ...(suspicion ? { suspicion: { ...suspicion, marks: [...suspicion.marks] } } : {}),
   };
 }
 
--- a/packages/core/src/procedures/effects.ts
+++ b/packages/core/src/procedures/effects.ts
@@ -11,6 +11,7 @@
 import type { ClaimRecord, OfferTerms, PatchRecord } from '@gentiandrum/protocol';
 import type { LevelReport } from '../admission/levelReport.js';
 import type { ErrorKind } from '../errors/errorKind.js';
+import type { Suspicion } from '../quarantine/suspicion.js';
 import type { Candidate } from '../routing/targetPicker.js';
 import type { KeyBid, KeyVerdict } from '../claims/keySettler.js';
 import type { Answer, Served } from './served.js';
@@ -27,8 +28,17 @@
 /** How an offer to a gate ended. */
 export type OfferEnd =
   | { kind: 'answered'; answer: Answer; unspent: number; level: LevelReport; retriedBelow: boolean; load?: GateLoad }
-  | { kind: 'refused'; reason: ErrorKind; unspent: number; level: LevelReport; load?: GateLoad }
-  | { kind: 'failed'; reason: ErrorKind; unspent: number; level: LevelReport; retriedBelow: boolean; load?: GateLoad }
+  | { kind: 'refused'; reason: ErrorKind; unspent: number; level: LevelReport; load?: GateLoad; suspicion?: Suspicion }
+  | {
+      kind: 'failed';
+      reason: ErrorKind;
+      unspent: number;
+      level: LevelReport;
+      retriedBelow: boolean;
+      load?: GateLoad;
+      /** What the gate holds against the call's kind: whoever sends it on should know. */
+      suspicion?: Suspicion;
+    }
   /** Nothing was heard. `written` tells whether the gate may have taken it; `cause` is for the log. */
   | { kind: 'lost'; written: boolean; cause?: string };
 
--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -12,6 +12,7 @@
 import { monotonicMs } from '../util/clock.js';
 import { type Attempt, type AttemptState, proveOutcome } from './attempt.js';
 import { type Call, offerTerms, type ServeContext, type ServedCall } from './callContext.js';
+import { chooseForSuspect } from './suspectChoice.js';
 import { type CallEvent, type OfferEnd, perform, type Procedure } from './effects.js';
 import { type Answer, failedWith, type Served } from './served.js';
 
@@ -83,8 +84,15 @@
     run.lastReason = 'deadline_before_start';
     return false;
   }
+  const suspect = chooseForSuspect(call, ctx, run.tried, now);
+  if (suspect.kind === 'refused') {
+    // Also in the middle of a call: the next attempt would end one more target.
+    run.lastReason = suspect.reason;
+    run.note('refuse', suspect.reason);
+    return false;
+  }
   const candidates = ctx.candidates(call.cls.service);
-  const choice = ctx.picker.pick(candidates, run.tried, now);
+  const choice = suspect.kind === 'suspect' ? suspect.choice : ctx.picker.pick(candidates, run.tried, now);
   if (!choice) {
     run.level = candidates.length === 0 ? { level: 0, service: call.cls.service, absent: true } : run.level;
     return false;
@@ -97,7 +105,8 @@
   run.note(step, choice.reason, attempt);
   choice.stats.offered();
   attempt.state = { kind: 'offered' };
-  const terms = offerTerms(call, attempt.id, choice, attempt.lent, now);
+  const suspicion = suspect.kind === 'suspect' ? suspect.suspicion : undefined;
+  const terms = offerTerms(call, { attempt: attempt.id, choice, allowance: attempt.lent, now, suspicion });
   yield* perform('offer', { attempt: attempt.id, to: choice.candidate, terms, payload: call.payload });
   return true;
 }
@@ -181,6 +190,9 @@
     }
     return;
   }
+  if (end.kind !== 'answered' && end.suspicion) {
+    ctx.suspects.learn(end.suspicion);
+  }
   run.allowance += Math.min(end.unspent, attempt.lent);
   run.level = tighter(run.level, end.level);
   ctx.rootFilter.learnService(end.level.service, end.level.level, now);
@@ -189,6 +201,10 @@
   }
   if (end.kind === 'refused') {
     run.lastReason = end.reason;
+    if (end.reason === 'suspected') {
+      // The gate knew more than this daemon did: its kind may have to go to the same target.
+      run.tried.delete(candidate.target);
+    }
     if (end.reason === 'no_target') {
       ctx.picker.failed(candidate, ctx.candidates(call.cls.service), now);
     }
--- /dev/null
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -0,0 +1,46 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Where a call goes whose kind targets may have ended by. */
+
+import type { RequestIdentity } from '../quarantine/requestPrint.js';
+import type { Suspicion } from '../quarantine/suspicion.js';
+import { sparesTarget, trialTarget } from '../quarantine/trialTarget.js';
+import type { Choice } from '../routing/targetPicker.js';
+import type { Call, ServeContext } from './callContext.js';
+import type { Payload } from './effects.js';
+
+/** What follows for the next attempt of a call. */
+export type SuspectChoice =
+  /** Nothing is held against its kind. */
+  | { kind: 'free' }
+  /** It goes where all daemons try its kind; without a choice there is no such target. */
+  | { kind: 'suspect'; choice: Choice | undefined; suspicion: Suspicion }
+  | { kind: 'refused'; reason: 'suspected' | 'quarantined' };
+
+/** What tells the kind of a call. */
+export function identityOfCall(service: string, { method, path, body }: Payload): RequestIdentity {
+  return { method, host: service, path, body };
+}
+
+/** Decides on the next attempt of a call. */
+export function chooseForSuspect(call: Call, ctx: ServeContext, tried: ReadonlySet<string>, now: number): SuspectChoice {
+  const { service } = call.cls;
+  const suspicion = ctx.suspects.any ? ctx.suspects.find(identityOfCall(service, call.payload)) : undefined;
+  const verdict = suspicion ? ctx.suspects.verdict(suspicion.print) : 'clear';
+  if (!suspicion || verdict === 'clear') {
+    return { kind: 'free' };
+  }
+  if (verdict === 'held') {
+    return { kind: 'refused', reason: 'quarantined' };
+  }
+  const candidates = ctx.candidates(service).map((candidate) => ({ host: candidate.target, candidate }));
+  const targets = { ready: candidates.length, unreachable: ctx.absent(service) };
+  if (verdict === 'trial' && !sparesTarget(targets, ctx.suspects.quietMs(suspicion.print))) {
+    return { kind: 'refused', reason: 'suspected' };
+  }
+  const target = trialTarget(suspicion.print, candidates, tried);
+  return { kind: 'suspect', choice: target && ctx.picker.pick([target.candidate], new Set(), now), suspicion };
+}
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -33,7 +33,7 @@
   onPass(call: T): void;
   onRefuse(call: T, reason: SuspectRefusal): void;
   /** Whether this is the target where a kind is tried, as far as is known here. */
-  isTrialTarget(print: string): boolean;
+  isTrialTarget(print: string, call: T): boolean;
 }
 
 /** A run that its target did not survive. */
@@ -84,7 +84,7 @@
       this._known.remind(known);
       return { kind: 'refused', reason: verdict === 'held' ? 'quarantined' : 'suspected' };
     }
-    if (verdict === 'trial' && !this._events.isTrialTarget(known.print)) {
+    if (verdict === 'trial' && !this._events.isTrialTarget(known.print, call)) {
       // Its ingress knows fewer targets, or more; two trials at once could end two.
       return { kind: 'refused', reason: 'suspected' };
     }
--- a/packages/core/src/quarantine/trialTarget.ts
+++ b/packages/core/src/quarantine/trialTarget.ts
@@ -5,7 +5,6 @@
 
 /** Where, and when, one kind of request is tried. */
 
-import type { TargetRecord } from '../membership/targetRecord.js';
 import { hashText } from '../util/hashText.js';
 
 /** Time after which a kind is tried also where few targets are left, in milliseconds: those that are down may be so for good. */
@@ -28,8 +27,12 @@
 }
 
 /** The target where all daemons try a kind: the same for all that know the same targets, without a message; another kind has another one, so that suspects are spread. */
-export function trialTarget(print: string, candidates: readonly TargetRecord[], excluded: ReadonlySet<string>): TargetRecord | undefined {
-  let best: TargetRecord | undefined;
+export function trialTarget<T extends { host: string }>(
+  print: string,
+  candidates: readonly T[],
+  excluded: ReadonlySet<string>,
+): T | undefined {
+  let best: T | undefined;
   let most = -1;
   for (const candidate of candidates) {
     const weight = hashText(`${print} ${candidate.host}`);
--- a/packages/daemon/src/app/callService.ts
+++ b/packages/daemon/src/app/callService.ts
@@ -28,6 +28,7 @@
   type ServeContext,
   serveCall,
   type Served,
+  type Suspects,
   type TargetPicker,
   failedWith,
   answerOf,
@@ -68,6 +69,8 @@
   stopping: () => boolean;
   candidates: (service: string) => readonly Candidate[];
   unreachable: (candidate: Candidate) => void;
+  absent: (service: string) => number;
+  suspects: Suspects;
   addressOf: (daemon: string) => string | undefined;
   picker: TargetPicker;
   ledger: RetryLedger;
@@ -299,12 +302,14 @@
   }
 
   private _makeContext(): ServeContext {
-    const { daemon, stopping, candidates, unreachable, picker, ledger, claims, decisions } = this._deps;
+    const { daemon, stopping, candidates, unreachable, absent, suspects, picker, ledger, claims, decisions } = this._deps;
     return {
       daemon,
       stopping,
       candidates,
       unreachable,
+      absent,
+      suspects,
       picker,
       ledger,
       rootFilter: new RootFilter(() => this._cfg.overload.favour),
--- a/packages/daemon/src/app/callSession.ts
+++ b/packages/daemon/src/app/callSession.ts
@@ -151,16 +151,18 @@
   if (end.kind !== 'answered' || typeof header !== 'string') {
     return { kind: 'lost', written: true };
   }
-  const { unspent, level, retriedBelow, load, limit, kind, reason, status, headers } = offerVerdictSchema.parse(JSON.parse(header));
+  const { unspent, level, retriedBelow, load, limit, kind, reason, status, headers, suspicion } = offerVerdictSchema.parse(
+    JSON.parse(header),
+  );
   const common = { unspent, level, load: { load, limit } };
   const known = reason !== undefined && isErrorKind(reason) ? reason : 'target_failed';
   switch (kind) {
     case 'answered':
       return { kind, answer: { status: status ?? 502, headers: headers ?? {}, body: end.body }, retriedBelow, ...common };
     case 'refused':
-      return { kind, reason: known, ...common };
+      return { kind, reason: known, ...common, ...(suspicion ? { suspicion } : {}) };
     case 'failed':
-      return { kind, reason: known, retriedBelow, ...common };
+      return { kind, reason: known, retriedBelow, ...common, ...(suspicion ? { suspicion } : {}) };
     case 'lost':
       return { kind, written: true };
   }
@@ -183,8 +185,8 @@
         ...common,
       });
     case 'refused':
-      return JSON.stringify({ kind: 'refused', retriedBelow: false, reason: end.reason, ...common });
+      return JSON.stringify({ kind: 'refused', retriedBelow: false, reason: end.reason, suspicion: end.suspicion, ...common });
     case 'failed':
-      return JSON.stringify({ kind: 'failed', retriedBelow: end.retriedBelow, reason: end.reason, ...common });
+      return JSON.stringify({ kind: 'failed', retriedBelow: end.retriedBelow, reason: end.reason, suspicion: end.suspicion, ...common });
   }
 }
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -34,6 +34,8 @@
 import { Metrics } from './metrics.js';
 import { OfferService } from './offerService.js';
 import { OpenOffers } from './openOffers.js';
+import { SuspectOffers } from './suspectOffers.js';
+import { SuspectService } from './suspectService.js';
 import { ControlMeter } from './controlMeter.js';
 
 const kPeerConnections = 128;
@@ -57,6 +59,7 @@
   readonly config: ConfigService;
   readonly claims: ClaimService;
   readonly meter: ControlMeter;
+  readonly suspects: SuspectService;
   /** Offers of other daemons, by the connections that they came over. */
   readonly taken = new TakenOffers<Socket>();
   readonly incarnation: number;
@@ -87,6 +90,7 @@
       this._configure(cfg);
     });
     this.claims = new ClaimService(this._log, view, settings.limits);
+    this.suspects = new SuspectService(view, this._peers, this.logger);
     this.offers = new OfferService({
       incarnation: this.incarnation,
       maxBodyBytes: settings.limits.bodyBytes,
@@ -96,6 +100,15 @@
       tokens: this.tokens,
       decisions: this.decisions,
       target: () => this.target,
+      suspects: new SuspectOffers({
+        suspects: this.suspects.suspects,
+        logger: this.logger,
+        target: () => {
+          const announced = this.target.announcement;
+          return announced && { name: announced.target, url: announced.url };
+        },
+        targets: (service) => (this._candidates.get(service) ?? []).map(({ target }) => target),
+      }),
       favour: () => this.config.fold.config.overload.favour,
     });
     this.target = new LocalTarget(
@@ -124,6 +137,8 @@
       unreachable: ({ daemon }) => {
         this.members.doubt(daemon);
       },
+      absent: (service) => this._absent(service),
+      suspects: this.suspects.suspects,
       addressOf: (id) => this.members.view.get(id)?.address,
       picker: this._picker,
       ledger: this._ledger,
@@ -136,6 +151,10 @@
     };
   }
 
+  private _absent(service: string): number {
+    return this.members.view.all().filter((member) => member.service === service && member.targetState === 'absent').length;
+  }
+
   private _memberEvents(): MemberEvents {
     return {
       onNewerConfig: (from) => {
@@ -172,6 +191,7 @@
     });
     this.logger.info('start', `Started with configuration version ${version} from ${source}.`, { version, source });
     this.config.start();
+    void this.suspects.ask();
     this._timers = [
       setInterval(() => {
         this._tick();
@@ -297,6 +317,7 @@
 
   private _tick(): void {
     this.target.tick();
+    this.suspects.suspects.prune();
     const candidates = [...this._candidates.values()].flat();
     this._picker.retain(candidates);
     const inUse = candidates.map(({ address }) => `http://${address}`);
--- a/packages/daemon/src/app/logger.ts
+++ b/packages/daemon/src/app/logger.ts
@@ -8,7 +8,7 @@
 import { createLogger, format, type Logger as WinstonLogger, transports } from 'winston';
 
 /** Parts of the daemon, the fixed prefixes of its log lines. */
-export type LogPart = 'config' | 'gate' | 'http' | 'keys' | 'log' | 'members' | 'route' | 'start' | 'stop' | 'target';
+export type LogPart = 'config' | 'gate' | 'http' | 'keys' | 'log' | 'members' | 'quarantine' | 'route' | 'start' | 'stop' | 'target';
 /** Values that go with a line. */
 export type LogFields = Record<string, unknown>;
 
--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -20,6 +20,7 @@
   type RetryLedger,
   RootFilter,
   runProcedure,
+  type Suspicion,
   wallMs,
 } from '@gentiandrum/core';
 import { kChainHeader, kTimeoutHeader, type OfferTerms } from '@gentiandrum/protocol';
@@ -28,6 +29,7 @@
 import { type ChainTokens, withBaggage } from './chainToken.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { LocalTarget } from './localTarget.js';
+import type { SuspectOffers } from './suspectOffers.js';
 
 /** Attempts remembered, so that a second delivery of one is noticed. */
 const kSeenAttempts = 20_000;
@@ -46,6 +48,7 @@
   tokens: ChainTokens;
   decisions: DecisionLog;
   target: () => LocalTarget;
+  suspects: SuspectOffers;
   favour: () => 'goodput' | 'recovery';
 }
 
@@ -77,7 +80,7 @@
 
   /** Takes an offer through the gate. */
   async offer(terms: OfferTerms, payload: Payload): Promise<OfferEnd> {
-    const { target, ledger, decisions } = this._deps;
+    const { target, ledger, decisions, suspects } = this._deps;
     const local = target();
     const ctx = {
       gate: local.gate,
@@ -101,13 +104,23 @@
     this._bytes += size;
     this._terms.set(terms.attempt, terms);
     try {
-      return await runProcedure(gateCall(terms, payload, ctx), {
+      const refusal = await suspects.enter(terms, payload);
+      if (refusal) {
+        decisions.add({ request: terms.request, attempt: terms.attempt, step: 'gate', cls: terms.className, reason: refusal });
+        return withSuspicion(
+          { kind: 'refused', reason: refusal, unspent: terms.allowance, level: kAllOpen },
+          suspects.known(terms, payload),
+        );
+      }
+      const end = await runProcedure(gateCall(terms, payload, ctx), {
         admitted: ({ attempt }) => this._awaitAdmission(attempt),
         forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline),
       });
+      return withSuspicion(end, suspects.known(terms, payload));
     } finally {
       this._bytes -= size;
       this._terms.delete(terms.attempt);
+      suspects.leave(terms.attempt);
     }
   }
 
@@ -158,13 +171,14 @@
     }
     const remainingMs = deadline - monotonicMs();
     const headers = this._headersFor(terms, payload, remainingMs);
+    this._deps.suspects.started(attempt);
     const pool = this._deps.pools.to(announcement.url, announcement.connections);
     return new Promise((resolve) => {
       let asked: 'timeout' | 'cancelled' | undefined;
       const done = (end: ExchangeEnd): void => {
         clearTimeout(timer);
         this._forwarding.delete(attempt);
-        resolve(forwardEnd(end, asked));
+        void this._judged(attempt, end, asked).then(resolve);
       };
       const running = new HttpExchange(pool, { ...payload, headers }, this._deps.maxBodyBytes, done);
       const stop = (why: 'timeout' | 'cancelled'): void => {
@@ -180,6 +194,19 @@
     });
   }
 
+  /** The end of a run, once it is known what it says of the call's kind. */
+  private async _judged(attempt: string, end: ExchangeEnd, asked: 'timeout' | 'cancelled' | undefined): Promise<ForwardEnd> {
+    const { suspects } = this._deps;
+    // A failure may have come before the work that ends the target.
+    if (end.kind === 'answered' && end.status < 500) {
+      suspects.completed(attempt);
+    }
+    if (!asked && (end.kind === 'truncated' || (end.kind === 'lost' && end.written))) {
+      await suspects.cut();
+    }
+    return forwardEnd(end, asked);
+  }
+
   private _headersFor(terms: OfferTerms, payload: Payload, remainingMs: number): Record<string, string | string[]> {
     const token = this._deps.tokens.seal({
       entry: terms.attempt,
@@ -205,6 +232,11 @@
   }
 }
 
+/** Whoever sends the call on should know what is held against its kind, also before word of it has come. */
+function withSuspicion(end: OfferEnd, suspicion: Suspicion | undefined): OfferEnd {
+  return suspicion && (end.kind === 'failed' || end.kind === 'refused') ? { ...end, suspicion } : end;
+}
+
 function forwardEnd(end: ExchangeEnd, asked: 'timeout' | 'cancelled' | undefined): ForwardEnd {
   switch (end.kind) {
     case 'answered':
--- a/packages/daemon/src/app/peerCodec.ts
+++ b/packages/daemon/src/app/peerCodec.ts
@@ -6,8 +6,14 @@
 /** Between the core's records and the messages of the peer protocol. */
 
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
-import type { Member, MemberState, Served, TargetState } from '@gentiandrum/core';
-import { type Member as MemberMsg, MemberSchema, MemberState as StateMsg, TargetState as TargetMsg } from '@gentiandrum/protocol/peers';
+import type { Member, MemberState, Served, Suspicion, TargetState } from '@gentiandrum/core';
+import {
+  type Suspicion as SuspicionMsg,
+  type Member as MemberMsg,
+  MemberSchema,
+  MemberState as StateMsg,
+  TargetState as TargetMsg,
+} from '@gentiandrum/protocol/peers';
 
 const kStates: Record<MemberState, StateMsg> = {
   alive: StateMsg.ALIVE,
@@ -50,6 +56,16 @@
   };
 }
 
+/** Message → suspicion. */
+export function decodeSuspicion({ print, screen, route, marks }: SuspicionMsg): Suspicion {
+  return {
+    print,
+    screen,
+    route,
+    marks: marks.map(({ crash, at, tested, cleared, released }) => ({ crash, at, tested, cleared, released })),
+  };
+}
+
 /** Recorded end → its JSON part and its body. */
 export function encodeServed(served: Served): { served: string; body: Uint8Array } {
   if (served.kind === 'error') {
--- /dev/null
+++ b/packages/daemon/src/app/suspectService.ts
@@ -0,0 +1,74 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Kinds of calls that targets may have ended by: how this daemon tells others, asks them, and logs what becomes of them. */
+
+import { crashesOf, type MemberView, type SuspectEvent, Suspects, type Suspicion } from '@gentiandrum/core';
+import type { PeerClient } from '../client/peerClient.js';
+import type { Logger } from './logger.js';
+
+/** Daemons that are told at once, drawn anew each time; they pass it on, so a fleet of hundreds has heard within three rounds. */
+const kTold = 32;
+/** Daemons that one which starts asks. */
+const kAsked = 3;
+
+/** Suspects of one daemon, and the others. */
+export class SuspectService {
+  readonly suspects: Suspects;
+
+  constructor(
+    private readonly _view: MemberView,
+    private readonly _peers: PeerClient,
+    private readonly _logger: Logger,
+  ) {
+    this.suspects = new Suspects({
+      broadcast: (suspects) => {
+        void this._tell(kTold, suspects);
+      },
+      sendSome: (count, suspects) => {
+        void this._tell(count, suspects);
+      },
+      note: (event) => {
+        this._note(event);
+      },
+    });
+  }
+
+  /** Takes what another daemon tells; returns what is known here. */
+  heard(suspects: readonly Suspicion[]): Suspicion[] {
+    this.suspects.take(suspects);
+    return this.suspects.told;
+  }
+
+  /** Asks some daemons for what they know. */
+  async ask(): Promise<void> {
+    await this._tell(kAsked, []);
+  }
+
+  private async _tell(count: number, suspects: readonly Suspicion[]): Promise<void> {
+    const members = this._view.someAlive(count);
+    const answers = await Promise.all(members.map(({ address }) => this._peers.tellSuspects(address, suspects)));
+    for (const known of answers) {
+      this.suspects.take(known ?? []);
+    }
+  }
+
+  private _note(event: SuspectEvent): void {
+    switch (event.kind) {
+      case 'held': {
+        const { print, route } = event.suspicion;
+        const ends = crashesOf(event.suspicion);
+        this._logger.warn('quarantine', `A kind of call is held back: ${ends} targets ended by it.`, { kind: print, cls: route, ends });
+        return;
+      }
+      case 'cleared':
+        this._logger.info('quarantine', 'A call of a suspected kind ran to its end.', { kind: event.print, before: event.before });
+        return;
+      case 'released':
+        this._logger.warn('quarantine', 'A kind of call was released.', { kind: event.print });
+        return;
+    }
+  }
+}
--- a/packages/daemon/src/client/peerClient.ts
+++ b/packages/daemon/src/client/peerClient.ts
@@ -8,7 +8,7 @@
 import { create } from '@bufbuild/protobuf';
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
-import type { FetchEnd, KeyBid, KeyVerdict, Member, RelayEnd } from '@gentiandrum/core';
+import type { FetchEnd, KeyBid, KeyVerdict, Member, RelayEnd, Suspicion } from '@gentiandrum/core';
 import type { ClaimRecord } from '@gentiandrum/protocol';
 import {
   ClaimSchema,
@@ -18,7 +18,7 @@
   SettleKeyResponse_Verdict as Verdict,
 } from '@gentiandrum/protocol/peers';
 import { Agent } from 'node:http';
-import { decodeMember, decodeServed, encodeMember } from '../app/peerCodec.js';
+import { decodeMember, decodeServed, decodeSuspicion, encodeMember } from '../app/peerCodec.js';
 
 const kTimeoutMs = 500;
 const kClaimTimeoutMs = 2_000;
@@ -110,6 +110,13 @@
     }
   }
 
+  /** Tells of kinds that targets may have ended by; returns what the other daemon knows. */
+  async tellSuspects(address: string, suspects: readonly Suspicion[]): Promise<Suspicion[] | undefined> {
+    const told = suspects.map((suspicion) => ({ ...suspicion, marks: [...suspicion.marks] }));
+    const res = await quiet(this._to(address).tellSuspects({ suspects: told }, { timeoutMs: kTimeoutMs }));
+    return res?.suspects.map(decodeSuspicion);
+  }
+
   /** Ends all connections. */
   close(): void {
     this._agent.destroy();
--- a/packages/daemon/src/server/controlController.ts
+++ b/packages/daemon/src/server/controlController.ts
@@ -6,7 +6,7 @@
 /** Requests of operators and targets, below `/-/`. */
 
 import { Body, Controller, Get, Header, HttpCode, HttpException, Inject, Param, Post, Query } from '@nestjs/common';
-import { answerOf, type ErrorKind, kOpenLevel, type Member, type Submitted, wallMs } from '@gentiandrum/core';
+import { answerOf, type ErrorKind, kOpenLevel, type ListedSuspect, type Member, type Submitted, wallMs } from '@gentiandrum/core';
 import { announcementSchema, patchRequestSchema } from '@gentiandrum/protocol';
 import type { LoggedDecision } from '../app/decisionLog.js';
 import { Daemon } from '../app/daemon.js';
@@ -132,6 +132,22 @@
     return { request, decisions: this._daemon.decisions.of(request) };
   }
 
+  /** Kinds of calls that targets ended by. */
+  @Get('suspects')
+  suspects(): { suspects: ListedSuspect[] } {
+    return { suspects: this._daemon.suspects.suspects.list() };
+  }
+
+  /** Lets a kind run again. */
+  @Post('suspects/:print/release')
+  @HttpCode(200)
+  release(@Param('print') print: string): { released: string } {
+    if (!this._daemon.suspects.suspects.release(print)) {
+      throw problem('bad_request', `Expected a kind that something is held against, got "${print}".`);
+    }
+    return { released: print };
+  }
+
   /** A namespace for a caller's numbered idempotency keys. */
   @Post('namespaces')
   @HttpCode(200)
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -18,7 +18,7 @@
   SettleKeyResponseSchema,
 } from '@gentiandrum/protocol/peers';
 import type { Daemon } from '../app/daemon.js';
-import { decodeMember, encodeMember, encodeServed } from '../app/peerCodec.js';
+import { decodeMember, decodeSuspicion, encodeMember, encodeServed } from '../app/peerCodec.js';
 
 /** Registers the peer service. */
 export function peerRoutes(daemon: Daemon): (router: ConnectRouter) => void {
@@ -28,6 +28,10 @@
         const pong = daemon.members.pinged(from, Number(configVersion), changes.map(decodeMember));
         return { configVersion: BigInt(pong.configVersion), changes: pong.changes.map(encodeMember), openOffers: pong.openOffers };
       },
+      tellSuspects: ({ suspects }) => {
+        const known = daemon.suspects.heard(suspects.map(decodeSuspicion));
+        return { suspects: known.map((suspicion) => ({ ...suspicion, marks: [...suspicion.marks] })) };
+      },
       fetchMembers: () => ({ members: daemon.members.view.all().map(encodeMember) }),
       fetchConfig: ({ next }) => {
         const lacking = daemon.config.since(Number(next));
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -48,6 +48,14 @@
   patch: z.record(z.string(), z.unknown()),
 });
 
+/** What is held against a kind of request that targets may have ended by. */
+export const suspicionSchema = z.object({
+  print: z.string().min(1),
+  screen: z.number().min(0),
+  route: z.string(),
+  marks: z.array(z.object({ crash: z.number().min(0), at: z.number(), tested: z.boolean(), cleared: z.boolean(), released: z.boolean() })),
+});
+
 /** Terms of an offer from one daemon to another; travels in the offer header as JSON. */
 export const offerTermsSchema = z.object({
   attempt: z.string(),
@@ -68,6 +76,8 @@
   rootDaemon: z.string(),
   rootAddress: z.string(),
   rootIncarnation: z.number(),
+  /** What the sender holds against the call's kind; absent when nothing. */
+  suspicion: suspicionSchema.optional(),
 });
 
 /** An offer with the request's own head; travels in the offer header as JSON. */
@@ -92,6 +102,8 @@
   /** Whether the failure was already retried below. */
   retriedBelow: z.boolean(),
   /** Calls running and waiting at the gate, and its limit. */
+  /** What the gate holds against the call's kind. */
+  suspicion: suspicionSchema.optional(),
   load: z.number().min(0),
   limit: z.number().min(1),
   /** Status and headers of the target's answer; the body is the message's body. */
--- /dev/null
+++ b/tests/e2e/lethalCalls.spec.ts
@@ -0,0 +1,101 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/**
+ * Calls that end the targets they run on, over real processes. A lost attempt of an idempotent class was retried at the next target however
+ * it was lost, and nothing outlived the call: each one that came ended up to three targets. `mesh/lethalRequests` tells the same of the
+ * routing daemon.
+ */
+
+import test from 'ava';
+import { describe, itAlone } from '../support/describe.js';
+import { Fleet, type FleetHost, until } from '../support/fleet.js';
+import { kSampleConfig } from '../support/sampleConfig.js';
+
+const kTargets = ['b1', 'b2', 'b3', 'b4', 'b5'];
+const kDownMs = 1_000;
+const kLethalCalls = 20;
+const kEveryMs = 250;
+const kMaxEnds = 3;
+
+let fleet: Fleet;
+let ends = 0;
+let over = false;
+
+/** Starts a target again some time after it ended, as long as the fleet is there. */
+function revive(host: FleetHost): void {
+  host.target?.once('exit', (code) => {
+    if (code === 1) {
+      ends++;
+      setTimeout(() => {
+        if (over) {
+          return;
+        }
+        void fleet.startTarget(host, 'beta', { endsOn: 'lethal' }).then(() => {
+          revive(host);
+        });
+      }, kDownMs);
+    }
+  });
+}
+
+test.before(async () => {
+  fleet = await Fleet.start([
+    { id: 'a1', zone: 'east', service: 'alpha' },
+    ...kTargets.map((id, i) => ({ id, zone: i % 2 === 0 ? 'east' : 'west', service: 'beta', behaviour: { endsOn: 'lethal' } })),
+  ]);
+  await fleet.client(['apply', 'FILE', '--base', '0', '--wait'], kSampleConfig);
+  await fleet.untilTargets('beta', kTargets.length);
+  kTargets.forEach((id) => {
+    revive(fleet.host(id));
+  });
+});
+
+test.after.always(() => {
+  over = true;
+  fleet.stop();
+});
+
+async function call(host: string, path: string): Promise<{ status: number; kind: string | undefined; retryAfter: string | null }> {
+  const res = await fetch(`http://${fleet.host(host).address}${path}`);
+  const text = await res.text();
+  const problem = res.headers.get('content-type')?.includes('problem') === true;
+  return {
+    status: res.status,
+    kind: problem ? (JSON.parse(text) as { kind: string }).kind : undefined,
+    retryAfter: res.headers.get('retry-after'),
+  };
+}
+
+describe('a call that ends the targets it runs on', () => {
+  itAlone('should end three at most, then be refused as not run until an operator lets it run', async (t) => {
+    const hosts = [...fleet.hosts.keys()];
+    for (let i = 0; i < kLethalCalls; i++) {
+      await call(hosts[i % hosts.length] ?? 'a1', '/beta/lethal/1');
+      await new Promise((resolve) => setTimeout(resolve, kEveryMs));
+    }
+    t.true(ends <= kMaxEnds, `expected at most ${kMaxEnds} ends of targets, got ${ends}`);
+    for (const host of hosts) {
+      const { status, kind, retryAfter } = await call(host, '/beta/lethal/1');
+      t.deepEqual({ status, kind }, { status: 503, kind: 'quarantined' });
+      t.truthy(retryAfter);
+    }
+    await fleet.untilTargets('beta', kTargets.length);
+    t.is((await call('a1', '/beta/lookup/1')).status, 200);
+
+    const listed = await fleet.client(['suspects', '--json']);
+    const { suspects } = JSON.parse(listed.out) as { suspects: { print: string; verdict: string }[] };
+    t.is(suspects.length, 1);
+    const [held] = suspects;
+    t.is(held?.verdict, 'held');
+    t.is((await fleet.client(['release', 'none'])).code, 1);
+    await Promise.all(kTargets.map((id) => fleet.setBehaviour(id, { endsOn: '' })));
+    t.is((await fleet.client(['release', held?.print ?? ''])).code, 0);
+    await until('the call to run everywhere', async () => {
+      const answers = await Promise.all(hosts.map((host) => call(host, '/beta/lethal/1')));
+      return answers.every(({ status }) => status === 200);
+    });
+  });
+});
--- a/tests/matrix/matrixDaemon.ts
+++ b/tests/matrix/matrixDaemon.ts
@@ -22,6 +22,7 @@
   RootFilter,
   seededRandom,
   type ServeContext,
+  Suspects,
   TargetPicker,
 } from '@gentiandrum/core';
 import type { Journal } from './journal.js';
@@ -123,6 +124,8 @@
       stopping: () => this.stopping,
       candidates,
       unreachable: () => undefined,
+      absent: () => 0,
+      suspects: new Suspects({ broadcast: () => undefined, sendSome: () => undefined, note: () => undefined }),
       picker: new TargetPicker(id, 'one', seededRandom(1)),
       rootFilter: new RootFilter(() => 'goodput'),
       ledger: this.ledger,
--- a/tests/standins/targetStandin.ts
+++ b/tests/standins/targetStandin.ts
@@ -30,6 +30,8 @@
   truncate: number;
   /** Closes the connection without an answer, after the work, so many times. */
   drop: number;
+  /** A call whose path has this in it ends the process while it runs; none when empty. */
+  endsOn: string;
   /** Echoes the request's body instead of a short text. */
   echo: boolean;
 }
@@ -42,6 +44,8 @@
 }
 
 const kAnnounceMs = 500;
+/** Time for which a call that ends the process runs, in milliseconds. */
+const kFatalMs = 30;
 const kConnections = 1_000;
 
 /** A target. */
@@ -61,7 +65,18 @@
     private readonly _place: TargetPlace,
     behaviour: Partial<Behaviour> = {},
   ) {
-    const none = { workMs: 1, onward: [], slots: 50, accepting: true, failStatus: 500, failures: 0, truncate: 0, drop: 0, echo: false };
+    const none = {
+      workMs: 1,
+      onward: [],
+      slots: 50,
+      accepting: true,
+      failStatus: 500,
+      failures: 0,
+      truncate: 0,
+      drop: 0,
+      endsOn: '',
+      echo: false,
+    };
     this.behaviour = { ...none, ...behaviour };
     this._server = createServer((req, res) => {
       void this._serve(req, res).catch(() => res.destroy());
@@ -122,6 +137,11 @@
     const body = await readBody(req);
     const call = String(req.headers['x-call'] ?? 'none');
     this.runs.set(call, (this.runs.get(call) ?? 0) + 1);
+    const { endsOn } = this.behaviour;
+    if (endsOn !== '' && req.url?.includes(endsOn) === true) {
+      setTimeout(() => process.exit(1), kFatalMs);
+      return;
+    }
     const gone = (): boolean => res.closed && !res.writableEnded;
     await new Promise((resolve) => setTimeout(resolve, this.behaviour.workMs));
     for (const onward of this.behaviour.onward) {
