A key that was revoked while the host was suspended runs nothing

The steady clock does not count a suspension, so the proof that a configuration is fresh looked as young after ten seconds of it as before, and a revoked key went on for as long as the proof had left. Every look at a proof compares the two clocks first (0.2 us): a time of day that ran ahead of the steady clock by 50 ms voids all that was proved, asked for or read before, and a gate that wakes up lets no call with a key start until it has a proof of its own. A time of day set forward looks alike and costs a renewal.

--- a/packages/core/src/workspaces/freshness.ts
+++ b/packages/core/src/workspaces/freshness.ts
@@ -41,6 +41,8 @@
   /** A later one, of a version that is not in force here yet. */
   private _ahead: VersionProof | undefined;
   private _askedAt = -Infinity;
+  /** Nothing from up to then proves anything any more. */
+  private _notBefore = -Infinity;
   /** When each request was made, by its number, the oldest first; numbers begin at random, so that none is another life's. */
   private readonly _requests = new Map<number, number>();
   private _nextId: number;
@@ -65,6 +67,9 @@
 
   /** Takes a proof; `inForce` is the version in force here. */
   note(proof: VersionProof, inForce: number): void {
+    if (proof.at <= this._notBefore) {
+      return;
+    }
     if (proof.version <= inForce) {
       this._proof = later(this._proof, proof);
     } else {
@@ -72,6 +77,14 @@
     }
   }
 
+  /** The host was suspended: all that was proved, or asked for, is older than the steady clock says. */
+  suspended(now: number): void {
+    this._proof = undefined;
+    this._ahead = undefined;
+    this._requests.clear();
+    this._notBefore = now;
+  }
+
   /** The number of a new request. */
   request(now: number): number {
     const id = this._nextId++;
@@ -100,6 +113,11 @@
     }
   }
 
+  /** Whether nothing has been proved since a suspension. */
+  get waking(): boolean {
+    return this.strict && this._notBefore > -Infinity && this._proof === undefined;
+  }
+
   /** Age of the proof, in milliseconds; infinite without one. */
   ageMs(now: number): number {
     return this._proof === undefined ? Infinity : now - this._proof.at;
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -419,7 +419,8 @@
     waiting.startedAt = now;
     const remaining = waiting.expiresAt - now;
     const client = this._client;
-    if (now > waiting.validUntil) {
+    const { workspace } = waiting.call;
+    if (now > waiting.validUntil || (workspace && !this._deps.keyHolds(workspace))) {
       this._gate.ended(waiting.id);
       this._refuse(waiting, 'key_not_valid');
       return;
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -12,6 +12,7 @@
   monotonicMs,
   Placement,
   Suspects,
+  SuspensionWatch,
   TargetDirectory,
   type TargetRecord,
   trialTarget,
@@ -80,6 +81,7 @@
   private readonly _follower: LogFollower;
   private readonly _gate: TargetGate;
   private readonly _suspects: Suspects;
+  private readonly _suspensions = new SuspensionWatch();
   private readonly _workspaces: Workspaces;
   private readonly _network: PeerNetwork;
   private readonly _calls: CallServer;
@@ -271,6 +273,7 @@
       settings: this._settings,
       directory: this._directory,
       tables: () => this._configs.tables,
+      suspensions: this._suspensions,
       ownProof: () => this._platform.configs.proof,
       reads: () => this._follower.reads,
       readers: () => this._follower.readers,
@@ -508,6 +511,7 @@
       logCalls: this._platform.logCalls(),
       reads: this._follower.reads,
       proofAge: this._workspaces.proofs.ageSeconds,
+      suspensions: this._suspensions.count,
       suspects: this._suspects.counts,
       quotas: { ...this._workspaces.quotas.counts, buckets: this._workspaces.quotas.buckets },
     };
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -35,6 +35,8 @@
   omittedLines: number;
   /** Age of the proof that the configuration is fresh, in seconds; -1 without one. */
   proofAge: number;
+  /** Suspensions of the host since the start. */
+  suspensions: number;
   /** Kinds of requests that targets may have ended by, and how many of them are held back. */
   suspects: { suspected: number; held: number };
   /** Buckets of quotas held here, and what became of tokens since the start. */
@@ -140,8 +142,21 @@
   /** Everything as text. */
   async text(): Promise<string> {
     this._handOver();
-    const { gate, hosts, links, configVersion, configAge, inFlight, omittedLines, logCalls, reads, proofAge, suspects, quotas } =
-      this._view();
+    const {
+      gate,
+      hosts,
+      links,
+      configVersion,
+      configAge,
+      inFlight,
+      omittedLines,
+      logCalls,
+      reads,
+      proofAge,
+      suspensions,
+      suspects,
+      quotas,
+    } = this._view();
     const values: [string, number][] = [
       ['gate_in_flight', gate.inFlight],
       ['gate_queued', gate.queued],
@@ -155,6 +170,7 @@
       ['log_lines_omitted', omittedLines],
       ['reads_log', reads ? 1 : 0],
       ['proof_age_seconds', proofAge],
+      ['suspensions', suspensions],
       ['kinds_suspected', suspects.suspected],
       ['kinds_held_back', suspects.held],
       ['quota_buckets', quotas.buckets],
--- a/packages/mesh/src/app/workspaces/proofKeeper.ts
+++ b/packages/mesh/src/app/workspaces/proofKeeper.ts
@@ -5,7 +5,7 @@
 
 /** Keeps the proof of how fresh this daemon's configuration is: from its own reads of the log, and from other daemons. */
 
-import { Freshness, monotonicMs, type ProofReply, type VersionProof } from '@gentiandrum/core';
+import { Freshness, monotonicMs, type ProofReply, type SuspensionWatch, type VersionProof } from '@gentiandrum/core';
 import type { RevocationSettings } from '@gentiandrum/protocol';
 import type { PeerMessage } from '../../client/peerMessages.js';
 import type { EventLog } from '../eventLog.js';
@@ -31,6 +31,7 @@
   sendTo(host: string, message: PeerMessage): void;
   /** Sends to some linked daemons, drawn anew each time. */
   sendSome(count: number, message: PeerMessage): void;
+  suspensions: SuspensionWatch;
   events: EventLog;
 }
 
@@ -39,9 +40,11 @@
   private readonly _freshness: Freshness;
   private _turn = 0;
   private _stale = false;
+  private _suspensions: number;
 
   constructor(private readonly _deps: ProofKeeperDeps) {
     this._freshness = new Freshness(_deps.settings, Math.floor(Math.random() * kFirstIds));
+    this._suspensions = _deps.suspensions.count;
   }
 
   /** Age of the proof, in seconds; -1 without one. */
@@ -56,6 +59,12 @@
     return this._freshness.validUntil;
   }
 
+  /** Whether the host was suspended, and nothing has proved the configuration fresh since. */
+  get waking(): boolean {
+    this._noteOwn();
+    return this._freshness.waking;
+  }
+
   /** A version came into force. */
   inForce(version: number): void {
     this._freshness.inForce(version);
@@ -93,10 +102,23 @@
 
   /** Takes the answer of another daemon. */
   take(reply: ProofReply): void {
+    this._noteSuspension();
     this._freshness.noteReply(reply, this._deps.version());
   }
 
+  /** Before anything that relies on a proof: a request may be the first thing that the process sees on waking up. */
+  private _noteSuspension(): void {
+    const { suspensions, events } = this._deps;
+    const { count } = suspensions;
+    if (count !== this._suspensions) {
+      this._suspensions = count;
+      this._freshness.suspended(monotonicMs());
+      events.notable('workspaces', 'The host was suspended: keys need a new proof.', { ms: Math.round(suspensions.lastMs) });
+    }
+  }
+
   private _noteOwn(): void {
+    this._noteSuspension();
     const proof = this._deps.ownProof();
     if (proof) {
       this._freshness.note(proof, this._deps.version());
--- a/packages/mesh/src/app/workspaces/workspaces.ts
+++ b/packages/mesh/src/app/workspaces/workspaces.ts
@@ -6,7 +6,7 @@
 /** What one daemon does for workspaces beyond a single request: its proof of freshness, its parts of quotas, and messages about both. */
 
 import type { MeshConfig, MeshSettings } from '@gentiandrum/protocol';
-import type { RoutingTables, TargetDirectory, VersionProof } from '@gentiandrum/core';
+import type { RoutingTables, SuspensionWatch, TargetDirectory, VersionProof } from '@gentiandrum/core';
 import type { PeerLink } from '../../client/peerLink.js';
 import type { CallWorkspace } from '../../client/callCodec.js';
 import type { PeerMessage, WorkspaceMessage } from '../../client/peerMessages.js';
@@ -32,6 +32,7 @@
   sendOrDial(host: string, message: PeerMessage): void;
   /** Sends to some linked daemons, drawn anew each time. */
   sendSome(count: number, message: PeerMessage): void;
+  suspensions: SuspensionWatch;
   events: EventLog;
 }
 
@@ -83,8 +84,14 @@
     this.quotas.close();
   }
 
-  /** Whether a key is still its workspace's: a version that this daemon doesn't know may say so, an older one than its own doesn't count. */
+  /**
+   * Whether a key is still its workspace's: a version that this daemon doesn't know may say so, an older one than its own doesn't count.
+   * A call may have waited in a socket while this host was suspended: after that it needs a proof of this daemon's own.
+   */
   keyHolds({ name, keyHash, version }: CallWorkspace): boolean {
+    if (this.proofs.waking) {
+      return false;
+    }
     const tables = this._deps.tables();
     return tables === undefined || tables.version <= version || tables.workspaces.holds(name, keyHash);
   }
--- a/tests/workspaces/freshness.spec.ts
+++ b/tests/workspaces/freshness.spec.ts
@@ -229,3 +229,21 @@
     t.is(freshness.reply(9, 4_600), undefined);
   });
 });
+
+describe('a proof across a suspension', () => {
+  it('should be none: what was proved, asked for or read before has aged by more than the steady clock says', (t) => {
+    const freshness = new Freshness(kSettings, 1);
+    freshness.note({ at: 1_000, version: 1 }, 1);
+    const id = freshness.request(1_100);
+    t.false(freshness.waking);
+    freshness.suspended(1_200);
+    t.true(freshness.waking);
+    t.is(freshness.validUntil, -Infinity);
+    freshness.noteReply({ id, ageMs: 0, version: 1 }, 1);
+    freshness.note({ at: 1_150, version: 1 }, 1);
+    t.is(freshness.validUntil, -Infinity);
+    freshness.noteReply({ id: freshness.request(1_300), ageMs: 50, version: 1 }, 1);
+    t.is(freshness.validUntil, 1_250 + kWithinMs * 0.9);
+    t.false(freshness.waking);
+  });
+});
