--- a/packages/cli/src/client/suspectCommands.ts
+++ b/packages/cli/src/client/suspectCommands.ts
@@ -19,8 +19,8 @@
   }
   printTable(
     ['KIND', 'ROUTE', 'VERDICT', 'ENDS', 'LATEST'],
-    answer.suspects.map(({ print, route, verdict, marks }) => [
-      print,
+    answer.suspects.map(({ fingerprint, route, verdict, marks }) => [
+      fingerprint,
       route,
       verdict,
       String(marks.filter(({ released }) => !released).length),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,7 +52,7 @@
 export * from './procedures/submitPatch.js';
 export * from './procedures/suspectChoice.js';
 export * from './procedures/takenOffers.js';
-export * from './quarantine/requestPrint.js';
+export * from './quarantine/requestFingerprint.js';
 export * from './quarantine/suspectGate.js';
 export * from './quarantine/suspectLane.js';
 export * from './quarantine/suspects.js';
--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -88,7 +88,7 @@
   let vain = 0;
   for (let offers = 0; offers - vain < kMaxOffers && vain <= kMaxVainOffers; offers++) {
     const verdict = around.verdict();
-    if (verdict === 'held') {
+    if (verdict === 'quarantined') {
       // Also in the middle of a request: the next offer would end one more target.
       return arrivals > 0 ? last : kHeldBack;
     }
--- a/packages/core/src/procedures/suspectChoice.ts
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -5,7 +5,7 @@
 
 /** Where a call goes whose kind targets may have ended by. */
 
-import type { RequestIdentity } from '../quarantine/requestPrint.js';
+import type { RequestIdentity } from '../quarantine/requestFingerprint.js';
 import type { Suspicion } from '../quarantine/suspicion.js';
 import { sparesTarget, trialTarget } from '../quarantine/trialTarget.js';
 import type { Choice } from '../routing/targetPicker.js';
@@ -29,18 +29,18 @@
 export function chooseForSuspect(call: Call, ctx: ServeContext, tried: ReadonlySet<string>, now: number): SuspectChoice {
   const { service } = call.cls;
   const suspicion = ctx.suspects.any ? ctx.suspects.find(identityOfCall(service, call.payload)) : undefined;
-  const verdict = suspicion ? ctx.suspects.verdict(suspicion.print) : 'clear';
+  const verdict = suspicion ? ctx.suspects.verdict(suspicion.fingerprint) : 'clear';
   if (!suspicion || verdict === 'clear') {
     return { kind: 'free' };
   }
-  if (verdict === 'held') {
+  if (verdict === 'quarantined') {
     return { kind: 'refused', reason: 'quarantined' };
   }
   const candidates = ctx.candidates(service).map((candidate) => ({ host: candidate.target, candidate }));
   const targets = { ready: candidates.length, unreachable: ctx.absent(service) };
-  if (verdict === 'trial' && !sparesTarget(targets, ctx.suspects.quietMs(suspicion.print))) {
+  if (verdict === 'trial' && !sparesTarget(targets, ctx.suspects.quietMs(suspicion.fingerprint))) {
     return { kind: 'refused', reason: 'suspected' };
   }
-  const target = trialTarget(suspicion.print, candidates, tried);
+  const target = trialTarget(suspicion.fingerprint, candidates, tried);
   return { kind: 'suspect', choice: target && ctx.picker.pick([target.candidate], new Set(), now), suspicion };
 }
--- a/packages/core/src/quarantine/requestPrint.ts
+++ b/packages/core/src/quarantine/requestFingerprint.ts
@@ -22,7 +22,7 @@
 /** Separates the parts of a head: none of them can hold it. */
 const kSeparator = '\n';
 const kRadix = 36;
-/** Seeds of the two halves of a print. */
+/** Seeds of the two halves of a fingerprint. */
 const kSeeds = [0x51ed270b, 0x2545f491] as const;
 
 /** Hash of all but the body's bytes: a request whose screen is not known needs no look at its body. */
@@ -34,7 +34,7 @@
  * Name of a kind of request, 64 bits as text: with 32 a fleet that holds a hundred kinds back would refuse an innocent request every
  * five minutes at 140,000 calls a second.
  */
-export function printOf(identity: RequestIdentity): string {
+export function fingerprintOf(identity: RequestIdentity): string {
   const head = headOf(identity);
   return kSeeds.map((seed) => hashBytes(identity.body, hashText(head, seed)).toString(kRadix)).join('-');
 }
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -5,7 +5,7 @@
 
 /** Stands before the gate of one target: lets suspects through one at a time, and notes what each run says of its kind. */
 
-import type { RequestIdentity } from './requestPrint.js';
+import type { RequestIdentity } from './requestFingerprint.js';
 import { SuspectLane } from './suspectLane.js';
 import type { Suspects } from './suspects.js';
 import type { Crash } from './suspectTable.js';
@@ -33,7 +33,7 @@
   onPass(call: T): void;
   onRefuse(call: T, reason: SuspectRefusal): void;
   /** Whether this is the target where a kind is tried, as far as is known here. */
-  isTrialTarget(print: string, call: T): boolean;
+  isTrialTarget(fingerprint: string, call: T): boolean;
 }
 
 /** A run that its target did not survive. */
@@ -46,7 +46,7 @@
 
 interface Suspect<T extends SuspectCall> {
   call: T;
-  print: string;
+  fingerprint: string;
 }
 
 const kPass: SuspectDecision = { kind: 'pass' };
@@ -60,7 +60,7 @@
     private readonly _known: Suspects,
     private readonly _events: SuspectGateEvents<T>,
   ) {
-    this._lane = new SuspectLane((print) => _known.verdict(print));
+    this._lane = new SuspectLane((fingerprint) => _known.verdict(fingerprint));
   }
 
   /** Calls that wait for other suspects to end. */
@@ -75,20 +75,20 @@
       this._known.learn(suspicion);
     }
     const known = this._known.any ? this._known.find(call.identity()) : undefined;
-    const verdict = known ? this._known.verdict(known.print) : 'clear';
+    const verdict = known ? this._known.verdict(known.fingerprint) : 'clear';
     if (!known || verdict === 'clear') {
       return kPass;
     }
-    if (verdict === 'held' || !suspicion) {
+    if (verdict === 'quarantined' || !suspicion) {
       // Its ingress does not know, and may have sent it to another target than the other daemons do.
       this._known.remind(known);
-      return { kind: 'refused', reason: verdict === 'held' ? 'quarantined' : 'suspected' };
+      return { kind: 'refused', reason: verdict === 'quarantined' ? verdict : 'suspected' };
     }
-    if (verdict === 'trial' && !this._events.isTrialTarget(known.print, call)) {
+    if (verdict === 'trial' && !this._events.isTrialTarget(known.fingerprint, call)) {
       // Its ingress knows fewer targets, or more; two trials at once could end two.
       return { kind: 'refused', reason: 'suspected' };
     }
-    const suspect = { call, print: known.print };
+    const suspect = { call, fingerprint: known.fingerprint };
     this._suspects.set(call, suspect);
     return this._lane.enter(suspect) ? kPass : { kind: 'wait' };
   }
@@ -101,7 +101,7 @@
     }
     this._suspects.delete(call);
     for (const next of this._lane.leave(suspect)) {
-      if (this._known.verdict(next.print) === 'held') {
+      if (this._known.verdict(next.fingerprint) === 'quarantined') {
         this._refuse(next.call, 'quarantined');
       } else {
         this._events.onPass(next.call);
@@ -138,7 +138,7 @@
   completed(call: T): void {
     const known = this._known.any ? this._known.find(call.identity()) : undefined;
     if (known) {
-      this._known.completed(known.print);
+      this._known.completed(known.fingerprint);
     }
   }
 
--- a/packages/core/src/quarantine/suspectLane.ts
+++ b/packages/core/src/quarantine/suspectLane.ts
@@ -12,7 +12,7 @@
 
 /** A suspect at a gate. */
 export interface LaneCall {
-  print: string;
+  fingerprint: string;
 }
 
 /** Suspects at one target. */
@@ -22,7 +22,7 @@
   private _waiting: T[] = [];
 
   /** @param _verdict what follows for a kind as of now */
-  constructor(private readonly _verdict: (print: string) => Verdict) {}
+  constructor(private readonly _verdict: (fingerprint: string) => Verdict) {}
 
   /** Suspects that wait for others to end, in the order in which they came. */
   get waiting(): readonly T[] {
@@ -46,8 +46,8 @@
 
   /** A suspect has ended, or was refused; returns those that may go on now, whatever is left of the suspicion against them. */
   leave(call: T): T[] {
-    if (this._running.get(call.print) === call) {
-      this._running.delete(call.print);
+    if (this._running.get(call.fingerprint) === call) {
+      this._running.delete(call.fingerprint);
     }
     if (this._onTrial === call) {
       this._onTrial = undefined;
@@ -74,24 +74,24 @@
     return next;
   }
 
-  private _mayRun({ print }: T): boolean {
-    const verdict = this._verdict(print);
+  private _mayRun({ fingerprint }: T): boolean {
+    const verdict = this._verdict(fingerprint);
     switch (verdict) {
       case 'clear':
-      case 'held':
+      case 'quarantined':
         // Decided meanwhile: there is nothing to wait for.
         return true;
       case 'suspect':
-        return !this._running.has(print);
+        return !this._running.has(fingerprint);
       case 'trial':
-        return !this._running.has(print) && this._onTrial === undefined;
+        return !this._running.has(fingerprint) && this._onTrial === undefined;
     }
   }
 
   private _start(call: T): void {
-    const verdict = this._verdict(call.print);
+    const verdict = this._verdict(call.fingerprint);
     if (verdict === 'suspect' || verdict === 'trial') {
-      this._running.set(call.print, call);
+      this._running.set(call.fingerprint, call);
     }
     if (verdict === 'trial') {
       this._onTrial = call;
--- a/packages/core/src/quarantine/suspectTable.ts
+++ b/packages/core/src/quarantine/suspectTable.ts
@@ -9,7 +9,7 @@
  */
 
 import { monotonicMs } from '../util/clock.js';
-import { printOf, type RequestIdentity, screenOf } from './requestPrint.js';
+import { fingerprintOf, type RequestIdentity, screenOf } from './requestFingerprint.js';
 import { type CrashMark, crashesOf, isProved, kMaxCrashes, mergeMarks, type Suspicion, type Verdict, verdictOf } from './suspicion.js';
 
 /** Kinds that are known at once. */
@@ -64,22 +64,22 @@
     if (this._entries.size === 0 || !this._screens.has(screenOf(identity))) {
       return undefined;
     }
-    return this._entries.get(printOf(identity))?.suspicion;
+    return this._entries.get(fingerprintOf(identity))?.suspicion;
   }
 
   /** What follows for the next request of a kind as of now. */
-  verdict(print: string): Verdict {
-    const entry = this._entries.get(print);
+  verdict(fingerprint: string): Verdict {
+    const entry = this._entries.get(fingerprint);
     if (!entry) {
       return 'clear';
     }
     const verdict = verdictOf(entry.suspicion);
-    return verdict === 'held' && this._holdEnded(entry) ? 'trial' : verdict;
+    return verdict === 'quarantined' && this._holdEnded(entry) ? 'trial' : verdict;
   }
 
   /** Time since something was last learned of a kind, in milliseconds. */
-  quietMs(print: string): number {
-    return monotonicMs() - (this._entries.get(print)?.changedAt ?? -Infinity);
+  quietMs(fingerprint: string): number {
+    return monotonicMs() - (this._entries.get(fingerprint)?.changedAt ?? -Infinity);
   }
 
   /** All kinds that something is held against, the gravest first. */
@@ -96,21 +96,21 @@
   }
 
   /** Notes that a request of a known kind ran to its end; returns what others should know. */
-  completed(print: string): Suspicion[] {
-    const held = this._entries.has(print) && this._isHeld(print);
-    return this._change(print, (mark) => ({ ...mark, cleared: true, released: mark.released || held }));
+  completed(fingerprint: string): Suspicion[] {
+    const held = this._entries.has(fingerprint) && this._isHeld(fingerprint);
+    return this._change(fingerprint, (mark) => ({ ...mark, cleared: true, released: mark.released || held }));
   }
 
   /** Lets a kind run again; returns what others should know, nothing when it isn't known. */
-  release(print: string): Suspicion[] {
-    return this._change(print, (mark) => ({ ...mark, released: true }));
+  release(fingerprint: string): Suspicion[] {
+    return this._change(fingerprint, (mark) => ({ ...mark, released: true }));
   }
 
   /** Takes what others know; returns what was new in it. */
   merge(told: readonly Suspicion[]): Suspicion[] {
     const changed: Suspicion[] = [];
     for (const suspicion of told) {
-      const known = this._entries.get(suspicion.print)?.suspicion;
+      const known = this._entries.get(suspicion.fingerprint)?.suspicion;
       const marks = mergeMarks(known?.marks ?? [], suspicion.marks);
       if (marks) {
         changed.push(this._set({ ...(known ?? suspicion), marks }));
@@ -123,21 +123,21 @@
   /** Forgets what is old; called now and then. */
   prune(): void {
     const before = monotonicMs() - kForgetMs;
-    for (const [print, { changedAt }] of this._entries) {
-      if (changedAt < before && !this._isHeld(print)) {
-        this._delete(print);
+    for (const [fingerprint, { changedAt }] of this._entries) {
+      if (changedAt < before && !this._isHeld(fingerprint)) {
+        this._delete(fingerprint);
       }
     }
   }
 
-  private _change(print: string, change: (mark: CrashMark) => CrashMark): Suspicion[] {
-    const known = this._entries.get(print)?.suspicion;
+  private _change(fingerprint: string, change: (mark: CrashMark) => CrashMark): Suspicion[] {
+    const known = this._entries.get(fingerprint)?.suspicion;
     return known ? this.merge([{ ...known, marks: known.marks.map(change) }]) : [];
   }
 
-  private _isHeld(print: string): boolean {
-    const entry = this._entries.get(print);
-    return entry !== undefined && verdictOf(entry.suspicion) === 'held';
+  private _isHeld(fingerprint: string): boolean {
+    const entry = this._entries.get(fingerprint);
+    return entry !== undefined && verdictOf(entry.suspicion) === 'quarantined';
   }
 
   private _holdEnded({ suspicion, changedAt }: Entry): boolean {
@@ -149,21 +149,21 @@
   }
 
   private _set(suspicion: Suspicion): Suspicion {
-    const { print, screen } = suspicion;
-    if (!this._entries.delete(print)) {
+    const { fingerprint, screen } = suspicion;
+    if (!this._entries.delete(fingerprint)) {
       this._screens.set(screen, (this._screens.get(screen) ?? 0) + 1);
     }
     // Set anew, so that the order is that of the latest changes.
-    this._entries.set(print, { suspicion, changedAt: monotonicMs() });
+    this._entries.set(fingerprint, { suspicion, changedAt: monotonicMs() });
     return suspicion;
   }
 
-  private _delete(print: string): void {
-    const screen = this._entries.get(print)?.suspicion.screen;
+  private _delete(fingerprint: string): void {
+    const screen = this._entries.get(fingerprint)?.suspicion.screen;
     if (screen === undefined) {
       return;
     }
-    this._entries.delete(print);
+    this._entries.delete(fingerprint);
     const left = (this._screens.get(screen) ?? 0) - 1;
     if (left > 0) {
       this._screens.set(screen, left);
@@ -182,15 +182,15 @@
     oldestFirst
       .sort((a, b) => crashesOf(a) - crashesOf(b))
       .slice(0, surplus)
-      .forEach(({ print }) => {
-        this._delete(print);
+      .forEach(({ fingerprint }) => {
+        this._delete(fingerprint);
       });
   }
 }
 
 function suspicionFrom({ id, at }: Crash, { identity, route, tested }: CrashedRun): Suspicion {
   return {
-    print: printOf(identity),
+    fingerprint: fingerprintOf(identity),
     screen: screenOf(identity),
     route,
     marks: [{ crash: id, at, tested, cleared: false, released: false }],
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -5,7 +5,7 @@
 
 /** The suspects as one daemon knows them, and how daemons tell each other: each change goes to all that are linked, and is passed on once. */
 
-import type { RequestIdentity } from './requestPrint.js';
+import type { RequestIdentity } from './requestFingerprint.js';
 import { type Crash, type CrashedRun, SuspectTable } from './suspectTable.js';
 import { type Suspicion, type Verdict, verdictOf } from './suspicion.js';
 
@@ -20,10 +20,10 @@
 /** What an operator should be able to see. */
 export type SuspectEvent =
   /** From now on the kind does not run. */
-  | { kind: 'held'; suspicion: Suspicion }
+  | { kind: 'quarantined'; suspicion: Suspicion }
   /** A request of the kind ran to its end here. */
-  | { kind: 'cleared'; print: string; before: Verdict }
-  | { kind: 'released'; print: string };
+  | { kind: 'cleared'; fingerprint: string; before: Verdict }
+  | { kind: 'released'; fingerprint: string };
 
 /** What the suspects use of their daemon. */
 export interface SuspectsDeps {
@@ -55,7 +55,7 @@
   /** How many kinds are suspected, and how many of them don't run. */
   get counts(): { suspected: number; held: number } {
     const listed = this.list();
-    return { suspected: listed.length, held: listed.filter(({ verdict }) => verdict === 'held').length };
+    return { suspected: listed.length, held: listed.filter(({ verdict }) => verdict === 'quarantined').length };
   }
 
   /** What a daemon that was just linked should know. */
@@ -67,13 +67,13 @@
   get lasting(): Suspicion[] {
     return this._table
       .list()
-      .filter((suspicion) => verdictOf(suspicion) === 'held' && suspicion.marks.some(({ crash }) => this._ownCrashes.has(crash)))
+      .filter((suspicion) => verdictOf(suspicion) === 'quarantined' && suspicion.marks.some(({ crash }) => this._ownCrashes.has(crash)))
       .slice(0, kLasting);
   }
 
   /** Kinds that something is held against, the gravest first. */
   list(): ListedSuspect[] {
-    return this._table.list().map((suspicion) => ({ ...suspicion, verdict: this._table.verdict(suspicion.print) }));
+    return this._table.list().map((suspicion) => ({ ...suspicion, verdict: this._table.verdict(suspicion.fingerprint) }));
   }
 
   /** What is known of a request's kind. */
@@ -82,13 +82,13 @@
   }
 
   /** What follows for the next request of a kind. */
-  verdict(print: string): Verdict {
-    return this._table.verdict(print);
+  verdict(fingerprint: string): Verdict {
+    return this._table.verdict(fingerprint);
   }
 
   /** Time since something was last learned of a kind, in milliseconds. */
-  quietMs(print: string): number {
-    return this._table.quietMs(print);
+  quietMs(fingerprint: string): number {
+    return this._table.quietMs(fingerprint);
   }
 
   /** Forgets what is old; called now and then. */
@@ -111,20 +111,20 @@
   }
 
   /** A request of a known kind ran to its end here. */
-  completed(print: string): void {
-    const before = this._table.verdict(print);
-    const changed = this._table.completed(print);
+  completed(fingerprint: string): void {
+    const before = this._table.verdict(fingerprint);
+    const changed = this._table.completed(fingerprint);
     if (changed.length > 0) {
-      this._deps.note({ kind: 'cleared', print, before });
+      this._deps.note({ kind: 'cleared', fingerprint, before });
     }
     this._tell(changed);
   }
 
   /** Lets a kind run again; false when nothing is held against it. */
-  release(print: string): boolean {
-    const changed = this._table.release(print);
+  release(fingerprint: string): boolean {
+    const changed = this._table.release(fingerprint);
     if (changed.length > 0) {
-      this._deps.note({ kind: 'released', print });
+      this._deps.note({ kind: 'released', fingerprint });
     }
     this._tell(changed);
     return changed.length > 0;
@@ -158,8 +158,8 @@
 
   private _note(changed: readonly Suspicion[]): void {
     for (const suspicion of changed) {
-      if (verdictOf(suspicion) === 'held') {
-        this._deps.note({ kind: 'held', suspicion });
+      if (verdictOf(suspicion) === 'quarantined') {
+        this._deps.note({ kind: 'quarantined', suspicion });
       }
     }
   }
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -26,7 +26,7 @@
 /** All that is held against one kind. */
 export interface Suspicion {
   /** Name of the kind. */
-  print: string;
+  fingerprint: string;
   /** Hash by which its requests are found without a look at their bodies. */
   screen: number;
   /** Route of the request that was seen first, for people. */
@@ -43,7 +43,7 @@
   /** The same, and no other suspect on trial runs beside it. */
   | 'trial'
   /** It does not run. */
-  | 'held';
+  | 'quarantined';
 
 /** Ends that one kind may cause before it is held back. */
 export const kMaxCrashes = 3;
@@ -70,7 +70,7 @@
   const crashes = crashesOf(suspicion);
   const tested = marks.filter((mark) => mark.tested && !mark.released).length;
   if (tested >= kProvedCrashes || crashes >= kMaxCrashes) {
-    return 'held';
+    return 'quarantined';
   }
   if (crashes >= kTrialCrashes) {
     return 'trial';
--- a/packages/core/src/quarantine/trialTarget.ts
+++ b/packages/core/src/quarantine/trialTarget.ts
@@ -28,14 +28,14 @@
 
 /** The target where all daemons try a kind: the same for all that know the same targets, without a message; another kind has another one, so that suspects are spread. */
 export function trialTarget<T extends { host: string }>(
-  print: string,
+  fingerprint: string,
   candidates: readonly T[],
   excluded: ReadonlySet<string>,
 ): T | undefined {
   let best: T | undefined;
   let most = -1;
   for (const candidate of candidates) {
-    const weight = hashText(`${print} ${candidate.host}`);
+    const weight = hashText(`${fingerprint} ${candidate.host}`);
     if (weight > most && !excluded.has(candidate.host)) {
       best = candidate;
       most = weight;
--- a/packages/daemon/src/app/peerCodec.ts
+++ b/packages/daemon/src/app/peerCodec.ts
@@ -57,9 +57,9 @@
 }
 
 /** Message → suspicion. */
-export function decodeSuspicion({ print, screen, route, marks }: SuspicionMsg): Suspicion {
+export function decodeSuspicion({ fingerprint, screen, route, marks }: SuspicionMsg): Suspicion {
   return {
-    print,
+    fingerprint,
     screen,
     route,
     marks: marks.map(({ crash, at, tested, cleared, released }) => ({ crash, at, tested, cleared, released })),
--- a/packages/daemon/src/app/suspectOffers.ts
+++ b/packages/daemon/src/app/suspectOffers.ts
@@ -76,7 +76,7 @@
       onRefuse: (offer, reason) => {
         offer.resolve(reason);
       },
-      isTrialTarget: (print, { service }) => this._isTrialTarget(print, service),
+      isTrialTarget: (fingerprint, { service }) => this._isTrialTarget(fingerprint, service),
     });
   }
 
@@ -176,8 +176,8 @@
     }, kExpireMs);
   }
 
-  private _isTrialTarget(print: string, service: string): boolean {
+  private _isTrialTarget(fingerprint: string, service: string): boolean {
     const targets = this._deps.targets(service).map((host) => ({ host }));
-    return trialTarget(print, targets, new Set())?.host === this._deps.target()?.name;
+    return trialTarget(fingerprint, targets, new Set())?.host === this._deps.target()?.name;
   }
 }
--- a/packages/daemon/src/app/suspectService.ts
+++ b/packages/daemon/src/app/suspectService.ts
@@ -57,17 +57,21 @@
 
   private _note(event: SuspectEvent): void {
     switch (event.kind) {
-      case 'held': {
-        const { print, route } = event.suspicion;
+      case 'quarantined': {
+        const { fingerprint, route } = event.suspicion;
         const ends = crashesOf(event.suspicion);
-        this._logger.warn('quarantine', `A kind of call is held back: ${ends} targets ended by it.`, { kind: print, cls: route, ends });
+        this._logger.warn('quarantine', `A kind of call is held back: ${ends} targets ended by it.`, {
+          kind: fingerprint,
+          cls: route,
+          ends,
+        });
         return;
       }
       case 'cleared':
-        this._logger.info('quarantine', 'A call of a suspected kind ran to its end.', { kind: event.print, before: event.before });
+        this._logger.info('quarantine', 'A call of a suspected kind ran to its end.', { kind: event.fingerprint, before: event.before });
         return;
       case 'released':
-        this._logger.warn('quarantine', 'A kind of call was released.', { kind: event.print });
+        this._logger.warn('quarantine', 'A kind of call was released.', { kind: event.fingerprint });
         return;
     }
   }
--- a/packages/daemon/src/server/controlController.ts
+++ b/packages/daemon/src/server/controlController.ts
@@ -139,13 +139,13 @@
   }
 
   /** Lets a kind run again. */
-  @Post('suspects/:print/release')
+  @Post('suspects/:fingerprint/release')
   @HttpCode(200)
-  release(@Param('print') print: string): { released: string } {
-    if (!this._daemon.suspects.suspects.release(print)) {
-      throw problem('bad_request', `Expected a kind that something is held against, got "${print}".`);
+  release(@Param('fingerprint') fingerprint: string): { released: string } {
+    if (!this._daemon.suspects.suspects.release(fingerprint)) {
+      throw problem('bad_request', `Expected a kind that something is held against, got "${fingerprint}".`);
     }
-    return { released: print };
+    return { released: fingerprint };
   }
 
   /** A namespace for a caller's numbered idempotency keys. */
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -160,13 +160,13 @@
 
   private _verdict(): Verdict {
     const suspicion = this._suspicion;
-    return suspicion ? this._deps.suspects.verdict(suspicion.print) : 'clear';
+    return suspicion ? this._deps.suspects.verdict(suspicion.fingerprint) : 'clear';
   }
 
   private _mayTry(): boolean {
     const { service } = this._req;
     const targets = { ready: this._deps.candidates(service).length, unreachable: this._deps.unreachable(service) };
-    return sparesTarget(targets, this._deps.suspects.quietMs(this._suspicion?.print ?? ''));
+    return sparesTarget(targets, this._deps.suspects.quietMs(this._suspicion?.fingerprint ?? ''));
   }
 
   /** A suspect goes where all daemons send its kind, so that its copies meet at one gate. */
@@ -174,8 +174,8 @@
     const { route, service } = this._req;
     const candidates = this._deps.candidates(service);
     const suspicion = this._suspicion;
-    if (suspicion && this._deps.suspects.verdict(suspicion.print) !== 'clear') {
-      return trialTarget(suspicion.print, candidates, excluded);
+    if (suspicion && this._deps.suspects.verdict(suspicion.fingerprint) !== 'clear') {
+      return trialTarget(suspicion.fingerprint, candidates, excluded);
     }
     return this._deps.choose(candidates, excluded, route);
   }
--- a/packages/mesh/src/app/calls/suspectLines.ts
+++ b/packages/mesh/src/app/calls/suspectLines.ts
@@ -11,10 +11,10 @@
 /** Writes the line of an event. */
 export function logSuspectEvent(events: EventLog, event: SuspectEvent): void {
   switch (event.kind) {
-    case 'held': {
-      const { print, route, marks } = event.suspicion;
+    case 'quarantined': {
+      const { fingerprint, route, marks } = event.suspicion;
       events.warn('quarantine', 'A kind of request is held back: targets ended by it.', {
-        kind: print,
+        kind: fingerprint,
         route,
         ends: crashesOf(event.suspicion),
         crashes: marks.map(({ crash, at, tested }) => ({ crash, at: new Date(at).toISOString(), tested })),
@@ -22,12 +22,12 @@
       return;
     }
     case 'cleared': {
-      const { print, before } = event;
-      events.notable('quarantine', 'A request of a suspected kind ran to its end.', { kind: print, before });
+      const { fingerprint, before } = event;
+      events.notable('quarantine', 'A request of a suspected kind ran to its end.', { kind: fingerprint, before });
       return;
     }
     case 'released':
-      events.warn('quarantine', 'A kind of request was released.', { kind: event.print });
+      events.warn('quarantine', 'A kind of request was released.', { kind: event.fingerprint });
       return;
   }
 }
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -16,7 +16,7 @@
   type ChainModel,
   monotonicMs,
   hashText,
-  printOf,
+  fingerprintOf,
   wallMs,
   type CallEnd,
   type ReachEvidence,
@@ -67,7 +67,7 @@
   /** Targets of the service, this one included. */
   targets(service: string): number;
   /** Whether a kind of request to a service is tried on this host. */
-  isTrialTarget(print: string, service: string): boolean;
+  isTrialTarget(fingerprint: string, service: string): boolean;
   /** Mean charge of calls on a route that begin on this host, in milliseconds. */
   chargeMs(route: string): number;
   /** Whether a key is still its workspace's, as far as this daemon knows. */
@@ -122,7 +122,7 @@
       onRefuse: (waiting, reason) => {
         this._refuse(waiting, reason);
       },
-      isTrialTarget: (print) => _deps.isTrialTarget(print, this._life.known.service),
+      isTrialTarget: (fingerprint) => _deps.isTrialTarget(fingerprint, this._life.known.service),
     });
     this._gate = new SlotGate<Waiting>(
       {
@@ -406,7 +406,9 @@
       instance,
       born,
       running: calls.length,
-      requests: calls.slice(0, kNamedRequests).map((call) => ({ req: call.requestId, route: call.route, kind: printOf(identityOf(call)) })),
+      requests: calls
+        .slice(0, kNamedRequests)
+        .map((call) => ({ req: call.requestId, route: call.route, kind: fingerprintOf(identityOf(call)) })),
     });
     this._suspects.crashed(
       crash,
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -133,7 +133,7 @@
       address: _settings.target.address,
       maxConnections: (service) => this._configs.maxConnections(service) ?? kAssumedConnections,
       targets: (service) => this._directory.ready(service).length,
-      isTrialTarget: (print, service) => trialTarget(print, this._directory.ready(service), kNoHosts)?.host === _settings.id,
+      isTrialTarget: (fingerprint, service) => trialTarget(fingerprint, this._directory.ready(service), kNoHosts)?.host === _settings.id,
       chargeMs: (route) => this._placement.chargeMs(route),
       keyHolds: (workspace) => this._workspaces.keyHolds(workspace),
       onChange: () => {
--- a/packages/mesh/src/server/suspectControl.ts
+++ b/packages/mesh/src/server/suspectControl.ts
@@ -16,13 +16,13 @@
   if (method === 'GET' && path === kListPath) {
     return { status: 200, body: JSON.stringify({ suspects: suspects.list() }) };
   }
-  const [, print] = kReleasePath.exec(path) ?? [];
-  if (method !== 'POST' || print === undefined) {
+  const [, fingerprint] = kReleasePath.exec(path) ?? [];
+  if (method !== 'POST' || fingerprint === undefined) {
     return undefined;
   }
-  if (!suspects.release(print)) {
-    const detail = `Expected a kind that something is held against, got "${print}".`;
+  if (!suspects.release(fingerprint)) {
+    const detail = `Expected a kind that something is held against, got "${fingerprint}".`;
     return { status: 404, body: JSON.stringify({ kind: 'unknown_suspect', detail }) };
   }
-  return { status: 200, body: JSON.stringify({ released: print }) };
+  return { status: 200, body: JSON.stringify({ released: fingerprint }) };
 }
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -50,7 +50,7 @@
 
 /** What is held against a kind of request that targets may have ended by. */
 export const suspicionSchema = z.object({
-  print: z.string().min(1),
+  fingerprint: z.string().min(1),
   screen: z.number().min(0),
   route: z.string(),
   marks: z.array(z.object({ crash: z.number().min(0), at: z.number(), tested: z.boolean(), cleared: z.boolean(), released: z.boolean() })),
--- a/tests/e2e/lethalCalls.spec.ts
+++ b/tests/e2e/lethalCalls.spec.ts
@@ -86,13 +86,13 @@
     t.is((await call('a1', '/beta/lookup/1')).status, 200);
 
     const listed = await fleet.client(['suspects', '--json']);
-    const { suspects } = JSON.parse(listed.out) as { suspects: { print: string; verdict: string }[] };
+    const { suspects } = JSON.parse(listed.out) as { suspects: { fingerprint: string; verdict: string }[] };
     t.is(suspects.length, 1);
     const [held] = suspects;
-    t.is(held?.verdict, 'held');
+    t.is(held?.verdict, 'quarantined');
     t.is((await fleet.client(['release', 'none'])).code, 1);
     await Promise.all(kTargets.map((id) => fleet.setBehaviour(id, { endsOn: '' })));
-    t.is((await fleet.client(['release', held?.print ?? ''])).code, 0);
+    t.is((await fleet.client(['release', held?.fingerprint ?? ''])).code, 0);
     await until('the call to run everywhere', async () => {
       const answers = await Promise.all(hosts.map((host) => call(host, '/beta/lethal/1')));
       return answers.every(({ status }) => status === 200);
--- a/tests/mesh/quarantineLasts.spec.ts
+++ b/tests/mesh/quarantineLasts.spec.ts
@@ -94,7 +94,7 @@
       await Promise.all(targets.map(({ current, control }) => current.beat(control)));
       await fleet.until('every daemon to know the kind again', async () => {
         const known = await Promise.all(fleet.hosts.map((host) => suspectsOf(host)));
-        return known.every((suspects) => suspects.some(({ verdict }) => verdict === 'held'));
+        return known.every((suspects) => suspects.some(({ verdict }) => verdict === 'quarantined'));
       });
       for (const host of fleet.hosts) {
         await fleet.until('the daemon to serve', async () => (await fleet.call(host, '/s/good')).status === 200);
@@ -113,11 +113,11 @@
       const targets = await buildFleet(fleet, () => mended);
       await untilHeld(fleet);
       const [held] = await suspectsOf(anyHost(fleet));
-      t.is(held?.verdict, 'held');
+      t.is(held?.verdict, 'quarantined');
       t.is(held?.marks.length, 3);
       mended = true;
       await fleet.until('all targets to be back', () => fleet.hosts.every(({ daemon }) => daemon.record.state === 'ready'));
-      const path = `/-/suspects/${held?.print ?? ''}/release`;
+      const path = `/-/suspects/${held?.fingerprint ?? ''}/release`;
       const unknown = await request(`http://${anyHost(fleet).metrics}/-/suspects/none/release`, { method: 'POST' });
       t.is(unknown.statusCode, 404);
       await unknown.body.dump();
--- a/tests/quarantine/quarantineFleet.ts
+++ b/tests/quarantine/quarantineFleet.ts
@@ -96,8 +96,8 @@
         this._fleet.tellSome(this, count, suspects);
       },
       note: (event) => {
-        if (event.kind === 'held') {
-          this._fleet.held.add(event.suspicion.print);
+        if (event.kind === 'quarantined') {
+          this._fleet.held.add(event.suspicion.fingerprint);
         }
       },
     });
@@ -111,7 +111,7 @@
       onRefuse: (call, reason) => {
         call.reply({ kind: 'not_run', reason, retryAfterMs: 0 });
       },
-      isTrialTarget: (print) => trialTarget(print, this._fleet.readyAt(this), new Set())?.host === this.name,
+      isTrialTarget: (fingerprint) => trialTarget(fingerprint, this._fleet.readyAt(this), new Set())?.host === this.name,
     });
   }
 }
@@ -158,14 +158,14 @@
     const deadline = monotonicMs() + kDeadlineMs;
     const { life } = host;
     const suspicion = (): Suspicion | undefined => host.suspects.find(kind.identity);
-    const verdict = (): Verdict => host.suspects.verdict(suspicion()?.print ?? '');
+    const verdict = (): Verdict => host.suspects.verdict(suspicion()?.fingerprint ?? '');
     const candidates = (): TargetRecord[] => this.readyAt(host);
     const procedure = routeRequest(
       { idempotent: kind.idempotent, maxAttempts: kMaxAttempts },
       {
         choose: (excluded) => {
           if (verdict() !== 'clear') {
-            return trialTarget(suspicion()?.print ?? '', candidates(), excluded);
+            return trialTarget(suspicion()?.fingerprint ?? '', candidates(), excluded);
           }
           const open = candidates().filter((record) => !excluded.has(record.host));
           return open[Math.floor(this._random() * open.length)];
@@ -173,7 +173,7 @@
         verdict,
         mayTry: () => {
           const ready = candidates().length;
-          return sparesTarget({ ready, unreachable: this.hosts.length - ready }, host.suspects.quietMs(suspicion()?.print ?? ''));
+          return sparesTarget({ ready, unreachable: this.hosts.length - ready }, host.suspects.quietMs(suspicion()?.fingerprint ?? ''));
         },
         remainingMs: () => deadline - monotonicMs(),
         usefulMs: () => 5,
