--- /dev/null
+++ b/tests/quarantine/suspectTable.spec.ts
@@ -0,0 +1,136 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+import { type CrashMark, fingerprintOf, mergeMarks, type RequestIdentity, screenOf, SuspectTable } from '@gentiandrum/core';
+import fc from 'fast-check';
+import { describe, it, itAlone } from '../support/describe.js';
+import { VirtualTime } from '../support/virtualTime.js';
+
+const kHourMs = 60 * 60_000;
+const kIdentity: RequestIdentity = { method: 'GET', host: 'app.example', path: '/a?b=1', body: new Uint8Array() };
+
+/** Ends of targets during which a kind ran, one after the other on trial. */
+function crash(table: SuspectTable, id: number, identity = kIdentity): void {
+  table.crashed({ id, at: id }, [{ identity, route: 'r', tested: table.verdict(fingerprintOf(identity)) === 'trial' }]);
+}
+
+const aMark = fc.record({
+  crash: fc.integer({ min: 1, max: 12 }),
+  tested: fc.boolean(),
+  cleared: fc.boolean(),
+  released: fc.boolean(),
+});
+/** An end happened once, so its time goes with its name. */
+const someMarks = fc
+  .uniqueArray(aMark, { selector: ({ crash: id }) => id, maxLength: 12 })
+  .map((marks): CrashMark[] => marks.map((mark) => ({ ...mark, at: mark.crash * 10 })));
+
+function join(a: readonly CrashMark[], b: readonly CrashMark[]): readonly CrashMark[] {
+  return mergeMarks(a, b) ?? a;
+}
+
+describe('a kind of request', () => {
+  it('should be told from others by method, host, path with query and body, joined so that none looks like another', (t) => {
+    const others: RequestIdentity[] = [
+      { ...kIdentity, method: 'POST' },
+      { ...kIdentity, host: 'other.example' },
+      { ...kIdentity, path: '/a?b=2' },
+      { ...kIdentity, body: Buffer.from('x') },
+      { ...kIdentity, body: Buffer.from('y') },
+      { ...kIdentity, host: 'app.example/a', path: '?b=1' },
+      { ...kIdentity, method: 'GETapp', host: '.example' },
+    ];
+    const fingerprints = [kIdentity, ...others].map(fingerprintOf);
+    t.is(new Set(fingerprints).size, fingerprints.length);
+    t.is(fingerprintOf({ ...kIdentity, host: 'APP.example' }), fingerprintOf(kIdentity));
+    t.is(screenOf({ ...kIdentity, body: Buffer.from('x') }), screenOf({ ...kIdentity, body: Buffer.from('y') }));
+  });
+});
+
+describe('what is held against a kind', () => {
+  it('should come to the same in whatever order, and however often, it is heard', (t) => {
+    fc.assert(
+      fc.property(someMarks, someMarks, someMarks, (a, b, c) => {
+        const start = join([], a);
+        t.deepEqual(join(join(start, b), c), join(join(start, c), b));
+        const known = join(join(start, b), c);
+        t.is(mergeMarks(known, b), undefined);
+        t.is(mergeMarks(known, known), undefined);
+      }),
+    );
+    t.pass();
+  });
+
+  it('should be nothing once a request of it ran to its end, but for what a trial proved', (t) => {
+    const table = new SuspectTable();
+    const fingerprint = fingerprintOf(kIdentity);
+    crash(table, 1);
+    t.is(table.verdict(fingerprint), 'suspect');
+    table.completed(fingerprint);
+    t.is(table.verdict(fingerprint), 'clear');
+    crash(table, 2);
+    t.is(table.verdict(fingerprint), 'clear');
+    crash(table, 3);
+    t.is(table.verdict(fingerprint), 'trial');
+    crash(table, 4);
+    t.is(table.verdict(fingerprint), 'quarantined');
+    t.is(table.verdict(fingerprintOf({ ...kIdentity, path: '/other' })), 'clear');
+  });
+
+  itAlone('should keep it from running for an hour, then twice and four times as long, then until it is released', (t) => {
+    const time = new VirtualTime();
+    try {
+      const table = new SuspectTable();
+      const fingerprint = fingerprintOf(kIdentity);
+      [1, 2, 3].forEach((id) => {
+        crash(table, id);
+      });
+      for (const [i, hours] of [1, 2, 4].entries()) {
+        time.runUntil(time.now + hours * kHourMs);
+        t.is(table.verdict(fingerprint), 'quarantined');
+        time.runUntil(time.now + 1);
+        t.is(table.verdict(fingerprint), 'trial');
+        crash(table, 4 + i);
+        table.prune();
+      }
+      time.runUntil(time.now + 1_000 * kHourMs);
+      t.is(table.verdict(fingerprint), 'quarantined');
+      t.is(table.release('another').length, 0);
+      t.is(table.release(fingerprint).length, 1);
+      t.is(table.verdict(fingerprint), 'clear');
+    } finally {
+      time.restore();
+    }
+  });
+
+  itAlone('should keep copies that ended three targets together from running for half a minute only', (t) => {
+    const time = new VirtualTime();
+    try {
+      const table = new SuspectTable();
+      [1, 2, 3].forEach((id) => {
+        table.crashed({ id, at: id }, [{ identity: kIdentity, route: 'r', tested: false }]);
+      });
+      t.is(table.verdict(fingerprintOf(kIdentity)), 'quarantined');
+      time.runUntil(30_001);
+      t.is(table.verdict(fingerprintOf(kIdentity)), 'trial');
+      table.completed(fingerprintOf(kIdentity));
+      t.is(table.verdict(fingerprintOf(kIdentity)), 'clear');
+    } finally {
+      time.restore();
+    }
+  });
+
+  it('should be kept of a thousand kinds, the gravest ones', (t) => {
+    const table = new SuspectTable();
+    [1, 2, 3].forEach((id) => {
+      crash(table, id);
+    });
+    const others = Array.from({ length: 1_500 }, (_, i) => ({ identity: { ...kIdentity, path: `/${i}` }, route: 'r', tested: false }));
+    table.crashed({ id: 4, at: 4 }, others);
+    t.is(table.size, 1_000);
+    t.is(table.verdict(fingerprintOf(kIdentity)), 'quarantined');
+    t.truthy(table.find(kIdentity));
+  });
+});
