The target where a kind is tried is chosen by the rendezvous rank that there is

trialTarget hashed and compared hosts by itself, beside RendezvousRank, which readers and quotas use.

--- a/packages/core/src/quarantine/trialTarget.ts
+++ b/packages/core/src/quarantine/trialTarget.ts
@@ -5,7 +5,7 @@
 
 /** Where, and when, one kind of request is tried. */
 
-import { hashText } from '../util/hashText.js';
+import { RendezvousRank } from '../util/rendezvous.js';
 
 /** Time after which a kind is tried also where few targets are left, in milliseconds: those that are down may be so for good. */
 const kRecoverMs = 5_000;
@@ -26,20 +26,15 @@
   return unreachable === 0 || (ready - 1) * 2 >= ready + unreachable || quietMs > kRecoverMs;
 }
 
-/** The target where all daemons try a kind: the same for all that know the same targets, without a message; another kind has another one, so that suspects are spread. */
+/**
+ * The target where all daemons try a kind: the same for all that know the same targets, without a message; another kind has another one,
+ * so that suspects are spread.
+ */
 export function trialTarget<T extends { host: string }>(
   fingerprint: string,
   candidates: readonly T[],
   excluded: ReadonlySet<string>,
 ): T | undefined {
-  let best: T | undefined;
-  let most = -1;
-  for (const candidate of candidates) {
-    const weight = hashText(`${fingerprint} ${candidate.host}`);
-    if (weight > most && !excluded.has(candidate.host)) {
-      best = candidate;
-      most = weight;
-    }
-  }
-  return best;
+  const [first] = new RendezvousRank(fingerprint).order(candidates.filter(({ host }) => !excluded.has(host)));
+  return first;
 }
