A request's kind is looked at in one place, and once an offer

The same two questions, what is known of a kind and what follows, stood in four places, and the routing daemon hashed a request's head up to four times an offer once any target had ended; the other daemon hashed it again for every answer. Suspects.assess answers both and asks for the identity only when something is known.

--- a/packages/core/src/procedures/suspectChoice.ts
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -28,11 +28,11 @@
 /** Decides on the next attempt of a call. */
 export function chooseForSuspect(call: Call, ctx: ServeContext, tried: ReadonlySet<string>, now: number): SuspectChoice {
   const { service } = call.cls;
-  const suspicion = ctx.suspects.any ? ctx.suspects.find(identityOfCall(service, call.payload)) : undefined;
-  const verdict = suspicion ? ctx.suspects.verdict(suspicion.fingerprint) : 'clear';
-  if (!suspicion || verdict === 'clear') {
+  const assessed = ctx.suspects.assess(() => identityOfCall(service, call.payload));
+  if (!assessed || assessed.verdict === 'clear') {
     return { kind: 'free' };
   }
+  const { suspicion, verdict } = assessed;
   if (verdict === 'quarantined') {
     return { kind: 'refused', reason: 'quarantined' };
   }
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -74,11 +74,11 @@
     if (suspicion) {
       this._known.learn(suspicion);
     }
-    const known = this._known.any ? this._known.find(call.identity()) : undefined;
-    const verdict = known ? this._known.verdict(known.fingerprint) : 'clear';
-    if (!known || verdict === 'clear') {
+    const assessed = this._known.assess(call.identity);
+    if (!assessed || assessed.verdict === 'clear') {
       return kPass;
     }
+    const { suspicion: known, verdict } = assessed;
     if (verdict === 'quarantined' || !suspicion) {
       // Its ingress does not know, and may have sent it to another target than the other daemons do.
       this._known.remind(known);
@@ -136,9 +136,9 @@
 
   /** A request ran to its end, which speaks for its kind: one that ends its targets never does. */
   completed(call: T): void {
-    const known = this._known.any ? this._known.find(call.identity()) : undefined;
-    if (known) {
-      this._known.completed(known.fingerprint);
+    const assessed = this._known.assess(call.identity);
+    if (assessed) {
+      this._known.completed(assessed.suspicion.fingerprint);
     }
   }
 
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -39,6 +39,12 @@
   verdict: Verdict;
 }
 
+/** What is held against a request's kind, and what follows from it. */
+export interface Assessment {
+  suspicion: Suspicion;
+  verdict: Verdict;
+}
+
 /** The suspects of one daemon. */
 export class Suspects {
   private readonly _table = new SuspectTable();
@@ -47,11 +53,6 @@
 
   constructor(private readonly _deps: SuspectsDeps) {}
 
-  /** Whether anything is known at all: without that no request needs a look. */
-  get any(): boolean {
-    return this._table.size > 0;
-  }
-
   /** How many kinds are suspected, and how many of them don't run. */
   get counts(): { suspected: number; held: number } {
     const listed = this.list();
@@ -76,9 +77,10 @@
     return this._table.list().map((suspicion) => ({ ...suspicion, verdict: this._table.verdict(suspicion.fingerprint) }));
   }
 
-  /** What is known of a request's kind. */
-  find(identity: RequestIdentity): Suspicion | undefined {
-    return this._table.find(identity);
+  /** What is known of a request's kind; undefined when nothing is. Its identity is not even asked for while no target has ended. */
+  assess(identity: () => RequestIdentity): Assessment | undefined {
+    const suspicion = this._table.size > 0 ? this._table.find(identity()) : undefined;
+    return suspicion && { suspicion, verdict: this._table.verdict(suspicion.fingerprint) };
   }
 
   /** What follows for the next request of a kind. */
--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -107,8 +107,7 @@
       const refusal = await suspects.enter(terms, payload);
       if (refusal) {
         decisions.add({ request: terms.request, attempt: terms.attempt, step: 'gate', cls: terms.className, reason: refusal });
-        return withSuspicion(
-          { kind: 'refused', reason: refusal, unspent: terms.allowance, level: kAllOpen },
+        return withSuspicion({ kind: 'refused', reason: refusal, unspent: terms.allowance, level: kAllOpen }, () =>
           suspects.known(terms, payload),
         );
       }
@@ -116,7 +115,7 @@
         admitted: ({ attempt }) => this._awaitAdmission(attempt),
         forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline),
       });
-      return withSuspicion(end, suspects.known(terms, payload));
+      return withSuspicion(end, () => suspects.known(terms, payload));
     } finally {
       this._bytes -= size;
       this._terms.delete(terms.attempt);
@@ -233,8 +232,12 @@
 }
 
 /** Whoever sends the call on should know what is held against its kind, also before word of it has come. */
-function withSuspicion(end: OfferEnd, suspicion: Suspicion | undefined): OfferEnd {
-  return suspicion && (end.kind === 'failed' || end.kind === 'refused') ? { ...end, suspicion } : end;
+function withSuspicion(end: OfferEnd, known: () => Suspicion | undefined): OfferEnd {
+  if (end.kind !== 'failed' && end.kind !== 'refused') {
+    return end;
+  }
+  const suspicion = known();
+  return suspicion ? { ...end, suspicion } : end;
 }
 
 function forwardEnd(end: ExchangeEnd, asked: 'timeout' | 'cancelled' | undefined): ForwardEnd {
--- a/packages/daemon/src/app/suspectOffers.ts
+++ b/packages/daemon/src/app/suspectOffers.ts
@@ -103,8 +103,7 @@
 
   /** What is held against the kind of an offer. */
   known({ service }: OfferTerms, payload: Payload): Suspicion | undefined {
-    const { suspects } = this._deps;
-    return suspects.any ? suspects.find(identityOfCall(service, payload)) : undefined;
+    return this._deps.suspects.assess(() => identityOfCall(service, payload))?.suspicion;
   }
 
   /** An offer is over, whether it ran or not. */
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -9,6 +9,7 @@
  */
 
 import {
+  type Assessment,
   type ChainModel,
   type GateReport,
   monotonicMs,
@@ -22,7 +23,6 @@
   routeRequest,
   sparesTarget,
   type Suspects,
-  type Suspicion,
   type TargetRecord,
   trialTarget,
   type Verdict,
@@ -53,7 +53,7 @@
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
-  suspects: Pick<Suspects, 'any' | 'find' | 'verdict' | 'quietMs'>;
+  suspects: Pick<Suspects, 'assess' | 'quietMs'>;
   deadlines: Deadlines;
   sent(target: TargetRecord, first: boolean): void;
   ended(host: string, route: string, end: PlacedEnd): void;
@@ -99,6 +99,8 @@
   private _handle: OfferHandle | undefined;
   private _offers = 0;
   private _failed: FailedOffer[] | undefined;
+  /** What is held against the request's kind, as of the latest offer. */
+  private _assessed: Assessment | undefined;
   private _target = '';
   private _ended = false;
 
@@ -153,29 +155,24 @@
     this._handle?.cancel();
   }
 
-  /** What is known of the request's kind; nothing is asked while no target has ended. */
-  private get _suspicion(): Suspicion | undefined {
-    return this._deps.suspects.any ? this._deps.suspects.find(identityOf(this._req)) : undefined;
-  }
-
+  /** Looked at once for each offer: what the offer needs of it beyond the verdict is kept until it is made. */
   private _verdict(): Verdict {
-    const suspicion = this._suspicion;
-    return suspicion ? this._deps.suspects.verdict(suspicion.fingerprint) : 'clear';
+    this._assessed = this._deps.suspects.assess(() => identityOf(this._req));
+    return this._assessed?.verdict ?? 'clear';
   }
 
   private _mayTry(): boolean {
     const { service } = this._req;
     const targets = { ready: this._deps.candidates(service).length, unreachable: this._deps.unreachable(service) };
-    return sparesTarget(targets, this._deps.suspects.quietMs(this._suspicion?.fingerprint ?? ''));
+    return sparesTarget(targets, this._deps.suspects.quietMs(this._assessed?.suspicion.fingerprint ?? ''));
   }
 
   /** A suspect goes where all daemons send its kind, so that its copies meet at one gate. */
   private _choose(excluded: ReadonlySet<string>): TargetRecord | undefined {
     const { route, service } = this._req;
     const candidates = this._deps.candidates(service);
-    const suspicion = this._suspicion;
-    if (suspicion && this._deps.suspects.verdict(suspicion.fingerprint) !== 'clear') {
-      return trialTarget(suspicion.fingerprint, candidates, excluded);
+    if (this._assessed && this._assessed.verdict !== 'clear') {
+      return trialTarget(this._assessed.suspicion.fingerprint, candidates, excluded);
     }
     return this._deps.choose(candidates, excluded, route);
   }
@@ -263,7 +260,7 @@
       rank: inner ? undefined : rank,
       instance: target.instance,
       callerService,
-      suspicion: suspect ? this._suspicion : undefined,
+      suspicion: suspect ? this._assessed?.suspicion : undefined,
       requestId,
       method,
       path,
--- a/tests/quarantine/quarantineFleet.ts
+++ b/tests/quarantine/quarantineFleet.ts
@@ -157,7 +157,7 @@
     this.outcomes.push(outcome);
     const deadline = monotonicMs() + kDeadlineMs;
     const { life } = host;
-    const suspicion = (): Suspicion | undefined => host.suspects.find(kind.identity);
+    const suspicion = (): Suspicion | undefined => host.suspects.assess(() => kind.identity)?.suspicion;
     const verdict = (): Verdict => host.suspects.verdict(suspicion()?.fingerprint ?? '');
     const candidates = (): TargetRecord[] => this.readyAt(host);
     const procedure = routeRequest(
