--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -48,6 +48,10 @@
   padding = 0;
   /** Responds with status 500 before the body is read, keeps the connection open and reads the body afterwards. */
   respondsEarly = false;
+  /** Value of the rate limit header on all responses; undefined sends none. */
+  statedLimit: string | undefined;
+  /** Whether all responses state that the target is leaving. */
+  leaving = false;
   /** Called when a request starts to run; if it returns a promise, the request runs until that resolves. */
   onRun: (req: SeenRequest) => Promise<void> | undefined = () => undefined;
   readonly seen: SeenRequest[] = [];
@@ -132,7 +136,7 @@
     };
     this.seen.push(seen);
     if (header('x-target-instance') !== this.instance) {
-      res.writeHead(421, { 'x-attempt-id': header('x-attempt-id'), 'x-instance-id': this.instance }).end();
+      res.writeHead(421, { 'x-attempt-id': header('x-attempt-id'), 'x-instance-id': this.instance, ...this._condition }).end();
       return;
     }
     this.running++;
@@ -150,7 +154,7 @@
 
   private _respond(mode: ResponseMode, id: string, req: IncomingMessage, res: ServerResponse): void {
     const text = `${this.instance} did ${id}${'x'.repeat(this.padding)}`;
-    const sealed = { 'x-attempt-id': id, 'x-response-seal': `seal.${id}` };
+    const sealed = { 'x-attempt-id': id, 'x-response-seal': `seal.${id}`, ...this._condition };
     switch (mode) {
       case 'whole':
         res.writeHead(200, { ...sealed, 'content-length': text.length }).end(text);
@@ -159,13 +163,13 @@
         res.writeHead(500, sealed).end('failed');
         return;
       case 'shedding':
-        res.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end();
+        res.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1', ...this._condition }).end();
         return;
       case 'unproved_shedding':
         res.writeHead(503, sealed).end('busy');
         return;
       case 'unsealed':
-        res.writeHead(200, { 'x-attempt-id': id }).end(text);
+        res.writeHead(200, { 'x-attempt-id': id, ...this._condition }).end(text);
         return;
       case 'foreign_id':
         res.writeHead(200, { ...sealed, 'x-attempt-id': `not-${id}` }).end(text);
@@ -183,6 +187,14 @@
     }
   }
 
+  /** Headers by which the target states its condition. */
+  private get _condition(): Record<string, string> {
+    return {
+      ...(this.statedLimit === undefined ? {} : { 'server-limit': this.statedLimit }),
+      ...(this.leaving ? { 'server-leaving': '1' } : {}),
+    };
+  }
+
   private _respondRaw(mode: ResponseMode, id: string, text: string, req: IncomingMessage): void {
     const head = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Response-Seal: seal.${id}\r\n`;
     const { socket } = req;
