Make the token bucket of quotas a general one

The gate of a target that states a rate limit needs the same bucket: QuotaBucket becomes TokenBucket in util, with tryTake, tokens and msUntil beside take. No change of behavior; tests of quotas pass.

--- a/packages/core/src/workspaces/quotaBucket.ts
+++ b/packages/core/src/util/tokenBucket.ts
@@ -3,9 +3,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Token bucket for one share of a quota: refilled at its rate up to its capacity; each request takes one token. */
-
-import type { ShareLimits } from './quotaShares.js';
+/** Token bucket: refilled at its rate up to its capacity; each request takes one token. */
 
 const kMsPerSecond = 1_000;
 /** Share of the capacity up to which future tokens are promised to refused clients. */
@@ -13,18 +11,24 @@
 /** Maximum retry delay sent to a refused client, in milliseconds. */
 const kMaxWaitMs = 60_000;
 
+/** Limits of a bucket, in requests. */
+export interface BucketLimits {
+  ratePerSecond: number;
+  capacity: number;
+}
+
 /** Result of a request for a token: granted, or the time until the client should retry. */
 export type TokenResult = { granted: true } | { granted: false; waitMs: number };
 
 /** Token bucket. Times are in milliseconds of the monotonic clock. */
-export class QuotaBucket {
+export class TokenBucket {
   private _tokens: number;
   /** Time of the token that was promised to the last refused client. */
   private _promisedAt = -Infinity;
 
   /** @param start initial number of tokens */
   constructor(
-    private _limits: ShareLimits,
+    private _limits: BucketLimits,
     start: number,
     private _refilledAt: number,
   ) {
@@ -37,20 +41,37 @@
   }
 
   /** Applies new limits at once; tokens above a lower capacity are lost. */
-  setLimits(limits: ShareLimits, now: number): void {
+  setLimits(limits: BucketLimits, now: number): void {
     this._refill(now);
     this._limits = limits;
     this._tokens = Math.min(this._tokens, limits.capacity);
   }
 
-  /** Takes one token. */
+  /** Takes one token, or promises a later one to the refused client. */
   take(now: number): TokenResult {
+    return this.tryTake(now) ? { granted: true } : { granted: false, waitMs: this.promiseMs(now) };
+  }
+
+  /** Takes one token; false when there is none. */
+  tryTake(now: number): boolean {
     this._refill(now);
-    if (this._tokens >= 1) {
-      this._tokens--;
-      return { granted: true };
+    if (this._tokens < 1) {
+      return false;
     }
-    return { granted: false, waitMs: this._nextWaitMs(now) };
+    this._tokens--;
+    return true;
+  }
+
+  /** Number of tokens. */
+  tokens(now: number): number {
+    this._refill(now);
+    return this._tokens;
+  }
+
+  /** Time until the bucket has produced `count` more tokens, including the present ones, in milliseconds. */
+  msUntil(count: number, now: number): number {
+    this._refill(now);
+    return Math.max(0, count - this._tokens) * (kMsPerSecond / this._limits.ratePerSecond);
   }
 
   /** Returns the tokens of requests that did not run, up to the capacity. */
@@ -60,10 +81,10 @@
   }
 
   /**
-   * Promises each refused client the next free token, so that clients of a workspace far above its quota do not all retry for the same one.
-   * Promises reach at most half of the time to fill the bucket into the future; beyond that, tokens could remain unused.
+   * Promises the next free token to a refused client, so that refused clients do not all retry for the same one; returns the time until
+   * then, in milliseconds. Promises reach at most half of the time to fill the bucket into the future; beyond that, tokens could remain unused.
    */
-  private _nextWaitMs(now: number): number {
+  promiseMs(now: number): number {
     const { ratePerSecond, capacity } = this._limits;
     if (ratePerSecond <= 0) {
       return kMaxWaitMs;
--- a/packages/core/src/workspaces/quotaOwner.ts
+++ b/packages/core/src/workspaces/quotaOwner.ts
@@ -6,7 +6,7 @@
 /** Grants tokens of the quota shares that one daemon owns to the daemons where requests enter. Keeps state only for workspaces in use. */
 
 import type { QuotaSettings } from '@gentiandrum/protocol';
-import { QuotaBucket, type TokenResult } from './quotaBucket.js';
+import { TokenBucket, type TokenResult } from '../util/tokenBucket.js';
 import { shareLimits, type ShareLimits, type QuotaLimits, type QuotaShare } from './quotaShares.js';
 
 /** Idle time after which a bucket is evicted, in windows; it is as full as a new one by then. */
@@ -16,7 +16,7 @@
 export type GrantResult = TokenResult | 'not_owner';
 
 interface OwnedShare {
-  bucket: QuotaBucket;
+  bucket: TokenBucket;
   version: number;
   share: QuotaShare;
 }
@@ -74,7 +74,7 @@
     this._owned.get(workspace)?.bucket.returnTokens(count, now);
   }
 
-  private _bucketOf(workspace: string, share: QuotaShare, limits: QuotaLimits, version: number, now: number): QuotaBucket {
+  private _bucketOf(workspace: string, share: QuotaShare, limits: QuotaLimits, version: number, now: number): TokenBucket {
     const known = this._owned.get(workspace);
     if (known?.version === version && known.share.fraction === share.fraction) {
       return known.bucket;
@@ -87,8 +87,8 @@
   }
 
   /** Creates a bucket that refills from the last change of hosts, as another daemon may have owned the share before it. */
-  private _createBucket(limits: ShareLimits): QuotaBucket {
-    return new QuotaBucket(limits, this._initialTokens(limits), this._membersChangedAt);
+  private _createBucket(limits: ShareLimits): TokenBucket {
+    return new TokenBucket(limits, this._initialTokens(limits), this._membersChangedAt);
   }
 
   private _initialTokens({ capacity, reserve }: ShareLimits): number {
--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -10,7 +10,7 @@
   admitRequest,
   type EntryRequest,
   type EntryResult,
-  QuotaBucket,
+  TokenBucket,
   RootAdmission,
   RouteTable,
   seededRandom,
@@ -119,7 +119,7 @@
   function runLoad(hot: boolean): { hot: number; others: number; rejected: number } {
     const random = seededRandom(3);
     const admission = new RootAdmission();
-    const buckets = new Map<string, QuotaBucket>();
+    const buckets = new Map<string, TokenBucket>();
     const counts = new Map<string, { arrived: number; admitted: number; overQuota: number }>();
     for (let now = 0; now < kSeconds * 1_000; now += 1) {
       for (const name of ['w0', 'w1', 'w2', 'w3', 'w4']) {
@@ -128,7 +128,7 @@
           continue;
         }
         const limits = { ratePerSecond: kUsual * 1.6, capacity: kUsual * 1.6, reserve: 0 };
-        const bucket = buckets.get(name) ?? new QuotaBucket(limits, kUsual, now);
+        const bucket = buckets.get(name) ?? new TokenBucket(limits, kUsual, now);
         buckets.set(name, bucket);
         const count = counts.get(name) ?? { arrived: 0, admitted: 0, overQuota: 0 };
         counts.set(name, count);
--- a/tests/workspaces/quotas.spec.ts
+++ b/tests/workspaces/quotas.spec.ts
@@ -10,7 +10,7 @@
 
 import {
   QuotaClient,
-  QuotaBucket,
+  TokenBucket,
   type QuotaResult,
   type QuotaHost,
   type QuotaLimits,
@@ -244,7 +244,7 @@
   scheduleArrivals(world, load, arrivals);
   faults(world);
   world.runUntil(load.untilMs + 1_000);
-  const bucket = new QuotaBucket({ ratePerSecond: rate, capacity: limits.burst, reserve: limits.burst }, limits.burst, 0);
+  const bucket = new TokenBucket({ ratePerSecond: rate, capacity: limits.burst }, limits.burst, 0);
   const reference = arrivals.filter((at) => bucket.take(at).granted).length;
   return {
     arrivals: world.arrivals,
