Enforce the rate limit that a target states in its responses, and stop calls to one that states that it leaves

Callers saw nothing; a target in need got three times what it asked for. Cause: response headers of a target that state its condition were forwarded and ignored (headerReader, targetClient): what a target says of itself counted only in its heartbeats.

Change: the gate on the host, which all calls pass, takes a token of a bucket for each call that it sends (1 + 0.1 s of burst, empty at first). A limit holds until a complete, sealed response to a request sent after the latest statement comes without one, then doubles every 250 ms for 3 s. It stands in the host's record, so it survives a start of the daemon; routing knows it from there, and the arrivals against it from the gate's reports. The admission level counts a call as the time between two tokens. A response that states leaving has the effect of a draining heartbeat. A target's Retry-After on a response that proves "not run" reaches the caller. A refused offer returns its token of the repeat budget.

--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -38,6 +38,9 @@
 /** Half-life of an arrival's weight in the refused share, in milliseconds, and the minimum number of arrivals to compute it. */
 const kRefusalHalfLifeMs = 500;
 const kMinArrivals = 5;
+/** Calls that a rate limit allows between two updates of the level, and the longest interval, in milliseconds. */
+const kCallsPerStep = 2;
+const kMaxStepMs = 1_000;
 /** Weight of the latest call in the mean time that calls may wait. */
 const kAllowedWaitWeight = 0.02;
 
@@ -50,6 +53,8 @@
   private _completedWorkMs = 0;
   private _arrivals = 0;
   private _refused = 0;
+  private _sinceStepMs = 0;
+  private _intervalMs = 0;
 
   /** Level after the last step. */
   get current(): number {
@@ -74,22 +79,46 @@
     this._workMs += ms;
   }
 
-  /** Updates the level for the time since the last step; `waitMs` is the expected wait of a call at the end of the queue. */
-  step(waitMs: number, elapsedMs: number): void {
+  /**
+   * Updates the level for the time since the last call of this method; `waitMs` is the expected wait of a call at the end of the queue,
+   * `intervalMs` the time between calls at the target's rate limit, 0 without one. The lower the limit, the rarer are the updates: the
+   * work of one call must not exceed the largest excess that is taken into account.
+   */
+  step(waitMs: number, sinceMs: number, intervalMs = 0): void {
+    this._followRateLimit(intervalMs);
+    this._sinceStepMs += sinceMs;
+    if (this._sinceStepMs >= Math.min(kMaxStepMs, kCallsPerStep * intervalMs)) {
+      this._update(waitMs, this._sinceStepMs, intervalMs > 0);
+      this._sinceStepMs = 0;
+    }
+  }
+
+  /** When the rate limit changes, the admitted share changes in proportion. Without it, the level would need seconds to follow. */
+  private _followRateLimit(intervalMs: number): void {
+    if (this._level > 0 && this._intervalMs > 0 && intervalMs > 0) {
+      this._level = Math.min(1, Math.max(0, 1 - ((1 - this._level) * this._intervalMs) / intervalMs));
+    }
+    this._intervalMs = intervalMs;
+  }
+
+  private _update(waitMs: number, elapsedMs: number, rateLimited: boolean): void {
     const offeredLoad = (this._workMs + waitMs - this._lastWaitMs) / elapsedMs;
     const desiredWaitMs = this._meanAllowedWaitMs * kDesiredWaitShare;
     const waitRatio = desiredWaitMs > 0 ? Math.min(kMaxWaitRatio, waitMs / desiredWaitMs) : 0;
     const excess = offeredLoad - 1 + kWaitWeight * (waitRatio - 1);
-    const boundedExcess = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess, this._refusalExcess(elapsedMs)));
+    const boundedExcess = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess, this._refusalExcess(elapsedMs, rateLimited)));
     const gain = kGain * Math.max(kMinGainShare, 1 - this._level);
     this._level = Math.min(1, Math.max(0, this._level + (gain * boundedExcess * elapsedMs) / 1_000));
     this._workMs = 0;
     this._lastWaitMs = waitMs;
   }
 
-  /** Recently refused share of arrivals above the tolerated share; `-Infinity` when it is not above, or the slots are busy. */
-  private _refusalExcess(elapsedMs: number): number {
-    const idle = this._completedWorkMs < kIdleWorkShare * elapsedMs;
+  /**
+   * Recently refused share of arrivals above the tolerated share; `-Infinity` when it is not above, the slots are busy, or a rate limit, which
+   * the work includes, causes the refusals.
+   */
+  private _refusalExcess(elapsedMs: number, rateLimited: boolean): number {
+    const idle = !rateLimited && this._completedWorkMs < kIdleWorkShare * elapsedMs;
     const share = idle && this._arrivals >= kMinArrivals ? this._refused / this._arrivals : 0;
     this._completedWorkMs = 0;
     const decay = 0.5 ** (elapsedMs / kRefusalHalfLifeMs);
--- a/packages/core/src/admission/notRunReason.ts
+++ b/packages/core/src/admission/notRunReason.ts
@@ -16,6 +16,7 @@
     case 'overloaded':
     case 'wait_too_long':
     case 'no_connection':
+    case 'rate_limited':
       return true;
     case 'not_accepting':
     case 'unreachable':
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -5,12 +5,13 @@
 
 /**
  * Gate of one target with a known number of slots, which all calls to the target pass. It decides at once whether a call
- * starts, waits or is refused, and never runs more calls than the target has slots.
+ * starts, waits or is refused, and never runs more calls than the target has slots, or starts more than its rate limit allows.
  *
  * It does no I/O: `onStart` and `onRefuse` report the outcome of a waiting call.
  */
 
 import { monotonicMs } from '../util/clock.js';
+import { TargetRateLimiter } from './targetRateLimiter.js';
 
 /** Share of the slots that is used, because some targets slow down when they are nearly full. */
 const kUsedSlotShare = 0.95;
@@ -26,6 +27,8 @@
   | 'not_accepting'
   | 'unreachable'
   | 'overloaded'
+  /** The target states a rate limit, which leaves no room for the call. */
+  | 'rate_limited'
   | 'repeat_budget'
   | 'wait_too_long'
   | 'key_not_valid'
@@ -51,6 +54,8 @@
 
 /** Gate of one target. */
 export class SlotGate<T extends GatedCall> {
+  /** Enforces the rate limit that the target states. */
+  readonly rateLimiter = new TargetRateLimiter();
   /** Waiting calls, sorted by their latest start. */
   private readonly _queue: T[] = [];
   private readonly _running = new Set<number>();
@@ -85,12 +90,22 @@
     return this._meanMs;
   }
 
+  /** Expected wait of a call at the end of the queue, in milliseconds. */
+  get queueWaitMs(): number {
+    return this._startDelayMs(this._queue.length, monotonicMs());
+  }
+
+  /** Work of a run that takes `ms`, in milliseconds of the whole gate. */
+  workMs(ms: number): number {
+    return Math.max(ms / this.limit, this.rateLimiter.intervalMs(monotonicMs()));
+  }
+
   /** Accepts calls. The target counts as cold until `warmFrom`, on the monotonic clock. */
   open(slots: number, warmFrom: number): void {
     this._slots = slots;
     this._warmFrom = warmFrom;
     this._closedReason = undefined;
-    this._startWaiting();
+    this.startWaiting();
   }
 
   /** Stops accepting calls and refuses the waiting ones. Running calls continue. */
@@ -106,13 +121,14 @@
     if (this._closedReason) {
       return { kind: 'refused', reason: this._closedReason };
     }
-    if (this._queue.length === 0 && this._running.size < this.limit) {
+    const now = monotonicMs();
+    this.rateLimiter.recordArrival(now);
+    if (this._queue.length === 0 && this._running.size < this.limit && this.rateLimiter.tryTake(now)) {
       this._running.add(call.id);
       return { kind: 'started' };
     }
-    const now = monotonicMs();
     const position = this._positionFor(call);
-    const waitMs = ((position + 1) * this._meanMs) / this.limit;
+    const waitMs = this._startDelayMs(position + 1, now);
     if (now + waitMs > call.waitUntil || this._queue.length >= this.limit * kQueuePerSlot) {
       return this._displace(call, position, now);
     }
@@ -125,14 +141,14 @@
    * start in time. Calls of targets are never displaced, because the work of their callers would be lost, and displace no others.
    */
   private _displace(call: T, position: number, now: number): { kind: 'queued' } | { kind: 'refused'; reason: GateRefusal } {
-    const startsAt = now + (position * this._meanMs) / this.limit;
+    const startsAt = now + this._startDelayMs(position, now);
     const victim = startsAt > call.waitUntil ? undefined : this._findLeastUrgent(position, call.rank ?? -1);
     if (!victim) {
-      return { kind: 'refused', reason: 'overloaded' };
+      return { kind: 'refused', reason: this._capacityReason(now, 'overloaded') };
     }
     this._queue.splice(this._queue.indexOf(victim), 1);
     this._queue.splice(position - 1, 0, call);
-    this._events.onRefuse(victim, 'overloaded');
+    this._events.onRefuse(victim, this._capacityReason(now, 'overloaded'));
     return { kind: 'queued' };
   }
 
@@ -155,7 +171,13 @@
     if (ranMs !== undefined) {
       this._meanMs = this._meanMs === 0 ? ranMs : this._meanMs + (ranMs - this._meanMs) * kMeanWeight;
     }
-    this._startWaiting();
+    this.startWaiting();
+  }
+
+  /** Records that a started call was not sent to the target. */
+  callNotSent(id: number): void {
+    this.rateLimiter.returnToken(monotonicMs());
+    this.callEnded(id);
   }
 
   /** Removes a waiting call; false when it is not in the queue. */
@@ -172,15 +194,22 @@
   expire(): void {
     const now = monotonicMs();
     while (this._queue[0] && this._queue[0].waitUntil <= now) {
-      this._refuseFirst();
+      const call = this._queue.shift();
+      if (call) {
+        this._events.onRefuse(call, this._capacityReason(now, 'wait_too_long'));
+      }
     }
   }
 
-  private _refuseFirst(): void {
-    const call = this._queue.shift();
-    if (call) {
-      this._events.onRefuse(call, 'wait_too_long');
-    }
+  /** Time until `count` more calls have started, in milliseconds. */
+  private _startDelayMs(count: number, now: number): number {
+    return Math.max((count * this._meanMs) / this.limit, this.rateLimiter.msUntil(count, now));
+  }
+
+  /** Names the rate limit as the reason of a refusal while the next call waits for it, rather than for a slot. */
+  private _capacityReason(now: number, otherwise: GateRefusal): GateRefusal {
+    const rateLimited = this._running.size < this.limit && this.rateLimiter.msUntil(this._queue.length + 1, now) > 0;
+    return rateLimited ? 'rate_limited' : otherwise;
   }
 
   /** Position in the queue, after all calls with the same or an earlier latest start. */
@@ -206,15 +235,16 @@
     return coldMs > 1_000 ? kColdSlotShares[0] : kColdSlotShares[1];
   }
 
-  private _startWaiting(): void {
+  /** Starts the waiting calls that slots and the rate limit allow, and refuses those whose latest start has passed. */
+  startWaiting(): void {
     this.expire();
-    while (this._running.size < this.limit) {
+    const now = monotonicMs();
+    while (this._queue.length > 0 && this._running.size < this.limit && this.rateLimiter.tryTake(now)) {
       const call = this._queue.shift();
-      if (!call) {
-        return;
+      if (call) {
+        this._running.add(call.id);
+        this._events.onStart(call);
       }
-      this._running.add(call.id);
-      this._events.onStart(call);
     }
   }
 }
--- a/packages/core/src/membership/targetLifecycle.ts
+++ b/packages/core/src/membership/targetLifecycle.ts
@@ -69,6 +69,13 @@
     return instance !== before.instance || born !== before.born || state !== before.state || slots !== before.slots;
   }
 
+  /** Marks the known target as draining, as it stated in a response; returns whether that changed its state. Later announcements do not undo it. */
+  drain(): boolean {
+    const before = this._known;
+    this._advance('draining');
+    return this._known !== before;
+  }
+
   /**
    * Applies a record of this host from another daemon; returns whether it changed anything. A target that was draining or gone stays so.
    * `unknown`, the last state from a daemon that shut down while its target was ready, and `unreachable` count as ready; the first call
--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -28,6 +28,8 @@
   state: TargetRecordState;
   /** Number of calls that the target runs concurrently. */
   slots: number;
+  /** Rate limit that the target states, in requests per second; undefined without one. */
+  rateLimit?: number | undefined;
   /** Learned call chains of the target's routes, kept across restarts; undefined until enough calls were observed. */
   learned?: LearnedChains | undefined;
   /** Quarantined request fingerprints that crashed this target, kept for a restart of all daemons. */
--- a/packages/core/src/retries/repeatBudget.ts
+++ b/packages/core/src/retries/repeatBudget.ts
@@ -60,6 +60,11 @@
     return true;
   }
 
+  /** Returns the token of a repeat that was not sent to the target. */
+  refund(): void {
+    this._tokens++;
+  }
+
   /** Adds this target's share of the extra repeats for the elapsed time, and returns the capacity: one window's share, at least 1. */
   private _refill(targets: number): number {
     const now = monotonicMs();
--- a/packages/core/src/routing/hostStats.ts
+++ b/packages/core/src/routing/hostStats.ts
@@ -6,6 +6,7 @@
 /** Statistics that one ingress keeps about the target on one host: latency, failures, load and reachability. */
 
 import type { RouteReport } from '../admission/chainModel.js';
+import { RateLoad } from '../admission/rateLoad.js';
 import type { TargetRecord } from '../membership/targetRecord.js';
 import { DecayingAverages } from './decayingAverages.js';
 
@@ -37,6 +38,8 @@
   queued: number;
   limit: number;
   meanMs: number;
+  /** Arrivals relative to the rate limit of the target; undefined without a limit. */
+  rateLoad?: number | undefined;
 }
 
 /** Report of a gate with each response: its load, its data on the route, and the charge for the downstream calls of one run. */
@@ -59,6 +62,7 @@
   comparisonsSinceChosen = 0;
   private _load: LoadReport = { inFlight: 0, queued: 0, limit: 0, meanMs: 0 };
   private _reportedAt = -Infinity;
+  private readonly _rateLoad = new RateLoad();
   /** Calls that were sent and have no result yet. */
   private _outstanding = 0;
   /** Outstanding calls at the time of the latest load report. */
@@ -76,8 +80,12 @@
     return this._meanMs.names;
   }
 
-  recordSent(): void {
+  /** Records a call that was sent to the target; `rateLimit` is the limit that the target states, in requests per second. */
+  recordSent(rateLimit: number | undefined, now: number): void {
     this._outstanding++;
+    if (rateLimit !== undefined) {
+      this._rateLoad.add(rateLimit, now);
+    }
   }
 
   /** Records the result of a call; `usualMs` is the mean duration on its route over all hosts. */
@@ -128,12 +136,15 @@
     return this._failureRate * 0.5 ** ((now - this._failureRateAt) / kFailureHalfLifeMs);
   }
 
-  /** Calls at the target and in transit to it, the next one included, divided by the number that it runs concurrently. */
+  /**
+   * Calls at the target and in transit to it, the next one included, divided by the number that it runs concurrently; or its arrivals relative
+   * to its rate limit, if that is more.
+   */
   load({ slots }: TargetRecord, now: number): number {
     const limit = this._load.limit > 0 ? this._load.limit : Math.max(1, slots);
     const decay = 0.5 ** ((now - this._reportedAt) / kReportHalfLifeMs);
     const otherCalls = Math.max(0, this._load.inFlight + this._load.queued - this._outstandingAtReport) * decay;
-    return (otherCalls + this._outstanding + 1) / limit;
+    return Math.max((otherCalls + this._outstanding + 1) / limit, this._rateLoad.valueAt(now));
   }
 
   private _recordReport(route: string, load: LoadReport & { chargeMs?: number }, now: number): void {
@@ -141,6 +152,7 @@
     this._reportedAt = now;
     this._outstandingAtReport = this._outstanding;
     this._backoffMs = 0;
+    this._rateLoad.set(load.rateLoad ?? 0, now);
     this._chargeMs.update(route, Math.min(kMaxChainChargeMs, load.chargeMs ?? 0), now);
   }
 }
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -157,8 +157,9 @@
     });
   }
 
-  recordSent(host: string): void {
-    this._statsOf(host).recordSent();
+  /** Records a call that was sent to a host; `rateLimit` is the limit that its target states, in requests per second. */
+  recordSent(host: string, rateLimit?: number): void {
+    this._statsOf(host).recordSent(rateLimit, monotonicMs());
   }
 
   recordResult(host: string, route: string, result: PlacedCallResult): void {
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -33,8 +33,10 @@
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
 import { type Run, type RunResult, TargetClient } from '../../client/targetClient.js';
+import type { TargetCondition } from '../../http/targetCondition.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
+import { ConditionTracker } from './conditionTracker.js';
 import { identityOf } from './requestIdentity.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
@@ -85,6 +87,8 @@
   validUntil: number;
   run: Run | undefined;
   startedAt: number;
+  /** Whether a token of the repeat budget was spent on it. */
+  repeatSpent: boolean;
   done: OfferDone;
 }
 
@@ -108,6 +112,7 @@
   private _stopping = false;
   private _nextId = 1;
   private readonly _level = new GateLevel();
+  private readonly _condition: ConditionTracker;
   /** Set only while calls wait, so that an idle daemon does not wake up. */
   private _expiryTimer: NodeJS.Timeout | undefined;
 
@@ -135,30 +140,42 @@
       },
       this._connections,
     );
+    this._condition = new ConditionTracker({
+      limiter: this._gate.rateLimiter,
+      incarnation: () => this._lifecycle.known,
+      onPublish: () => {
+        _deps.onChange();
+      },
+      events: _deps.events,
+    });
   }
 
   /** State of the target as published to other daemons. */
-  get advertisedState(): Pick<TargetRecord, 'instance' | 'born' | 'service' | 'state' | 'slots'> {
+  get advertisedState(): Pick<TargetRecord, 'instance' | 'born' | 'service' | 'state' | 'slots' | 'rateLimit'> {
     const { instance, born, service, state, slots } = this._lifecycle.known;
+    const rateLimit = this._condition.published;
+    const fields = { instance, born, service, slots, ...(rateLimit === undefined ? {} : { rateLimit }) };
     if (state !== 'ready') {
-      return { instance, born, service, state, slots };
+      return { ...fields, state };
     }
     const usable = this._reachability.reachable ? 'ready' : 'unreachable';
-    return { instance, born, service, state: this._recovering || this._stopping ? 'unknown' : usable, slots };
+    return { ...fields, state: this._recovering || this._stopping ? 'unknown' : usable };
   }
 
   /** Load and admission level, for metrics. */
   get state(): MetricsView['gate'] {
-    const { inFlight, queued, limit, meanMs } = this._gate;
-    return { inFlight, queued, limit, meanMs, level: this._level.current };
+    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
+    const rate = { rateLimit: rateLimiter.statedRate, rateTokens: rateLimiter.tokens(monotonicMs()) };
+    return { inFlight, queued, limit, meanMs, level: this._level.current, ...rate };
   }
 
   /** Current load and chain report for the callers of a route. */
   report(route: string): GateReport {
-    const { inFlight, queued, limit, meanMs } = this._gate;
+    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
     const { level, inner, height } = this._deps.chains.report(route, this._level.current);
     const chargeMs = Math.round(this._deps.chains.sumDownstream(route, (call) => this._deps.chargeMs(call)));
-    return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs };
+    const rateLoad = rateLimiter.active ? rateLimiter.loadAt(monotonicMs()) : undefined;
+    return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs, rateLoad };
   }
 
   /** Number of running and waiting calls. */
@@ -176,6 +193,7 @@
       this._client?.close();
       this._client = undefined;
       this._reachability = new TargetReachability();
+      this._condition.reset();
     }
     if (announcement.instance === instance && announcement.state === 'ready') {
       this._reachability.record('heartbeat', monotonicMs());
@@ -183,6 +201,7 @@
     if (updated) {
       // Applies to announcements without a state change too: one of them may be the first to report the warm-up time.
       this._warmAt = monotonicMs() + coldMs;
+      this._condition.applyRestored();
       this._updateGate();
     }
     if (changed) {
@@ -194,9 +213,11 @@
 
   /** Applies the state of the target that other daemons or the platform's log know. */
   restore(record: TargetRecord): void {
+    this._condition.restore(record);
     if (this._lifecycle.applyRecord(record)) {
       const { instance, state } = this._lifecycle.known;
       this._deps.events.info('target', `Restored the last known state of the target: ${state}.`, { instance });
+      this._condition.applyRestored();
       this._applyState();
     }
   }
@@ -217,8 +238,9 @@
 
   /** Updates the admission level for the elapsed time, and checks connections; called several times per second. */
   check(elapsedMs: number): void {
-    const { queued, meanMs, limit } = this._gate;
-    this._level.step((queued * meanMs) / limit, elapsedMs);
+    const { queueWaitMs, rateLimiter } = this._gate;
+    this._level.step(queueWaitMs, elapsedMs, rateLimiter.active ? rateLimiter.intervalMs(monotonicMs()) : 0);
+    this._condition.publish();
     this._deps.chains.step();
     this._client?.check();
     if (this._reachability.takeProbe(monotonicMs())) {
@@ -247,10 +269,11 @@
       validUntil: now + (call.workspace?.validMs ?? Infinity),
       run: undefined,
       startedAt: 0,
+      repeatSpent: false,
       done,
     };
     this._deps.chains.recordArrival(call.route, call.callerService, call.workspace !== undefined);
-    const refusal = this._immediateRefusal(call) ?? this._offerToSuspectGate(offered);
+    const refusal = this._immediateRefusal(offered) ?? this._offerToSuspectGate(offered);
     if (refusal) {
       this._refuse(offered, refusal);
       return { cancel: () => undefined };
@@ -297,6 +320,7 @@
 
   private _refuse(offered: OfferedCall, reason: GateRefusal): void {
     const { call, done } = offered;
+    this._refundRepeat(offered);
     done(this._refusal(reason), this.report(call.route));
     this._suspects.leave(offered);
   }
@@ -311,14 +335,14 @@
   /** Counts a call that was refused because there is no capacity as excess load. */
   private _recordRefusal(reason: NotRunReason): void {
     if (isCapacityRefusal(reason)) {
-      this._level.recordRefusal(this._gate.meanMs / this._gate.limit);
+      this._level.recordRefusal(this._gate.workMs(this._gate.meanMs));
     }
   }
 
   private _scheduleExpiry(): void {
     this._expiryTimer ??= setTimeout(() => {
       this._expiryTimer = undefined;
-      this._gate.expire();
+      this._gate.startWaiting();
       this._suspects.expire(monotonicMs());
       if (this._gate.queued + this._suspects.waiting > 0) {
         this._scheduleExpiry();
@@ -331,7 +355,8 @@
     return chains.isEstimated(route) ? chains.report(route, 0).height : undefined;
   }
 
-  private _immediateRefusal(call: PeerCall): GateRefusal | undefined {
+  private _immediateRefusal(offered: OfferedCall): GateRefusal | undefined {
+    const { call } = offered;
     const { service, instance } = this._lifecycle.known;
     if (call.service !== service || call.instance !== instance) {
       return 'not_accepting';
@@ -346,10 +371,19 @@
     if (!this._budget.spend(this._deps.targets(service), call.inner)) {
       return 'repeat_budget';
     }
+    offered.repeatSpent = true;
     this._deps.metrics.repeated();
     return undefined;
   }
 
+  /** A repeat that did not reach the target costs nothing. */
+  private _refundRepeat(offered: OfferedCall): void {
+    if (offered.repeatSpent) {
+      offered.repeatSpent = false;
+      this._budget.refund();
+    }
+  }
+
   private _applyState(): void {
     this._updateGate();
     this._deps.onChange();
@@ -366,6 +400,11 @@
       onReachability: (evidence) => {
         this._handleReachability(reachability, evidence);
       },
+      onCondition: (call, condition, sentAt) => {
+        if (reachability === this._reachability) {
+          this._handleCondition(call, condition, sentAt);
+        }
+      },
       onCrash: (calls) => {
         this._handleCrash(calls);
       },
@@ -390,6 +429,19 @@
     this._applyState();
   }
 
+  /** Applies what the target stated in a response: its rate limit, or that it is leaving. */
+  private _handleCondition({ requestId }: PeerCall, { rate, leaving, invalidLeaving }: TargetCondition, sentAt: number): void {
+    this._condition.record(rate, requestId, sentAt);
+    if (invalidLeaving !== undefined) {
+      this._condition.logInvalid('a leaving header', invalidLeaving, requestId);
+    }
+    if (leaving && this._lifecycle.drain()) {
+      const { instance, born } = this._lifecycle.known;
+      this._deps.events.info('target', 'The target states that it is leaving.', { instance, born, req: requestId });
+      this._applyState();
+    }
+  }
+
   /** Handles a report that the target process has ended, which counts as a crash only if the target was ready. */
   private _handleCrash(calls: readonly PeerCall[]): void {
     const { address, instance, born, state } = this._lifecycle.known;
@@ -422,12 +474,12 @@
     const client = this._client;
     const { workspace } = offered.call;
     if (now > offered.validUntil || (workspace && !this._deps.isKeyValid(workspace))) {
-      this._gate.callEnded(offered.id);
+      this._gate.callNotSent(offered.id);
       this._refuse(offered, 'key_not_valid');
       return;
     }
     if (!client || remaining <= 0) {
-      this._gate.callEnded(offered.id);
+      this._gate.callNotSent(offered.id);
       this._recordRefusal('wait_too_long');
       this._refuse(offered, 'wait_too_long');
       return;
@@ -450,15 +502,21 @@
     if (result.kind === 'not_run' && isCapacityRefusal(result.reason)) {
       this._recordRefusal(result.reason);
     } else {
-      this._level.recordWork(tookMs / this._gate.limit);
+      this._level.recordWork(this._gate.workMs(tookMs));
+    }
+    if (wasNotSent(result)) {
+      this._gate.callNotSent(offered.id);
+      this._refundRepeat(offered);
+    } else {
+      this._gate.callEnded(offered.id, ran ? tookMs : undefined);
     }
-    this._gate.callEnded(offered.id, ran ? tookMs : undefined);
     offered.done(result, this.report(offered.call.route));
     this._suspects.leave(offered);
   }
 
   private _cancel(offered: OfferedCall): void {
     if (this._gate.withdraw(offered) || this._suspects.withdraw(offered)) {
+      this._refundRepeat(offered);
       offered.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.report(offered.call.route));
       this._suspects.leave(offered);
     } else if (offered.call.idempotent) {
@@ -466,11 +524,25 @@
     }
   }
 
-  /** The retry delay of a refusal is the estimated time to complete the current queue and running calls. */
   private _refusal(reason: GateRefusal): CallResult {
     this._deps.metrics.refused(reason);
-    const { inFlight, queued, limit, meanMs } = this._gate;
-    const drainMs = reason === 'not_accepting' ? 0 : ((inFlight + queued) / limit) * meanMs;
-    return { kind: 'not_run', reason, retryAfterMs: Math.min(kMaxRetryAfterMs, drainMs) };
+    return { kind: 'not_run', reason, retryAfterMs: this._retryAfterMs(reason) };
   }
+
+  /** Estimated time to complete the queue and the running calls, or until the rate limit has room, in milliseconds. */
+  private _retryAfterMs(reason: GateRefusal): number {
+    if (reason === 'not_accepting') {
+      return 0;
+    }
+    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
+    if (reason === 'rate_limited') {
+      return rateLimiter.retryAfterMs(monotonicMs());
+    }
+    return Math.min(kMaxRetryAfterMs, ((inFlight + queued) / limit) * meanMs);
+  }
+}
+
+/** Whether a started call ended before it was written to a connection. */
+function wasNotSent(result: CallResult): boolean {
+  return result.kind === 'not_run' && (result.reason === 'no_connection' || result.reason === 'unreachable');
 }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -401,7 +401,7 @@
       choose: (candidates, excluded, route) => this._placement.choose(candidates, excluded, route),
       offer: (target, call, done) => this._offer(target, call, done),
       onOfferSent: (target, first) => {
-        this._placement.recordSent(target.host);
+        this._placement.recordSent(target.host, target.rateLimit);
         this._metrics.placed(target.service, this._localityOf(target), !first);
       },
       onOfferResult: (host, route, result) => {
@@ -451,7 +451,8 @@
       });
       return { status: 400 };
     }
-    if (this._gate.announce(announcement) && announcement.state !== 'ready') {
+    this._gate.announce(announcement);
+    if (announcement.state !== 'ready') {
       await Promise.race([this._records.published, pause(kAckWaitMs)]);
     }
     return { status: 200, body: '{}' };
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -18,7 +18,16 @@
 
 /** Values that are read for each metrics request. */
 export interface MetricsView {
-  gate: { inFlight: number; queued: number; limit: number; level: number; meanMs: number };
+  gate: {
+    inFlight: number;
+    queued: number;
+    limit: number;
+    level: number;
+    meanMs: number;
+    /** Rate limit that the target states, in requests per second, and the requests that may be sent now; undefined without a limit. */
+    rateLimit: number | undefined;
+    rateTokens: number | undefined;
+  };
   /** Number of hosts by the state of their target. */
   hosts: ReadonlyMap<string, number>;
   links: number;
@@ -163,6 +172,8 @@
       ['gate_limit', gate.limit],
       ['gate_level', gate.level],
       ['gate_mean_ms', gate.meanMs],
+      ...(gate.rateLimit === undefined ? [] : [['gate_rate_limit', gate.rateLimit] satisfies [string, number]]),
+      ...(gate.rateTokens === undefined ? [] : [['gate_rate_tokens', gate.rateTokens] satisfies [string, number]]),
       ['links', links],
       ['config_version', configVersion],
       ['config_age_seconds', configAge],
--- a/packages/mesh/src/app/records/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -73,16 +73,13 @@
   /** Record of this host. */
   get own(): TargetRecord {
     const { id, zone, listen, target } = this._deps.settings;
-    const { instance, born, service, state, slots } = this._deps.gate().advertisedState;
+    const { service, ...state } = this._deps.gate().advertisedState;
     return {
       host: id,
       zone,
       peers: listen.peers,
       service: service === '' ? target.service : service,
-      instance,
-      born,
-      state,
-      slots,
+      ...state,
       ...(this._learned ? { learned: this._learned } : {}),
       ...(this._suspects.length > 0 ? { suspects: this._suspects } : {}),
       epoch: this._epoch,
--- a/packages/mesh/src/client/callCodec.ts
+++ b/packages/mesh/src/client/callCodec.ts
@@ -10,7 +10,9 @@
 
 /** Admission levels are sent as integer thousandths. */
 const kLevelScale = 1_000;
-/** Number of fields of a gate report. */
+/** Loads relative to a rate limit are sent as integer thousandths. */
+const kLoadScale = 1_000;
+/** Number of fields of a gate report before the optional last one, the load relative to a rate limit. */
 const kReportFields = 8;
 /** Encodes an undefined rank. */
 const kNoRank = -1;
@@ -95,8 +97,9 @@
   return [names.write(name), keyHash, version, validMs === Infinity ? kNoLimit : Math.floor(validMs)];
 }
 
-export function encodeReport({ inFlight, queued, limit, meanMs, level, inner, height, chargeMs }: GateReport): unknown[] {
-  return [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelScale), chargeMs, height, inner];
+export function encodeReport({ inFlight, queued, limit, meanMs, level, inner, height, chargeMs, rateLoad }: GateReport): unknown[] {
+  const fields = [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelScale), chargeMs, height, inner];
+  return rateLoad === undefined ? fields : [...fields, Math.round(rateLoad * kLoadScale)];
 }
 
 /** Decodes the gate report whose fields begin at index `at`. */
@@ -106,7 +109,18 @@
     at + kReportFields - 1,
   ) as number[];
   const inner = (fields[at + kReportFields - 1] ?? undefined) as boolean | undefined;
-  return { inFlight, queued, limit, meanMs, level: level / kLevelScale, inner, height, chargeMs };
+  const rateLoad = fields[at + kReportFields] as number | undefined;
+  return {
+    inFlight,
+    queued,
+    limit,
+    meanMs,
+    level: level / kLevelScale,
+    inner,
+    height,
+    chargeMs,
+    ...(rateLoad === undefined ? {} : { rateLoad: rateLoad / kLoadScale }),
+  };
 }
 
 export function parseHeaders(field: unknown, names: NameReader): string[] {
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -9,8 +9,9 @@
 
 import { type CallResult, monotonicMs, type ReachabilityEvidence } from '@gentiandrum/core';
 import { Deadlines, type Expirable } from '../app/calls/deadlines.js';
-import { HeaderReader } from '../http/headerReader.js';
+import { HeaderReader, type ResponseHeaders } from '../http/headerReader.js';
 import { encodeRequest } from '../http/messageText.js';
+import { kNoCondition, type TargetCondition } from '../http/targetCondition.js';
 import type { HeaderNames } from '../ports.js';
 import type { PeerCall } from './callCodec.js';
 import { CrashDetector } from './crashDetector.js';
@@ -21,6 +22,9 @@
 /** Time after the deadline in which the target may still respond before the run is aborted, in milliseconds. */
 const kAbortGraceMs = 300;
 
+/** Longest retry delay of a target that is passed on, in milliseconds. */
+const kMaxRetryAfterMs = 60_000;
+
 /** Reason of the result of a run that was in flight when the target crashed. */
 const kTargetCrashedReason = 'target ended';
 
@@ -33,6 +37,11 @@
 export interface TargetEvents {
   /** A connection attempt succeeded or failed. */
   onReachability(evidence: ReachabilityEvidence): void;
+  /**
+   * The target stated its condition in a response to a call that was sent at `sentAt`, on the monotonic clock. A condition without any
+   * statement is reported only for complete responses.
+   */
+  onCondition(call: PeerCall, condition: TargetCondition, sentAt: number): void;
   /** The target crashed while these calls were in flight. Called before their results are reported. */
   onCrash(calls: readonly PeerCall[]): void;
 }
@@ -86,24 +95,21 @@
     }
     const run = new TargetRun(connection, monotonicMs() + remainingMs + kAbortGraceMs);
     this._runs.add(run);
-    connection.send(this._encodeRequest(call, remainingMs), call.method === 'HEAD', (outcome) => {
-      this._runs.delete(run);
-      run.ended = true;
-      if (outcome.kind === 'broken' && outcome.byTarget && !run.aborted) {
-        this._crashDetector.addInterrupted(call, (crashed) => {
-          done(lostRun(crashed ? kTargetCrashedReason : `connection: ${outcome.reason}`));
-        });
-        return;
-      }
-      const runResult = this._resultOf(call, outcome, run.aborted);
-      if (outcome.kind === 'broken') {
-        this._crashDetector.addAbandoned(call);
-      }
-      if (runResult.result.kind === 'lost') {
-        // The rest of this response cannot be distinguished from the next one on the connection.
-        connection.close('incomplete response');
-      }
-      done(runResult);
+    const sentAt = monotonicMs();
+    connection.send(this._encodeRequest(call, remainingMs), call.method === 'HEAD', {
+      onHead: (status, headers) => {
+        if (headers.condition !== kNoCondition && isFromTarget(call, status, headers)) {
+          this._events.onCondition(call, headers.condition, sentAt);
+        }
+      },
+      onDone: (outcome) => {
+        this._runs.delete(run);
+        run.ended = true;
+        if (outcome.kind === 'answered' && showsNoCondition(call, outcome.response)) {
+          this._events.onCondition(call, kNoCondition, sentAt);
+        }
+        this._handleOutcome(call, connection, outcome, run.aborted, done);
+      },
     });
     return run;
   }
@@ -131,6 +137,30 @@
     this._crashDetector.close();
   }
 
+  private _handleOutcome(
+    call: PeerCall,
+    connection: TargetConnection,
+    outcome: ExchangeOutcome,
+    aborted: boolean,
+    done: (runResult: RunResult) => void,
+  ): void {
+    if (outcome.kind === 'broken' && outcome.byTarget && !aborted) {
+      this._crashDetector.addInterrupted(call, (crashed) => {
+        done(lostRun(crashed ? kTargetCrashedReason : `connection: ${outcome.reason}`));
+      });
+      return;
+    }
+    const runResult = this._resultOf(call, outcome, aborted);
+    if (outcome.kind === 'broken') {
+      this._crashDetector.addAbandoned(call);
+    }
+    if (runResult.result.kind === 'lost') {
+      // The rest of this response cannot be distinguished from the next one on the connection.
+      connection.close('incomplete response');
+    }
+    done(runResult);
+  }
+
   private _handleReachability(evidence: ReachabilityEvidence): void {
     if (evidence === 'refused') {
       this._crashDetector.refused();
@@ -206,7 +236,8 @@
     }
     if (headers.notRun || status === 421) {
       const reason = status === 421 ? 'wrong_instance' : 'target_refused';
-      return { result: { kind: 'not_run', reason, retryAfterMs: 0 }, responded: true };
+      const retryAfterMs = Math.min(kMaxRetryAfterMs, headers.retryAfterMs ?? 0);
+      return { result: { kind: 'not_run', reason, retryAfterMs }, responded: true };
     }
     // A response that ends with its connection cannot be distinguished from a truncated one, for example after a crash of the target.
     if (!headers.framed) {
@@ -222,6 +253,16 @@
   }
 }
 
+/** Whether the head of a response was written by the target for this call, rather than for another call or by another target. */
+function isFromTarget(call: PeerCall, status: number, { requestId, sealed, notRun }: ResponseHeaders): boolean {
+  return requestId === call.requestId && status !== 421 && (sealed || notRun);
+}
+
+/** Whether a complete response proves that the target states no condition. */
+function showsNoCondition(call: PeerCall, { status, headers }: TargetResponse): boolean {
+  return headers.condition === kNoCondition && headers.sealed && headers.framed && isFromTarget(call, status, headers);
+}
+
 function lostRun(reason: string): RunResult {
   return { result: { kind: 'lost', reason }, responded: false };
 }
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -37,6 +37,14 @@
   /** The request was sent without a complete response; `byTarget` when the target closed the connection. */
   | { kind: 'broken'; reason: string; byTarget: boolean };
 
+/** Callbacks for a request on a connection. */
+export interface ExchangeEvents {
+  /** The head of the response was received; called before the body is complete. */
+  onHead(status: number, headers: ResponseHeaders): void;
+  /** The exchange ended. */
+  onDone(outcome: ExchangeOutcome): void;
+}
+
 export interface TargetConnectionEvents {
   /** The connection attempt succeeded or failed. */
   onReachability(evidence: 'connected' | 'refused' | 'timed_out'): void;
@@ -53,9 +61,10 @@
   private _refused = false;
   private _closed = false;
   private _closedByTarget = false;
-  private _done: ((outcome: ExchangeOutcome) => void) | undefined;
+  private _exchange: ExchangeEvents | undefined;
   private _isHead = false;
   private _head: MessageHead | undefined;
+  private _responseHeaders: ResponseHeaders | undefined;
   private _parts: Buffer[] = [];
   /** The response is complete; it is delivered after the rest of the chunk has been parsed. */
   private _complete = false;
@@ -123,8 +132,8 @@
   }
 
   /** Sends a request; the connection must be idle. */
-  send(parts: readonly Buffer[], isHead: boolean, done: (outcome: ExchangeOutcome) => void): void {
-    this._done = done;
+  send(parts: readonly Buffer[], isHead: boolean, exchange: ExchangeEvents): void {
+    this._exchange = exchange;
     this._isHead = isHead;
     writeParts(this._socket, parts);
   }
@@ -154,7 +163,7 @@
     this._connected = true;
     this._socket.setTimeout(0);
     this._events.onReachability('connected');
-    if (!this._done) {
+    if (!this._exchange) {
       this._becomeIdle(undefined);
     }
   }
@@ -164,7 +173,7 @@
       return;
     }
     const fault = this._parser.push(bytes);
-    const broken = fault !== undefined || this._unsolicited || this._done === undefined;
+    const broken = fault !== undefined || this._unsolicited || this._exchange === undefined;
     if (this._complete) {
       this._deliverResponse(broken);
     } else if (broken) {
@@ -174,7 +183,7 @@
 
   /** A response without a length is complete when the target closes the connection cleanly. */
   private _handleEnd(): void {
-    if (!this._closed && this._done && this._head) {
+    if (!this._closed && this._exchange && this._head) {
       this._parser.finish();
       if (this._complete) {
         this._deliverResponse(true);
@@ -185,16 +194,20 @@
   }
 
   private _handleHead(head: MessageHead): void {
-    this._unsolicited ||= this._done === undefined || this._complete;
-    if (!this._unsolicited) {
-      this._head = head;
-      this._parts = [];
+    this._unsolicited ||= this._exchange === undefined || this._complete;
+    if (this._unsolicited) {
+      return;
+    }
+    this._head = head;
+    this._parts = [];
+    if (isFinalStatus(head.status)) {
+      this._responseHeaders = this._headers.readResponse(head.headers, head.status);
+      this._exchange?.onHead(head.status, this._responseHeaders);
     }
   }
 
   private _handleMessageEnd(): void {
-    // Interim responses (1xx) are skipped; the final one follows.
-    if (!this._unsolicited && this._head && this._head.status >= 200) {
+    if (!this._unsolicited && this._head && isFinalStatus(this._head.status)) {
       this._complete = true;
     }
   }
@@ -202,22 +215,22 @@
   /** Delivers the response after the whole chunk is parsed, so that surplus bytes are detected first. */
   private _deliverResponse(broken: boolean): void {
     const head = this._head;
-    if (!head) {
+    const headers = this._responseHeaders;
+    if (!head || !headers) {
       return;
     }
-    const headers = this._headers.readResponse(head.headers, head.status);
     const response = { status: head.status, headers, body: this._body() };
     this._head = undefined;
     this._parts = [];
     this._complete = false;
-    const done = this._done;
-    this._done = undefined;
+    const exchange = this._exchange;
+    this._exchange = undefined;
     if (broken || !head.keepAlive) {
       this.close('connection not kept alive');
     } else {
       this._becomeIdle(headers.keepAliveSeconds);
     }
-    done?.({ kind: 'answered', response });
+    exchange?.onDone({ kind: 'answered', response });
   }
 
   private _body(): Buffer {
@@ -241,8 +254,13 @@
   }
 
   private _finish(outcome: ExchangeOutcome): void {
-    const done = this._done;
-    this._done = undefined;
-    done?.(outcome);
+    const exchange = this._exchange;
+    this._exchange = undefined;
+    exchange?.onDone(outcome);
   }
 }
+
+/** Interim responses (1xx) precede the final one. */
+function isFinalStatus(status: number): boolean {
+  return status >= 200;
+}
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -9,6 +9,7 @@
  */
 
 import type { HeaderNames } from '../ports.js';
+import { kNoCondition, parseCondition, type TargetCondition } from './targetCondition.js';
 
 /** Headers of a request. */
 export interface RequestHeaders {
@@ -34,6 +35,10 @@
   /** Whether the response proves that the target has not run the request. */
   notRun: boolean;
   sealed: boolean;
+  /** Condition that the target states. */
+  condition: TargetCondition;
+  /** Time after which the target asks for a retry, in milliseconds; undefined when it sends none. */
+  retryAfterMs: number | undefined;
   /** Keep-alive timeout of the target, in seconds; undefined when it sends none. */
   keepAliveSeconds: number | undefined;
   forwarded: string[];
@@ -54,6 +59,8 @@
   'content-length',
 ];
 
+const kMsPerSecond = 1_000;
+
 /** Header that carries the key of a workspace. */
 export const kCredentialsHeader = 'authorization';
 
@@ -142,10 +149,14 @@
       framed: status === 204 || status === 304,
       notRun: false,
       sealed: false,
+      condition: kNoCondition,
+      retryAfterMs: undefined,
       keepAliveSeconds: undefined,
       forwarded: [],
     };
     let connection = '';
+    let rateLimit: string | undefined;
+    let leaving: string | undefined;
     for (let i = 0; i < raw.length; i += 2) {
       const name = raw[i] ?? '';
       const value = raw[i + 1] ?? '';
@@ -154,6 +165,13 @@
         read.forwarded.push(name, value);
         read.sealed ||= lower === names.seal;
         read.notRun ||= lower === names.notRun;
+        if (lower === names.rateLimit) {
+          rateLimit = appendToList(rateLimit, value);
+        } else if (lower === names.leaving) {
+          leaving = appendToList(leaving, value);
+        } else if (lower === 'retry-after') {
+          read.retryAfterMs = parseRetryAfter(value);
+        }
       } else if (lower === names.requestId) {
         read.requestId ||= value;
       } else if (lower === 'content-length' || lower === 'transfer-encoding') {
@@ -164,6 +182,9 @@
         connection = connection === '' ? value : `${connection},${value}`;
       }
     }
+    if (rateLimit !== undefined || leaving !== undefined) {
+      read.condition = parseCondition(rateLimit, leaving);
+    }
     read.forwarded = this._withoutConnectionOptions(read.forwarded, connection);
     return read;
   }
@@ -183,6 +204,16 @@
   return Number.isFinite(number) && number > 0 ? number : undefined;
 }
 
+function appendToList(list: string | undefined, value: string): string {
+  return list === undefined ? value : `${list},${value}`;
+}
+
+/** Parses a number of seconds. Dates are ignored, because they depend on the clocks of both hosts. */
+function parseRetryAfter(value: string): number | undefined {
+  const seconds = parsePositive(value);
+  return seconds === undefined ? undefined : seconds * kMsPerSecond;
+}
+
 function parseKeepAliveTimeout(value: string): number | undefined {
   const match = /(?:^|[\s,])timeout=(\d+)/i.exec(value);
   return match ? Number(match[1]) : undefined;
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -24,6 +24,10 @@
   callerService: string;
   /** Workspace of the request. */
   workspace: string;
+  /** Rate limit that the target states in its responses, in requests per second. */
+  rateLimit: string;
+  /** Set to `1` on the responses of a target that is leaving. */
+  leaving: string;
 }
 
 /** HTTP conventions of the platform. */
--- a/tests/admission/refusalLevel.spec.ts
+++ b/tests/admission/refusalLevel.spec.ts
@@ -11,6 +11,7 @@
   overloaded: true,
   wait_too_long: true,
   no_connection: true,
+  rate_limited: true,
   not_accepting: false,
   unreachable: false,
   repeat_budget: false,
--- a/tests/mesh/statedCondition.spec.ts
+++ b/tests/mesh/statedCondition.spec.ts
@@ -121,10 +121,14 @@
 function checkRate(t: ExecutionContext, starts: readonly number[], perSecond: number, from: number): void {
   const most = mostInWindow(starts, from);
   const allowed = (perSecond * kWindowMs) / 1_000 + kBurst;
+  t.log(`${most} requests in ${kWindowMs} ms, ${allowed} allowed`);
   t.true(most <= allowed, `expected at most ${allowed} requests in ${kWindowMs} ms, got ${most}`);
 }
 
 function checkServed(t: ExecutionContext, tally: Tally, allowed: number): void {
+  t.log(
+    `${tally.served} of ${tally.sent} calls served, ${Math.round(allowed)} allowed by the targets; urgent: ${tally.urgentServed} of ${tally.urgentSent}`,
+  );
   t.true(tally.served >= allowed * kMinServedShare, `expected 85% of ${allowed} calls to be served, got ${describeTally(tally)}`);
 }
 
--- a/utils/checkNames.mjs
+++ b/utils/checkNames.mjs
@@ -10,7 +10,7 @@
 
 const kRoot = fileURLToPath(new URL('..', import.meta.url));
 const kPlatformNames =
-  'x-attempt-id|x-deadline-remaining|x-response-seal|x-target-instance|x-server-load|x-not-executed|x-caller-service|x-tenant-id|auth_exempt|api_keys|rate_per_s|x-instance-id|/v1/instances|/v1/readiness|/v1/log-|log-append|log-newest|log-read|keyed\\.(op|servers|status)|traffic_split|path_prefix|cold_remaining_ms';
+  'x-attempt-id|x-deadline-remaining|x-response-seal|x-target-instance|x-server-load|x-not-executed|x-caller-service|x-tenant-id|server-limit|server-leaving|auth_exempt|api_keys|rate_per_s|x-instance-id|/v1/instances|/v1/readiness|/v1/log-|log-append|log-newest|log-read|keyed\\.(op|servers|status)|traffic_split|path_prefix|cold_remaining_ms';
 const kSearchedPaths = ['packages', 'bench', 'examples', 'tests', ':!tests/platform', ':!tests/mesh'];
 
 const grep = spawnSync('git', ['grep', '-nIiE', kPlatformNames, '--', ...kSearchedPaths], { cwd: kRoot, encoding: 'utf8' });
