Offer a request twice at most to targets that refuse it for their rate limits

Each refused offer counts as demand at one more gate, which raises the levels until urgent calls are shed too. Two offers kept.

--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -21,6 +21,12 @@
  */
 const kMaxNoTargetOffers = 4;
 
+/**
+ * Maximum number of offers of one request that are refused because of rate limits. Targets without room are chosen only if the others have
+ * none either, and each further offer would take the room of another request.
+ */
+const kMaxRateLimitedOffers = 2;
+
 /** Reasons that apply to every target. */
 const kFinalReasons: ReadonlySet<NotRunReason> = new Set(['cancelled', 'repeat_budget', 'key_not_valid', 'quarantined']);
 /** Retry-after time of a quarantined request, in milliseconds. */
@@ -85,6 +91,7 @@
   let last: RouteResult = { kind: 'not_run', reason: 'no_target', retryAfterMs: 0 };
   let arrivals = 0;
   let noTargetOffers = 0;
+  let rateLimitedOffers = 0;
   for (let offers = 0; offers - noTargetOffers < kMaxOffers && noTargetOffers <= kMaxNoTargetOffers; offers++) {
     const verdict = ctx.verdict();
     if (verdict === 'quarantined') {
@@ -109,7 +116,8 @@
       noTargetOffers++;
     }
     last = arrivals > 0 ? lessCertain(last, result) : result;
-    if (isFinal(result, route, arrivals) || (suspect && isSuspected(result))) {
+    rateLimitedOffers += isRateLimited(result) ? 1 : 0;
+    if (rateLimitedOffers >= kMaxRateLimitedOffers || isFinal(result, route, arrivals) || (suspect && isSuspected(result))) {
       return last;
     }
   }
@@ -125,6 +133,10 @@
   return result.kind === 'not_run' && result.reason === 'suspected';
 }
 
+function isRateLimited(result: CallResult): boolean {
+  return result.kind === 'not_run' && result.reason === 'rate_limited';
+}
+
 /** Whether an offer found no available target, so that nothing was sent to one. */
 export function foundNoTarget(result: CallResult): boolean {
   return result.kind === 'not_run' && (result.reason === 'unreachable' || result.reason === 'not_accepting');
