--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -38,6 +38,8 @@
 /** Half-life of an arrival's weight in the refused share, in milliseconds, and the minimum number of arrivals to compute it. */
 const kRefusalHalfLifeMs = 500;
 const kMinArrivals = 5;
+/** Admitted share from which the level follows a change of the rate limit at least; otherwise a level of 1 would not fall with it. */
+const kMinAdmittedShare = 0.05;
 /** Calls that a rate limit allows between two updates of the level, and the longest interval, in milliseconds. */
 const kCallsPerStep = 2;
 const kMaxStepMs = 1_000;
@@ -95,8 +97,11 @@
 
   /** When the rate limit changes, the admitted share changes in proportion. Without it, the level would need seconds to follow. */
   private _followRateLimit(intervalMs: number): void {
-    if (this._level > 0 && this._intervalMs > 0 && intervalMs > 0) {
-      this._level = Math.min(1, Math.max(0, 1 - ((1 - this._level) * this._intervalMs) / intervalMs));
+    const factor = this._intervalMs > 0 && intervalMs > 0 ? this._intervalMs / intervalMs : 1;
+    if (factor !== 1) {
+      this._workMs /= factor;
+      const admittedShare = Math.max(kMinAdmittedShare, 1 - this._level);
+      this._level = this._level > 0 ? Math.min(1, Math.max(0, 1 - admittedShare * factor)) : 0;
     }
     this._intervalMs = intervalMs;
   }
