--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -17,4 +17,5 @@
 export * from './client/peerMessages.js';
 export * from './client/sharedNames.js';
 export * from './http/messageParser.js';
+export * from './http/targetCondition.js';
 export * from './ports.js';
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -52,6 +52,8 @@
   statedLimit: string | undefined;
   /** Whether all responses state that the target is leaving. */
   leaving = false;
+  /** Further headers on all responses. */
+  extraHeaders: Record<string, string | string[]> = {};
   /** Called when a request starts to run; if it returns a promise, the request runs until that resolves. */
   onRun: (req: SeenRequest) => Promise<void> | undefined = () => undefined;
   readonly seen: SeenRequest[] = [];
@@ -187,9 +189,10 @@
     }
   }
 
-  /** Headers by which the target states its condition. */
-  private get _condition(): Record<string, string> {
+  /** Headers by which the target states its condition, and further ones. */
+  private get _condition(): Record<string, string | string[]> {
     return {
+      ...this.extraHeaders,
       ...(this.statedLimit === undefined ? {} : { 'server-limit': this.statedLimit }),
       ...(this.leaving ? { 'server-leaving': '1' } : {}),
     };
--- a/tests/retries/repeatBudget.spec.ts
+++ b/tests/retries/repeatBudget.spec.ts
@@ -71,6 +71,24 @@
     t.pass();
   });
 
+  itSerial('should return the token of a repeat that was not sent', (t) => {
+    const time = new VirtualTime();
+    try {
+      const budget = new RepeatBudget(kBound);
+      time.runUntil(kWindowMs);
+      let granted = 0;
+      while (budget.spend(1, false)) {
+        granted++;
+      }
+      t.true(granted > 0);
+      budget.refund();
+      t.true(budget.spend(1, false));
+      t.false(budget.spend(1, false));
+    } finally {
+      time.restore();
+    }
+  });
+
   itSerial('should start empty, so that a restart grants no repeats', (t) => {
     const time = new VirtualTime();
     t.false(new RepeatBudget(kBound).spend(1, false));
--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -45,6 +45,24 @@
     });
   });
 
+  itSerial('should leave a target that states a rate limit once calls reach the limit, and return when it ends', (t) => {
+    withPlacement((placement, time) => {
+      const limited = { ...kNear, rateLimit: 8 };
+      t.is(placement.choose([kFar, limited], kNone, kRoute), limited);
+      for (let i = 0; i < 10; i++) {
+        placement.recordSent('near', limited.rateLimit);
+      }
+      t.is(placement.choose([kFar, limited], kNone, kRoute), kFar);
+      time.runUntil(time.now + 2_000);
+      t.is(placement.choose([kFar, limited], kNone, kRoute), limited);
+      const report = { inFlight: 0, queued: 0, limit: 10, meanMs: 20 };
+      placement.recordResult('near', 'search', { load: { ...report, rateLoad: 1.5 }, failed: false });
+      t.is(placement.choose([kFar, limited], kNone, kRoute), kFar);
+      placement.recordResult('near', 'search', { load: report, failed: false });
+      t.is(placement.choose([kFar, kNear], kNone, kRoute), kNear);
+    });
+  });
+
   itSerial('should leave its zone for a free target only when the target there is full', (t) => {
     withPlacement((placement) => {
       const load = (inFlight: number): void => {
--- a/tests/routing/routeRequest.spec.ts
+++ b/tests/routing/routeRequest.spec.ts
@@ -47,6 +47,14 @@
     }
   });
 
+  it('should offer a request only once more after a target refuses it for its rate limit', (t) => {
+    const limited: CallResult = { kind: 'not_run', reason: 'rate_limited', retryAfterMs: 120 };
+    t.is(runRoute(false, 3, [limited, kAnswered]).result, kAnswered);
+    const { offers, result } = runRoute(false, 3, [limited, limited, kAnswered]);
+    t.is(offers.length, 2);
+    t.is(result, limited);
+  });
+
   it('should try another target when the request provably did not run', (t) => {
     for (const first of [kRefused, kShed]) {
       t.is(runRoute(false, 3, [first, kAnswered]).result, kAnswered);
