--- a/tests/routing/placement.spec.ts
+++ b/tests/routing/placement.spec.ts
@@ -51,6 +51,7 @@
       t.is(placement.choose([kFar, limited], kNone, kRoute), limited);
       for (let i = 0; i < 10; i++) {
         placement.recordSent('near', limited.rateLimit);
+        placement.recordResult('near', 'search', { failed: false });
       }
       t.is(placement.choose([kFar, limited], kNone, kRoute), kFar);
       time.runUntil(time.now + 2_000);
