Allow a burst of a quarter second, and count refusals for a rate limit as work only

The share of refused arrivals made the level of a gate rise although its limit was used: it is for limits that the work doesn't show.

--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -81,6 +81,11 @@
     this._workMs += ms;
   }
 
+  /** Records a call that was refused for the target's rate limit, a capacity that the work includes. */
+  recordRateLimited(ms: number): void {
+    this._workMs += ms;
+  }
+
   /**
    * Updates the level for the time since the last call of this method; `waitMs` is the expected wait of a call at the end of the queue,
    * `intervalMs` the time between calls at the target's rate limit, 0 without one. The lower the limit, the rarer are the updates: the
@@ -90,7 +95,7 @@
     this._followRateLimit(intervalMs);
     this._sinceStepMs += sinceMs;
     if (this._sinceStepMs >= Math.min(kMaxStepMs, kCallsPerStep * intervalMs)) {
-      this._update(waitMs, this._sinceStepMs, intervalMs > 0);
+      this._update(waitMs, this._sinceStepMs);
       this._sinceStepMs = 0;
     }
   }
@@ -106,24 +111,21 @@
     this._intervalMs = intervalMs;
   }
 
-  private _update(waitMs: number, elapsedMs: number, rateLimited: boolean): void {
+  private _update(waitMs: number, elapsedMs: number): void {
     const offeredLoad = (this._workMs + waitMs - this._lastWaitMs) / elapsedMs;
     const desiredWaitMs = this._meanAllowedWaitMs * kDesiredWaitShare;
     const waitRatio = desiredWaitMs > 0 ? Math.min(kMaxWaitRatio, waitMs / desiredWaitMs) : 0;
     const excess = offeredLoad - 1 + kWaitWeight * (waitRatio - 1);
-    const boundedExcess = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess, this._refusalExcess(elapsedMs, rateLimited)));
+    const boundedExcess = Math.min(kMaxExcess, Math.max(-kMaxExcess, excess, this._refusalExcess(elapsedMs)));
     const gain = kGain * Math.max(kMinGainShare, 1 - this._level);
     this._level = Math.min(1, Math.max(0, this._level + (gain * boundedExcess * elapsedMs) / 1_000));
     this._workMs = 0;
     this._lastWaitMs = waitMs;
   }
 
-  /**
-   * Recently refused share of arrivals above the tolerated share; `-Infinity` when it is not above, the slots are busy, or a rate limit, which
-   * the work includes, causes the refusals.
-   */
-  private _refusalExcess(elapsedMs: number, rateLimited: boolean): number {
-    const idle = !rateLimited && this._completedWorkMs < kIdleWorkShare * elapsedMs;
+  /** Recently refused share of arrivals above the tolerated share; `-Infinity` when it is not above, or the slots are busy. */
+  private _refusalExcess(elapsedMs: number): number {
+    const idle = this._completedWorkMs < kIdleWorkShare * elapsedMs;
     const share = idle && this._arrivals >= kMinArrivals ? this._refused / this._arrivals : 0;
     this._completedWorkMs = 0;
     const decay = 0.5 ** (elapsedMs / kRefusalHalfLifeMs);
--- a/packages/core/src/admission/targetRateLimiter.ts
+++ b/packages/core/src/admission/targetRateLimiter.ts
@@ -12,8 +12,8 @@
 import { RateLoad } from './rateLoad.js';
 
 const kMsPerSecond = 1_000;
-/** Burst: one request, plus those of this time, in seconds. It covers the interval between checks for waiting calls. */
-const kBurstSeconds = 0.1;
+/** Burst: one request, plus those of this time, in seconds. It lets calls that arrive together use what was left before. */
+const kBurstSeconds = 0.25;
 /** Lowest enforced rate, in requests per second. Without any request, a target could not state that its limit has ended. */
 const kMinRatePerSecond = 0.1;
 /** Time in which the enforced rate doubles after the target stops stating a limit, in milliseconds. */
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -334,8 +334,14 @@
 
   /** Counts a call that was refused because there is no capacity as excess load. */
   private _recordRefusal(reason: NotRunReason): void {
-    if (isCapacityRefusal(reason)) {
-      this._level.recordRefusal(this._gate.workMs(this._gate.meanMs));
+    if (!isCapacityRefusal(reason)) {
+      return;
+    }
+    const workMs = this._gate.workMs(this._gate.meanMs);
+    if (reason === 'rate_limited') {
+      this._level.recordRateLimited(workMs);
+    } else {
+      this._level.recordRefusal(workMs);
     }
   }
 
--- a/tests/admission/targetRateLimiter.spec.ts
+++ b/tests/admission/targetRateLimiter.spec.ts
@@ -17,7 +17,7 @@
 const kWindowMs = 4_000;
 const kMsPerSecond = 1_000;
 /** Requests above the stated rate that a window may have: one, and those of this time, in seconds. */
-const kBurstSeconds = 0.1;
+const kBurstSeconds = 0.25;
 /** Rate at which a target is tried that takes no requests, in requests per second. */
 const kTrialRate = 0.1;
 const kRates = [0, 0.3, 2, 8, 25, 120, 700];
@@ -258,7 +258,7 @@
       const intervalMs = 125;
       for (let step = 0; step < 50; step++) {
         level.recordWork(intervalMs);
-        level.recordRefusal(intervalMs);
+        level.recordRateLimited(intervalMs);
         level.step(0, 100, intervalMs);
       }
       t.true(level.current > 0.5, `expected a level above 0.5, got ${level.current}`);
