--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,3 +13,4 @@
 export { exchange, HttpExchange } from './client/httpExchange.js';
 export { main } from './server/main.js';
 export { startServer } from './server/startServer.js';
+export * from './client/connectionCheck.js';
