Publish a restored rate limit

Found by reading: a limit that a daemon restores from the record of an earlier one was not broadcast, so routing didn't know it, and after another restart the record at the peers might have lost it.

--- a/packages/mesh/src/app/calls/conditionTracker.ts
+++ b/packages/mesh/src/app/calls/conditionTracker.ts
@@ -66,7 +66,7 @@
   /** Enforces the restored limit once its incarnation is the current one, unless the target has stated one since. */
   applyRestored(): void {
     const restored = this._restored;
-    const { limiter, incarnation, events } = this._deps;
+    const { limiter, incarnation, onPublish, events } = this._deps;
     if (!restored || !isSameIncarnation(restored, incarnation())) {
       return;
     }
@@ -78,6 +78,7 @@
         instance: restored.instance,
         perSecond: restored.ratePerSecond,
       });
+      onPublish();
     }
   }
 
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -6,6 +6,7 @@
 /** Public API of the routing daemon. */
 
 export * from './app/calls/callExchange.js';
+export * from './app/calls/conditionTracker.js';
 export * from './app/calls/deadlines.js';
 export * from './app/eventLog.js';
 export * from './app/log/logFollower.js';
