--- a/packages/core/src/admission/rateLoad.ts
+++ b/packages/core/src/admission/rateLoad.ts
@@ -30,7 +30,12 @@
     this._updatedAt = now;
   }
 
+  /** Load at time `now`, in milliseconds of the monotonic clock. */
   valueAt(now: number): number {
+    if (this._load === 0) {
+      this._updatedAt = now;
+      return 0;
+    }
     this._load *= Math.exp((this._updatedAt - now) / this._windowMs);
     this._updatedAt = now;
     return this._load;
--- a/packages/core/src/admission/targetRateLimiter.ts
+++ b/packages/core/src/admission/targetRateLimiter.ts
@@ -23,39 +23,37 @@
 /** Time after which the increase ends and no limit is enforced, in milliseconds. */
 const kRampMs = 3_000;
 
-/** What a target has stated: a limit, in requests per second, since a time on the monotonic clock. */
-interface Statement {
+/** A limit that a target has stated, in requests per second, and its state. */
+interface StatedLimit {
   ratePerSecond: number;
+  /** Time of the latest response that stated it. */
   statedAt: number;
-  /** Time at which the target stopped stating it; the enforced rate increases from then on. */
-  endedAt?: number;
+  /** Time of the response that ended it, from which the enforced rate increases; undefined before. */
+  endedAt: number | undefined;
+  bucket: TokenBucket;
+  load: RateLoad;
 }
 
 /** Rate limiter of one target. Times are in milliseconds of the monotonic clock. */
 export class TargetRateLimiter {
-  private _statement: Statement | undefined;
-  private _bucket = new TokenBucket(limitsOf(kMinRatePerSecond), 0, 0);
-  private _load = new RateLoad();
+  private _limit: StatedLimit | undefined;
 
   /** Limit that the target states, in requests per second; undefined while it states none. */
   get statedRate(): number | undefined {
-    return this._statement?.endedAt === undefined ? this._statement?.ratePerSecond : undefined;
+    return this._limit?.endedAt === undefined ? this._limit?.ratePerSecond : undefined;
   }
 
   /** Whether a limit is enforced. */
   get active(): boolean {
-    return this._statement !== undefined;
+    return this._limit !== undefined;
   }
 
   /** Enforces the limit that the target stated at `now`. */
   state(ratePerSecond: number, now: number): void {
-    if (this._statement) {
-      this._bucket.setLimits(limitsOf(ratePerSecond), now);
-    } else {
-      this._bucket = new TokenBucket(limitsOf(ratePerSecond), 0, now);
-      this._load = new RateLoad();
-    }
-    this._statement = { ratePerSecond, statedAt: now };
+    const bucketLimits = bucketLimitsOf(ratePerSecond);
+    const { bucket, load } = this._limit ?? { bucket: new TokenBucket(bucketLimits, 0, now), load: new RateLoad() };
+    bucket.setLimits(bucketLimits, now);
+    this._limit = { ratePerSecond, statedAt: now, endedAt: undefined, bucket, load };
   }
 
   /**
@@ -63,87 +61,85 @@
    * connections may overtake each other, so only a request sent after the latest statement shows that the target has changed.
    */
   recordUnlimited(sentAt: number, now: number): boolean {
-    const statement = this._statement;
-    if (!statement || statement.endedAt !== undefined || sentAt <= statement.statedAt) {
+    const limit = this._limit;
+    if (!limit || limit.endedAt !== undefined || sentAt <= limit.statedAt) {
       return false;
     }
-    statement.endedAt = now;
+    limit.endedAt = now;
     return true;
   }
 
   /** Enforces no limit, because another incarnation of the target has started. */
   reset(): void {
-    this._statement = undefined;
+    this._limit = undefined;
   }
 
   /** Records the arrival of a call, including one that is refused. */
   recordArrival(now: number): void {
-    const rate = this._update(now);
-    if (rate !== undefined) {
-      this._load.add(rate, now);
-    }
+    const limit = this._update(now);
+    limit?.load.add(enforcedRate(limit, now), now);
   }
 
   /** Takes the token of one request; false when it may not be sent yet. */
   tryTake(now: number): boolean {
-    return this._update(now) === undefined || this._bucket.tryTake(now);
+    return this._update(now)?.bucket.tryTake(now) ?? true;
   }
 
   /** Returns the token of a request that was not sent. */
   returnToken(now: number): void {
-    if (this._update(now) !== undefined) {
-      this._bucket.returnTokens(1, now);
-    }
+    this._update(now)?.bucket.returnTokens(1, now);
   }
 
   /** Time until `count` more requests may have been sent, in milliseconds. */
   msUntil(count: number, now: number): number {
-    return this._update(now) === undefined ? 0 : this._bucket.msUntil(count, now);
+    return this._update(now)?.bucket.msUntil(count, now) ?? 0;
   }
 
   /** Time after which a refused caller should retry, in milliseconds; differs between callers, so that they do not all retry at once. */
   retryAfterMs(now: number): number {
-    return this._update(now) === undefined ? 0 : this._bucket.promiseMs(now);
+    return this._update(now)?.bucket.promiseMs(now) ?? 0;
   }
 
   /** Interval between requests at the enforced rate, in milliseconds; 0 without a limit. */
   intervalMs(now: number): number {
-    const rate = this._update(now);
-    return rate === undefined ? 0 : kMsPerSecond / rate;
+    const limit = this._update(now);
+    return limit ? kMsPerSecond / enforcedRate(limit, now) : 0;
   }
 
-  /** Arrivals relative to the enforced rate; 0 without a limit. */
-  loadAt(now: number): number {
-    return this._update(now) === undefined ? 0 : this._load.valueAt(now);
+  /** Arrivals relative to the enforced rate; undefined without a limit. */
+  loadAt(now: number): number | undefined {
+    return this._update(now)?.load.valueAt(now);
   }
 
   /** Number of requests that may be sent now; undefined without a limit. */
   tokens(now: number): number | undefined {
-    return this._update(now) === undefined ? undefined : this._bucket.tokens(now);
+    return this._update(now)?.bucket.tokens(now);
   }
 
-  /** Returns the enforced rate, in requests per second; undefined without a limit. */
-  private _update(now: number): number | undefined {
-    const statement = this._statement;
-    if (statement?.endedAt === undefined) {
-      return statement && enforcedRate(statement.ratePerSecond);
+  /** Applies the increase of the rate after the end of a limit; returns the limit, or undefined when none is enforced. */
+  private _update(now: number): StatedLimit | undefined {
+    const limit = this._limit;
+    if (limit?.endedAt === undefined) {
+      return limit;
     }
-    const rampedMs = now - statement.endedAt;
-    if (rampedMs >= kRampMs) {
-      this._statement = undefined;
+    if (now - limit.endedAt >= kRampMs) {
+      this._limit = undefined;
       return undefined;
     }
-    const rate = Math.max(kMinRampRatePerSecond, statement.ratePerSecond) * 2 ** (rampedMs / kRampDoublingMs);
-    this._bucket.setLimits(limitsOf(rate), now);
-    return rate;
+    limit.bucket.setLimits(bucketLimitsOf(enforcedRate(limit, now)), now);
+    return limit;
   }
 }
 
-function enforcedRate(ratePerSecond: number): number {
-  return Math.max(kMinRatePerSecond, ratePerSecond);
+/** Rate that is enforced now, in requests per second. */
+function enforcedRate({ ratePerSecond, endedAt }: StatedLimit, now: number): number {
+  if (endedAt === undefined) {
+    return Math.max(kMinRatePerSecond, ratePerSecond);
+  }
+  return Math.max(kMinRampRatePerSecond, ratePerSecond) * 2 ** ((now - endedAt) / kRampDoublingMs);
 }
 
-function limitsOf(ratePerSecond: number): BucketLimits {
-  const enforced = enforcedRate(ratePerSecond);
+function bucketLimitsOf(ratePerSecond: number): BucketLimits {
+  const enforced = Math.max(kMinRatePerSecond, ratePerSecond);
   return { ratePerSecond: enforced, capacity: 1 + enforced * kBurstSeconds };
 }
--- a/packages/mesh/src/app/calls/conditionTracker.ts
+++ b/packages/mesh/src/app/calls/conditionTracker.ts
@@ -4,12 +4,12 @@
  */
 
 /**
- * Tracks the rate limit that this host's target states in its responses: passes it to the rate limiter, logs its changes, and decides when
- * other daemons need to know. A limit belongs to one incarnation of the target.
+ * Tracks the condition that this host's target states in its responses: passes its rate limit to the rate limiter, logs changes, and decides
+ * when other daemons need to know. A condition belongs to one incarnation of the target.
  */
 
 import { isSameIncarnation, monotonicMs, type TargetRecord, type TargetRateLimiter } from '@gentiandrum/core';
-import type { StatedRate } from '../../http/targetCondition.js';
+import type { StatedRate, TargetCondition } from '../../http/targetCondition.js';
 import type { EventLog } from '../eventLog.js';
 
 /** Minimum interval between two published changes of a limit, in milliseconds. */
@@ -26,10 +26,12 @@
   incarnation: () => Incarnation;
   /** Called when the published limit changes. */
   onPublish: () => void;
+  /** Called for each response that states that the target is leaving, with the id of its request. */
+  onLeaving: (requestId: string) => void;
   events: EventLog;
 }
 
-/** Rate limit of the target on this host. */
+/** Condition of the target on this host. */
 export class ConditionTracker {
   private _published: number | undefined;
   private _publishedAt = -Infinity;
@@ -82,8 +84,18 @@
     }
   }
 
-  /** Applies the rate limit in a response to a request that was sent at `sentAt`, on the monotonic clock. */
-  record(rate: StatedRate, requestId: string, sentAt: number): void {
+  /** Applies the condition in a response to a request that was sent at `sentAt`, on the monotonic clock. */
+  record({ rate, leaving, invalidLeaving }: TargetCondition, requestId: string, sentAt: number): void {
+    this._recordRate(rate, requestId, sentAt);
+    if (invalidLeaving !== undefined) {
+      this._logInvalid('a leaving header', invalidLeaving, requestId);
+    }
+    if (leaving) {
+      this._deps.onLeaving(requestId);
+    }
+  }
+
+  private _recordRate(rate: StatedRate, requestId: string, sentAt: number): void {
     const { limiter } = this._deps;
     switch (rate.kind) {
       case 'limit':
@@ -99,14 +111,14 @@
         this._requestId = requestId;
         break;
       case 'invalid':
-        this.logInvalid('a rate limit', rate.text, requestId);
+        this._logInvalid('a rate limit', rate.text, requestId);
         return;
     }
     this.publish();
   }
 
   /** Logs the invalid value of a header, once for each incarnation. */
-  logInvalid(what: string, value: string, requestId: string): void {
+  private _logInvalid(what: string, value: string, requestId: string): void {
     if (!this._logged.has(what)) {
       this._logged.add(what);
       const { instance } = this._deps.incarnation();
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -33,7 +33,6 @@
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
 import { type Run, type RunResult, TargetClient } from '../../client/targetClient.js';
-import type { TargetCondition } from '../../http/targetCondition.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { ConditionTracker } from './conditionTracker.js';
@@ -146,6 +145,9 @@
       onPublish: () => {
         _deps.onChange();
       },
+      onLeaving: (requestId) => {
+        this._drain(requestId);
+      },
       events: _deps.events,
     });
   }
@@ -174,7 +176,7 @@
     const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
     const { level, inner, height } = this._deps.chains.report(route, this._level.current);
     const chargeMs = Math.round(this._deps.chains.sumDownstream(route, (call) => this._deps.chargeMs(call)));
-    const rateLoad = rateLimiter.active ? rateLimiter.loadAt(monotonicMs()) : undefined;
+    const rateLoad = rateLimiter.loadAt(monotonicMs());
     return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs, rateLoad };
   }
 
@@ -239,7 +241,7 @@
   /** Updates the admission level for the elapsed time, and checks connections; called several times per second. */
   check(elapsedMs: number): void {
     const { queueWaitMs, rateLimiter } = this._gate;
-    this._level.step(queueWaitMs, elapsedMs, rateLimiter.active ? rateLimiter.intervalMs(monotonicMs()) : 0);
+    this._level.step(queueWaitMs, elapsedMs, rateLimiter.intervalMs(monotonicMs()));
     this._condition.publish();
     this._deps.chains.step();
     this._client?.check();
@@ -408,7 +410,7 @@
       },
       onCondition: (call, condition, sentAt) => {
         if (reachability === this._reachability) {
-          this._handleCondition(call, condition, sentAt);
+          this._condition.record(condition, call.requestId, sentAt);
         }
       },
       onCrash: (calls) => {
@@ -435,13 +437,9 @@
     this._applyState();
   }
 
-  /** Applies what the target stated in a response: its rate limit, or that it is leaving. */
-  private _handleCondition({ requestId }: PeerCall, { rate, leaving, invalidLeaving }: TargetCondition, sentAt: number): void {
-    this._condition.record(rate, requestId, sentAt);
-    if (invalidLeaving !== undefined) {
-      this._condition.logInvalid('a leaving header', invalidLeaving, requestId);
-    }
-    if (leaving && this._lifecycle.drain()) {
+  /** Stops sending calls to the target, because it stated in a response that it is leaving. */
+  private _drain(requestId: string): void {
+    if (this._lifecycle.drain()) {
       const { instance, born } = this._lifecycle.known;
       this._deps.events.info('target', 'The target states that it is leaving.', { instance, born, req: requestId });
       this._applyState();
--- a/packages/mesh/src/app/records/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -73,13 +73,13 @@
   /** Record of this host. */
   get own(): TargetRecord {
     const { id, zone, listen, target } = this._deps.settings;
-    const { service, ...state } = this._deps.gate().advertisedState;
+    const { service, ...advertised } = this._deps.gate().advertisedState;
     return {
       host: id,
       zone,
       peers: listen.peers,
       service: service === '' ? target.service : service,
-      ...state,
+      ...advertised,
       ...(this._learned ? { learned: this._learned } : {}),
       ...(this._suspects.length > 0 ? { suspects: this._suspects } : {}),
       epoch: this._epoch,
--- a/tests/admission/targetRateLimiter.spec.ts
+++ b/tests/admission/targetRateLimiter.spec.ts
@@ -246,8 +246,8 @@
     for (let now = 0; now < 5_000; now += 62.5) {
       limiter.recordArrival(now);
     }
-    t.true(Math.abs(limiter.loadAt(5_000) - 2) < 0.2);
-    t.true(limiter.loadAt(8_000) < 0.2);
+    t.true(Math.abs((limiter.loadAt(5_000) ?? 0) - 2) < 0.2);
+    t.true((limiter.loadAt(8_000) ?? Infinity) < 0.2);
   });
 });
 
--- a/tests/mesh/conditionTracker.spec.ts
+++ b/tests/mesh/conditionTracker.spec.ts
@@ -15,6 +15,8 @@
   /** Limits in the order in which they were published. */
   published: (number | undefined)[];
   current: { instance: string; born: number };
+  /** Ids of the requests whose responses stated that the target is leaving. */
+  leaving: string[];
 }
 
 function withTracker(body: (fixture: Fixture) => void): void {
@@ -22,16 +24,18 @@
   const limiter = new TargetRateLimiter();
   const published: (number | undefined)[] = [];
   const current = { instance: 'i-1', born: 5 };
+  const leaving: string[] = [];
   const tracker: ConditionTracker = new ConditionTracker({
     limiter,
     incarnation: () => current,
     onPublish: () => {
       published.push(tracker.published);
     },
+    onLeaving: (requestId) => leaving.push(requestId),
     events: new EventLog('h', 0, 0),
   });
   try {
-    body({ time, limiter, tracker, published, current });
+    body({ time, limiter, tracker, published, current, leaving });
   } finally {
     time.restore();
   }
@@ -42,7 +46,7 @@
 }
 
 function stateLimit({ tracker, time }: Fixture, ratePerSecond: number): void {
-  tracker.record({ kind: 'limit', ratePerSecond }, 'r', time.now);
+  tracker.record({ rate: { kind: 'limit', ratePerSecond }, leaving: false }, 'r', time.now);
 }
 
 describe('condition tracker', () => {
@@ -72,7 +76,7 @@
       const { time, tracker, published } = fixture;
       stateLimit(fixture, 8);
       time.runUntil(2_000);
-      tracker.record({ kind: 'none' }, 'r', 1_000);
+      tracker.record({ rate: { kind: 'none' }, leaving: false }, 'r', 1_000);
       t.deepEqual(published, [8, undefined]);
     });
   });
@@ -100,6 +104,14 @@
     });
   });
 
+  itSerial('should report that the target is leaving, with its rate limit', (t) => {
+    withTracker(({ tracker, limiter, leaving }) => {
+      tracker.record({ rate: { kind: 'limit', ratePerSecond: 3 }, leaving: true }, 'r', 0);
+      t.deepEqual(leaving, ['r']);
+      t.is(limiter.statedRate, 3);
+    });
+  });
+
   itSerial('should forget the limit when another instance starts', (t) => {
     withTracker((fixture) => {
       const { tracker, limiter } = fixture;
