--- a/packages/mesh/src/app/calls/conditionTracker.ts
+++ b/packages/mesh/src/app/calls/conditionTracker.ts
@@ -84,9 +84,9 @@
     }
   }
 
-  /** Applies the condition in a response to a request that was sent at `sentAt`, on the monotonic clock. */
-  record({ rate, leaving, invalidLeaving }: TargetCondition, requestId: string, sentAt: number): void {
-    this._recordRate(rate, requestId, sentAt);
+  /** Applies the condition that the target stated in a response. */
+  record({ rate, leaving, invalidLeaving }: TargetCondition, requestId: string): void {
+    this._recordRate(rate, requestId);
     if (invalidLeaving !== undefined) {
       this._logInvalid('a leaving header', invalidLeaving, requestId);
     }
@@ -95,7 +95,15 @@
     }
   }
 
-  private _recordRate(rate: StatedRate, requestId: string, sentAt: number): void {
+  /** Records a complete response without a rate limit to a request that was sent at `sentAt`, on the monotonic clock. */
+  recordNoRateLimit(requestId: string, sentAt: number): void {
+    if (this._deps.limiter.recordUnlimited(sentAt, monotonicMs())) {
+      this._requestId = requestId;
+      this.publish();
+    }
+  }
+
+  private _recordRate(rate: StatedRate, requestId: string): void {
     const { limiter } = this._deps;
     switch (rate.kind) {
       case 'limit':
@@ -103,18 +111,13 @@
           this._requestId = requestId;
         }
         limiter.state(rate.ratePerSecond, monotonicMs());
-        break;
+        this.publish();
+        return;
       case 'none':
-        if (!limiter.recordUnlimited(sentAt, monotonicMs())) {
-          return;
-        }
-        this._requestId = requestId;
-        break;
+        return;
       case 'invalid':
         this._logInvalid('a rate limit', rate.text, requestId);
-        return;
     }
-    this.publish();
   }
 
   /** Logs the invalid value of a header, once for each incarnation. */
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -408,9 +408,14 @@
       onReachability: (evidence) => {
         this._handleReachability(reachability, evidence);
       },
-      onCondition: (call, condition, sentAt) => {
+      onCondition: (call, condition) => {
         if (reachability === this._reachability) {
-          this._condition.record(condition, call.requestId, sentAt);
+          this._condition.record(condition, call.requestId);
+        }
+      },
+      onNoRateLimit: (call, sentAt) => {
+        if (reachability === this._reachability) {
+          this._condition.recordNoRateLimit(call.requestId, sentAt);
         }
       },
       onCrash: (calls) => {
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -37,11 +37,10 @@
 export interface TargetEvents {
   /** A connection attempt succeeded or failed. */
   onReachability(evidence: ReachabilityEvidence): void;
-  /**
-   * The target stated its condition in a response to a call that was sent at `sentAt`, on the monotonic clock. A condition without any
-   * statement is reported only for complete responses.
-   */
-  onCondition(call: PeerCall, condition: TargetCondition, sentAt: number): void;
+  /** The target stated its condition in the head of a response. */
+  onCondition(call: PeerCall, condition: TargetCondition): void;
+  /** The target stated no rate limit in the complete response to a call that was sent at `sentAt`, on the monotonic clock. */
+  onNoRateLimit(call: PeerCall, sentAt: number): void;
   /** The target crashed while these calls were in flight. Called before their results are reported. */
   onCrash(calls: readonly PeerCall[]): void;
 }
@@ -99,14 +98,14 @@
     connection.send(this._encodeRequest(call, remainingMs), call.method === 'HEAD', {
       onHead: (status, headers) => {
         if (headers.condition !== kNoCondition && isFromTarget(call, status, headers)) {
-          this._events.onCondition(call, headers.condition, sentAt);
+          this._events.onCondition(call, headers.condition);
         }
       },
       onDone: (outcome) => {
         this._runs.delete(run);
         run.ended = true;
-        if (outcome.kind === 'answered' && showsNoCondition(call, outcome.response)) {
-          this._events.onCondition(call, kNoCondition, sentAt);
+        if (outcome.kind === 'answered' && provesNoRateLimit(call, outcome.response)) {
+          this._events.onNoRateLimit(call, sentAt);
         }
         this._handleOutcome(call, connection, outcome, run.aborted, done);
       },
@@ -258,9 +257,9 @@
   return requestId === call.requestId && status !== 421 && (sealed || notRun);
 }
 
-/** Whether a complete response proves that the target states no condition. */
-function showsNoCondition(call: PeerCall, { status, headers }: TargetResponse): boolean {
-  return headers.condition === kNoCondition && headers.sealed && headers.framed && isFromTarget(call, status, headers);
+/** Whether a complete response proves that the target states no rate limit. */
+function provesNoRateLimit(call: PeerCall, { status, headers }: TargetResponse): boolean {
+  return headers.condition.rate.kind === 'none' && headers.sealed && headers.framed && isFromTarget(call, status, headers);
 }
 
 function lostRun(reason: string): RunResult {
--- a/tests/mesh/conditionEvidence.spec.ts
+++ b/tests/mesh/conditionEvidence.spec.ts
@@ -103,6 +103,19 @@
     });
   });
 
+  itSerial('should end although responses have an invalid header for leaving', async (t) => {
+    await withTarget(async (fleet, host) => {
+      Object.assign(host.target, { statedLimit: String(kLimit), extraHeaders: { 'server-leaving': '0' } });
+      await fleet.call(host, '/s/x');
+      t.is(host.daemon.record.rateLimit, kLimit);
+      host.target.statedLimit = undefined;
+      await pause(kPublishMs);
+      await fleet.call(host, '/s/x');
+      await untilLimit(fleet, host, undefined);
+      t.is(host.daemon.record.state, 'ready');
+    });
+  });
+
   itSerial('should keep its value when a later one is invalid', async (t) => {
     await withTarget(async (fleet, host) => {
       const { target } = host;
--- a/tests/mesh/conditionTracker.spec.ts
+++ b/tests/mesh/conditionTracker.spec.ts
@@ -45,8 +45,8 @@
   return { host: 'h', zone: 'z', peers: '', service: 's', instance, born, state: 'ready', slots: 1, rateLimit, epoch: 1, revision: 1 };
 }
 
-function stateLimit({ tracker, time }: Fixture, ratePerSecond: number): void {
-  tracker.record({ rate: { kind: 'limit', ratePerSecond }, leaving: false }, 'r', time.now);
+function stateLimit({ tracker }: Fixture, ratePerSecond: number): void {
+  tracker.record({ rate: { kind: 'limit', ratePerSecond }, leaving: false }, 'r');
 }
 
 describe('condition tracker', () => {
@@ -76,7 +76,7 @@
       const { time, tracker, published } = fixture;
       stateLimit(fixture, 8);
       time.runUntil(2_000);
-      tracker.record({ rate: { kind: 'none' }, leaving: false }, 'r', 1_000);
+      tracker.recordNoRateLimit('r', 1_000);
       t.deepEqual(published, [8, undefined]);
     });
   });
@@ -104,9 +104,18 @@
     });
   });
 
+  itSerial('should keep the limit when the head of a response states another condition alone', (t) => {
+    withTracker((fixture) => {
+      const { tracker, limiter } = fixture;
+      stateLimit(fixture, 8);
+      tracker.record({ rate: { kind: 'none' }, leaving: false, invalidLeaving: '0' }, 'r');
+      t.is(limiter.statedRate, 8);
+    });
+  });
+
   itSerial('should report that the target is leaving, with its rate limit', (t) => {
     withTracker(({ tracker, limiter, leaving }) => {
-      tracker.record({ rate: { kind: 'limit', ratePerSecond: 3 }, leaving: true }, 'r', 0);
+      tracker.record({ rate: { kind: 'limit', ratePerSecond: 3 }, leaving: true }, 'r');
       t.deepEqual(leaving, ['r']);
       t.is(limiter.statedRate, 3);
     });
--- a/tests/mesh/statedCondition.spec.ts
+++ b/tests/mesh/statedCondition.spec.ts
@@ -69,6 +69,12 @@
   });
 }
 
+function stateLimit(targets: readonly UpstreamStandin[], limit: number | undefined): void {
+  targets.forEach((target) => {
+    target.statedLimit = limit === undefined ? undefined : String(limit);
+  });
+}
+
 function pathOf(i: number): string {
   if (i % kUrgentEvery === 0) {
     return `/urgent/${i}`;
@@ -76,8 +82,8 @@
   return i % kOnceEvery === 0 ? `/once/${i}` : `/s/${i}`;
 }
 
-/** Sends `perSecond` calls a second to alternating hosts, spread evenly or in bursts with pauses between them. */
-async function sendLoad({ fleet, hosts }: Fleet, runMs: number, perSecond = 150, burstEveryMs = kIntervalMs): Promise<Tally> {
+/** Sends `perSecond` calls a second to alternating hosts; those of each `intervalMs` are sent together. */
+async function sendLoad({ fleet, hosts }: Fleet, runMs: number, perSecond = 150, intervalMs = kIntervalMs): Promise<Tally> {
   const tally: Tally = { sent: 0, served: 0, urgentSent: 0, urgentServed: 0, elapsedMs: 0, statuses: new Map() };
   const calls: Promise<void>[] = [];
   const send = async (i: number): Promise<void> => {
@@ -100,7 +106,7 @@
     while (tally.sent < due) {
       calls.push(send(tally.sent++));
     }
-  }, burstEveryMs);
+  }, intervalMs);
   await new Promise((resolve) => setTimeout(resolve, runMs));
   clearInterval(timer);
   await Promise.all(calls);
@@ -137,7 +143,7 @@
     itSerial(`should receive at most ${limit} requests a second, while the others serve the rest`, async (t) => {
       await withTargets(async (context) => {
         const { targets, starts } = context;
-        Object.assign(targets[0] ?? {}, { statedLimit: String(limit) });
+        stateLimit(targets.slice(0, 1), limit);
         const from = performance.now() + kSettleMs;
         const tally = await sendLoad(context, 6_000);
         checkRate(t, starts[0] ?? [], limit, from);
@@ -149,7 +155,7 @@
   itSerial('should receive at most its limit when all calls arrive in bursts', async (t) => {
     await withTargets(async (context) => {
       const { targets, starts } = context;
-      Object.assign(targets[0] ?? {}, { statedLimit: '8' });
+      stateLimit(targets.slice(0, 1), 8);
       const from = performance.now() + kSettleMs;
       const tally = await sendLoad(context, 7_000, 150, 700);
       checkRate(t, starts[0] ?? [], 8, from);
@@ -191,7 +197,7 @@
     await withTargets(async (context) => {
       const { targets, starts } = context;
       const limit = 6.9;
-      targets.forEach((target) => (target.statedLimit = String(limit)));
+      stateLimit(targets, limit);
       await sendLoad(context, 2_000);
       const from = performance.now();
       const tally = await sendLoad(context, 8_000);
@@ -211,13 +217,13 @@
     await withTargets(async (context) => {
       const { targets, starts } = context;
       const limit = 4;
-      targets.forEach((target) => (target.statedLimit = String(limit)));
+      stateLimit(targets, limit);
       const from = performance.now() + kSettleMs;
       await sendLoad(context, 5_000);
       starts.forEach((started) => {
         checkRate(t, started, limit, from);
       });
-      targets.forEach((target) => (target.statedLimit = undefined));
+      stateLimit(targets, undefined);
       await sendLoad(context, 2_000);
       const tally = await sendLoad(context, 2_000);
       checkServed(t, tally, tally.sent);
