--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -31,7 +31,7 @@
 import type { PeerCall } from '../../client/callCodec.js';
 import type { Deadlines, Expirable } from './deadlines.js';
 import { identityOf } from './requestIdentity.js';
-import type { OfferDone, OfferHandle } from './targetGate.js';
+import type { OfferDone, OfferHandle } from './offeredCall.js';
 
 /** Minimum time left before the deadline to make an offer, in milliseconds; covers the transfer of the response. */
 const kMinRemainingMs = 5;
--- /dev/null
+++ b/packages/mesh/src/app/calls/offeredCall.ts
@@ -0,0 +1,52 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** A call that a daemon offers to the target on this host. */
+
+import type { CallResult, GatedCall, GateReport, SuspectCall } from '@gentiandrum/core';
+import type { PeerCall } from '../../client/callCodec.js';
+import type { Run } from '../../client/targetClient.js';
+import { identityOf } from './requestIdentity.js';
+
+/** Called once, with the result of an offered call. */
+export type OfferDone = (result: CallResult, report: GateReport) => void;
+
+/** An offered call that has not completed. */
+export interface OfferHandle {
+  /** Withdraws the call if it has not started; aborts it if it is running and idempotent. */
+  cancel(): void;
+}
+
+/** A call at the gate, from its offer to its result. */
+export interface OfferedCall extends GatedCall, SuspectCall {
+  readonly call: PeerCall;
+  expiresAt: number;
+  /** Time until which the key of the workspace may be trusted, on the monotonic clock. */
+  validUntil: number;
+  run: Run | undefined;
+  startedAt: number;
+  /** Whether a token of the repeat budget was spent on it. */
+  repeatSpent: boolean;
+  done: OfferDone;
+}
+
+/** Creates the state of a call that is offered at `now`, on the monotonic clock. */
+export function createOfferedCall(id: number, call: PeerCall, now: number, done: OfferDone): OfferedCall {
+  return {
+    id,
+    waitUntil: now + Math.min(call.waitMs, call.remainingMs),
+    rank: call.rank,
+    call,
+    identity: () => identityOf(call),
+    route: call.route,
+    suspicion: call.suspicion,
+    expiresAt: now + call.remainingMs,
+    validUntil: now + (call.workspace?.validMs ?? Infinity),
+    run: undefined,
+    startedAt: 0,
+    repeatSpent: false,
+    done,
+  };
+}
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -7,15 +7,11 @@
 
 import {
   type Announcement,
-  type GatedCall,
   GateLevel,
   type GateRefusal,
   type GateReport,
   type ChainModel,
   monotonicMs,
-  hashText,
-  fingerprintOf,
-  wallMs,
   type CallResult,
   type ReachabilityEvidence,
   type RepeatBound,
@@ -27,15 +23,16 @@
   isCapacityRefusal,
   type NotRunReason,
   SuspectGate,
-  type SuspectCall,
   type Suspects,
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
-import { type Run, type RunResult, TargetClient } from '../../client/targetClient.js';
+import { type RunResult, TargetClient } from '../../client/targetClient.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { ConditionTracker } from './conditionTracker.js';
+import { CrashRecorder } from './crashRecorder.js';
+import { createOfferedCall, type OfferDone, type OfferedCall, type OfferHandle } from './offeredCall.js';
 import { identityOf } from './requestIdentity.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
@@ -44,18 +41,6 @@
 /** Maximum retry delay sent with a refusal, in milliseconds. */
 const kMaxRetryAfterMs = 2_000;
 
-/** Maximum number of requests listed in the log line about a crash. */
-const kMaxLoggedRequests = 60;
-
-/** Called once, with the result of an offered call. */
-export type OfferDone = (result: CallResult, report: GateReport) => void;
-
-/** An offered call that has not completed. */
-export interface OfferHandle {
-  /** Withdraws the call if it has not started; aborts it if it is running and idempotent. */
-  cancel(): void;
-}
-
 /** Daemon services that the gate depends on. */
 export interface TargetGateDeps {
   names: HeaderNames;
@@ -79,25 +64,12 @@
   events: EventLog;
 }
 
-interface OfferedCall extends GatedCall, SuspectCall {
-  readonly call: PeerCall;
-  expiresAt: number;
-  /** Time until which the key of the workspace may be trusted, on the monotonic clock. */
-  validUntil: number;
-  run: Run | undefined;
-  startedAt: number;
-  /** Whether a token of the repeat budget was spent on it. */
-  repeatSpent: boolean;
-  done: OfferDone;
-}
-
 /** Gate of the target on this host. */
 export class TargetGate {
   private readonly _gate: SlotGate<OfferedCall>;
   private readonly _budget: RepeatBudget;
   private readonly _suspects: SuspectGate<OfferedCall>;
-  /** Id of the latest crash that was counted; a crash may be reported more than once. */
-  private _lastCrashId: number | undefined;
+  private readonly _crashes: CrashRecorder;
   private readonly _running = new Map<PeerCall, OfferedCall>();
   private _client: TargetClient | undefined;
   private readonly _lifecycle: TargetLifecycle;
@@ -118,6 +90,7 @@
   constructor(private readonly _deps: TargetGateDeps) {
     this._lifecycle = new TargetLifecycle(_deps.address);
     this._budget = new RepeatBudget(_deps.bound);
+    this._crashes = new CrashRecorder(_deps.metrics, _deps.events);
     this._suspects = new SuspectGate<OfferedCall>(_deps.suspects, {
       onPass: (offered) => {
         this._offerToSlotGate(offered);
@@ -259,21 +232,7 @@
   /** Offers a call of this or another daemon to the target. */
   offer(call: PeerCall, done: OfferDone): OfferHandle {
     const now = monotonicMs();
-    const offered: OfferedCall = {
-      id: this._nextId++,
-      waitUntil: now + Math.min(call.waitMs, call.remainingMs),
-      rank: call.rank,
-      call,
-      identity: () => identityOf(call),
-      route: call.route,
-      suspicion: call.suspicion,
-      expiresAt: now + call.remainingMs,
-      validUntil: now + (call.workspace?.validMs ?? Infinity),
-      run: undefined,
-      startedAt: 0,
-      repeatSpent: false,
-      done,
-    };
+    const offered = createOfferedCall(this._nextId++, call, now, done);
     this._deps.chains.recordArrival(call.route, call.callerService, call.workspace !== undefined);
     const refusal = this._immediateRefusal(offered) ?? this._offerToSuspectGate(offered);
     if (refusal) {
@@ -453,27 +412,13 @@
 
   /** Handles a report that the target process has ended, which counts as a crash only if the target was ready. */
   private _handleCrash(calls: readonly PeerCall[]): void {
-    const { address, instance, born, state } = this._lifecycle.known;
-    if (state !== 'ready') {
-      return;
+    if (this._lifecycle.known.state === 'ready') {
+      const crash = this._crashes.record(this._lifecycle.known, calls);
+      this._suspects.crashed(
+        crash,
+        calls.map((call) => ({ identity: identityOf(call), route: call.route, call: this._running.get(call) })),
+      );
     }
-    const crash = { id: hashText(`${address} ${instance} ${born}`), at: wallMs() };
-    if (crash.id !== this._lastCrashId) {
-      this._lastCrashId = crash.id;
-      this._deps.metrics.targetCrashed();
-    }
-    this._deps.events.warn('target', 'The target crashed with requests in flight.', {
-      instance,
-      born,
-      running: calls.length,
-      requests: calls
-        .slice(0, kMaxLoggedRequests)
-        .map((call) => ({ req: call.requestId, route: call.route, kind: fingerprintOf(identityOf(call)) })),
-    });
-    this._suspects.crashed(
-      crash,
-      calls.map((call) => ({ identity: identityOf(call), route: call.route, call: this._running.get(call) })),
-    );
   }
 
   private _start(offered: OfferedCall): void {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -34,7 +34,8 @@
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
 import { logSuspectEvent } from './calls/logSuspectEvent.js';
-import { type OfferDone, type OfferHandle, TargetGate } from './calls/targetGate.js';
+import type { OfferDone, OfferHandle } from './calls/offeredCall.js';
+import { TargetGate } from './calls/targetGate.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
 /** Maximum time that the response to a draining target waits for the state to become durable, in milliseconds. */
--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -6,7 +6,7 @@
 /** Tracks calls over links: those that this daemon sent, and those that it received for its target. */
 
 import type { CallResult, GateReport } from '@gentiandrum/core';
-import type { OfferDone, OfferHandle } from '../app/calls/targetGate.js';
+import type { OfferDone, OfferHandle } from '../app/calls/offeredCall.js';
 import type { PeerLink } from './peerLink.js';
 import type { PeerCall } from './callCodec.js';
 import type { PeerMessage } from './peerMessages.js';
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -13,7 +13,7 @@
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
-import type { OfferDone, OfferHandle } from '../app/calls/targetGate.js';
+import type { OfferDone, OfferHandle } from '../app/calls/offeredCall.js';
 import { PeerCalls } from './peerCalls.js';
 import { type LinkCallback, PeerDialer } from './peerDialer.js';
 import { PeerLink } from './peerLink.js';
