Accept no calls after a start before a peer has sent its suspects

Cause: a start ends once the log has been read. The log has only the quarantined fingerprints of hosts whose own targets crashed by them; what else the other daemons know arrives over the links, which open some milliseconds later.

Change: a daemon that has read the log waits for the suspects that a peer sends over a new link, half a second at most, and not at all without another host. Each daemon sends them on each new link, also if there are none. Ruled out: writing all suspicions to the log, which would cost a write at each crash and still be late.

--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -356,6 +356,7 @@
       },
       onSuspects: (suspects) => {
         this._suspects.mergeFromPeer(suspects);
+        this._records.suspectsReceived();
       },
       suspects: () => this._suspects.snapshot,
       onAddressReused: (host) => {
--- a/packages/mesh/src/app/records/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -23,6 +23,11 @@
 
 /** Maximum time at a start to recover the last known state of this host's target, in milliseconds. */
 const kRecoveryTimeoutMs = 3_000;
+/**
+ * Maximum time to wait for the suspects that another daemon knows, in milliseconds, once the state of this host is known from the log. The
+ * log has only some quarantined fingerprints; without the others a daemon that just started would run a request that crashes its target.
+ */
+const kPeerWaitMs = 500;
 /** Relative change of a call ratio above which it is published again. */
 const kMinRatioChange = 0.3;
 
@@ -45,6 +50,9 @@
   events: EventLog;
 }
 
+/** Where the last known state of this host was found. */
+type RecoverySource = 'the log' | 'another daemon';
+
 /** Records of one daemon. */
 export class HostRecords {
   private readonly _startedAt = Date.now();
@@ -57,6 +65,8 @@
   private _suspects: Suspicion[] = [];
   private _published: Promise<boolean> = Promise.resolve(true);
   private _recoveryTimer: NodeJS.Timeout | undefined;
+  private _recoverySource: RecoverySource | undefined;
+  private _suspectsReceived = false;
 
   constructor(private readonly _deps: HostRecordsDeps) {}
 
@@ -93,9 +103,7 @@
     this._deps.log.onChanges((changes, complete) => {
       this._applyChanges(changes, complete);
     });
-    this._recoveryTimer = setTimeout(() => {
-      this._finishRecovery('none');
-    }, kRecoveryTimeoutMs);
+    this._startRecoveryTimer(kRecoveryTimeoutMs);
   }
 
   /** Stops the recovery timer. */
@@ -149,13 +157,21 @@
     for (const record of records) {
       if (record.host === this._deps.settings.id) {
         this._applyOwn(record);
-        this._finishRecovery('another daemon');
+        this._recordRecovery('another daemon');
       } else {
         this._applyOther(record);
       }
     }
   }
 
+  /** Another daemon sent the suspects that it knows. */
+  suspectsReceived(): void {
+    this._suspectsReceived = true;
+    if (this._recoverySource) {
+      this._finishRecovery();
+    }
+  }
+
   /** Removes hosts whose records were removed from the log. */
   remove(hosts: readonly string[]): void {
     for (const host of hosts) {
@@ -179,7 +195,7 @@
     }
     if (complete) {
       this._deps.onFullRead();
-      this._finishRecovery('the log');
+      this._recordRecovery('the log');
     }
   }
 
@@ -266,17 +282,40 @@
     return this._predecessorAt === undefined ? Infinity : this._startedAt - this._predecessorAt;
   }
 
-  private _finishRecovery(from: 'the log' | 'another daemon' | 'none'): void {
-    if (!this._recovered) {
-      this._recovered = true;
-      clearTimeout(this._recoveryTimer);
-      this._deps.events.info('start', `Finished the recovery of this host's state (source: ${from}).`, {
-        hosts: this._deps.directory.all().length,
-      });
-      this._deps.gate().endRecovery();
-      if (from !== 'none') {
-        this._deps.onRecovered();
-      }
+  private _recordRecovery(source: RecoverySource): void {
+    if (this._recovered || this._recoverySource) {
+      return;
+    }
+    this._recoverySource = source;
+    const isAlone = this._deps.directory.all().every(({ host }) => host === this._deps.settings.id);
+    if (this._suspectsReceived || isAlone) {
+      this._finishRecovery();
+    } else {
+      this._startRecoveryTimer(kPeerWaitMs);
+    }
+  }
+
+  private _startRecoveryTimer(ms: number): void {
+    clearTimeout(this._recoveryTimer);
+    this._recoveryTimer = setTimeout(() => {
+      this._finishRecovery();
+    }, ms);
+  }
+
+  private _finishRecovery(): void {
+    if (this._recovered) {
+      return;
+    }
+    this._recovered = true;
+    clearTimeout(this._recoveryTimer);
+    const { directory, events } = this._deps;
+    events.info('start', `Finished the recovery of this host's state (source: ${this._recoverySource ?? 'none'}).`, {
+      hosts: directory.all().length,
+      suspectsReceived: this._suspectsReceived,
+    });
+    this._deps.gate().endRecovery();
+    if (this._recoverySource) {
+      this._deps.onRecovered();
     }
   }
 }
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -206,10 +206,8 @@
     });
     this._allLinks.add(link);
     link.send(this._events.hello());
-    const suspects = this._events.suspects();
-    if (suspects.length > 0) {
-      link.send({ type: 'suspects', suspects });
-    }
+    // Sent even without any, as a starting daemon waits for them.
+    link.send({ type: 'suspects', suspects: this._events.suspects() });
     return link;
   }
 
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -11,6 +11,7 @@
 export * from './app/eventLog.js';
 export * from './app/log/logFollower.js';
 export * from './app/meshDaemon.js';
+export * from './app/records/hostRecords.js';
 export * from './app/runMesh.js';
 export * from './client/peerCalls.js';
 export * from './client/peerLink.js';
