Run a suspected fingerprint on one target at a time, also while the choice of the target changes

What callers saw: all four targets of a service crashed by one kind of request, where three crashes are the aim; calls of the service failed until the targets were back.

Cause: each daemon computes the target of a probe from the targets that it knows to be ready, and computes it anew when one comes or goes. A probe that runs at the earlier choice is not known to the gate of the later one. Targets that crashed together return within one run of each other, so the choice changes while a probe runs.

Evidence: new log lines tell when and where a suspect runs.

Change: a gate that starts a suspect reserves its fingerprint: it tells all linked daemons the host and how long the run may take, and again when it is over, or limits it to one second when it was aborted or lost. Daemons send the fingerprint only there meanwhile, and other gates refuse it. The reservation travels with the suspicion: in calls, over new links and when forwarded, so that a daemon that starts knows it. It ends by itself after the run's deadline. Both daemons use it.

A wait after each change of choice was ruled out: it holds back every suspect for the longest run.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,6 +57,7 @@
 export * from './quarantine/requestFingerprint.js';
 export * from './quarantine/suspectGate.js';
 export * from './quarantine/suspectQueue.js';
+export * from './quarantine/suspectRuns.js';
 export * from './quarantine/suspects.js';
 export * from './quarantine/suspectTable.js';
 export * from './quarantine/suspicion.js';
--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -81,7 +81,7 @@
   /** Number of targets of a service that accept no requests now, but may recover. */
   unavailableTargets: (service: string) => number;
   /** Request fingerprints that are suspected of crashing targets. */
-  suspects: Pick<Suspects, 'assess' | 'msSinceUpdate' | 'mergeFromCall'>;
+  suspects: Pick<Suspects, 'assess' | 'msSinceUpdate' | 'mergeFromCall' | 'runningAt'>;
   picker: TargetPicker;
   rootFilter: RootFilter;
   ledger: RetryLedger;
@@ -125,7 +125,7 @@
     rootDaemon: chain.rootDaemon,
     rootAddress: chain.rootAddress,
     rootIncarnation: chain.rootIncarnation,
-    ...(suspicion ? { suspicion: { ...suspicion, marks: [...suspicion.marks] } } : {}),
+    ...(suspicion ? { suspicion } : {}),
   };
 }
 
--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -31,7 +31,7 @@
 const kFinalReasons: ReadonlySet<NotRunReason> = new Set(['cancelled', 'repeat_budget', 'key_not_valid', 'quarantined']);
 /** Retry-after time of a quarantined request, in milliseconds. */
 const kQuarantinedRetryMs = 60_000;
-/** Retry-after time of a suspect request while too few targets are left to probe it, in milliseconds. */
+/** Retry-after time of a suspect that may not be sent to a target now, in milliseconds. */
 const kSuspectedRetryMs = 1_000;
 
 /** A complete response of a target. */
@@ -70,8 +70,8 @@
   choose(excluded: ReadonlySet<string>): TargetRecord | undefined;
   /** Current verdict on the request fingerprint. It may change with each offer. */
   verdict(): Verdict;
-  /** Whether the service has enough targets to risk one in a probe of the fingerprint. */
-  mayProbe(): boolean;
+  /** Whether a request whose fingerprint is suspected may be sent to a target now. */
+  maySendSuspect(): boolean;
   /** Time until the deadline of the request, in milliseconds. */
   remainingMs(): number;
   /** Minimum remaining time for another offer, in milliseconds. */
@@ -98,7 +98,7 @@
       // Applies also between offers of one request: the next offer could crash another target.
       return arrivals > 0 ? last : kQuarantinedResult;
     }
-    if (verdict === 'trial' && !ctx.mayProbe()) {
+    if (verdict !== 'clear' && !ctx.maySendSuspect()) {
       return arrivals > 0 ? last : kSuspectedResult;
     }
     const target = ctx.choose(excluded);
--- a/packages/core/src/procedures/suspectChoice.ts
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -7,7 +7,7 @@
 
 import type { RequestIdentity } from '../quarantine/requestFingerprint.js';
 import type { Suspicion } from '../quarantine/suspicion.js';
-import { mayProbe, chooseProbeTarget } from '../quarantine/probeTarget.js';
+import { chooseProbeTarget, maySendSuspect } from '../quarantine/probeTarget.js';
 import type { Choice } from '../routing/targetPicker.js';
 import type { Call, ServeContext } from './callContext.js';
 import type { Payload } from './effects.js';
@@ -37,10 +37,12 @@
     return { kind: 'refused', reason: 'quarantined' };
   }
   const candidates = ctx.candidates(service).map((candidate) => ({ host: candidate.target, candidate }));
-  const targets = { ready: candidates.length, unreachable: ctx.unavailableTargets(service) };
-  if (verdict === 'trial' && !mayProbe(targets, ctx.suspects.msSinceUpdate(suspicion.fingerprint))) {
+  const { fingerprint } = suspicion;
+  const runningAt = ctx.suspects.runningAt(fingerprint);
+  const state = { verdict, runningAt, msSinceUpdate: ctx.suspects.msSinceUpdate(fingerprint) };
+  if (!maySendSuspect(state, candidates, ctx.unavailableTargets(service))) {
     return { kind: 'refused', reason: 'suspected' };
   }
-  const target = chooseProbeTarget(suspicion.fingerprint, candidates, tried);
+  const target = chooseProbeTarget(fingerprint, candidates, tried, runningAt);
   return { kind: 'suspect', choice: target && ctx.picker.pick([target.candidate], new Set(), now), suspicion };
 }
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -5,11 +5,13 @@
 
 /** Runs ahead of the admission gate of one target: serializes suspect requests and records the result of each run for its fingerprint. */
 
+import { monotonicMs } from '../util/clock.js';
 import type { RequestIdentity } from './requestFingerprint.js';
 import { SuspectQueue } from './suspectQueue.js';
+import type { SuspectRun } from './suspectRuns.js';
 import type { Suspects } from './suspects.js';
 import type { Crash } from './suspectTable.js';
-import type { Suspicion } from './suspicion.js';
+import type { Suspicion, Verdict } from './suspicion.js';
 
 /** The properties of a call that the suspect gate uses. */
 export interface SuspectCall {
@@ -20,6 +22,8 @@
   readonly suspicion: Suspicion | undefined;
   /** Deadline for waiting, in milliseconds of the monotonic clock. */
   waitUntil: number;
+  /** Time at which its run is aborted, in milliseconds of the monotonic clock. */
+  readonly expiresAt: number;
 }
 
 /** Why a suspect is refused: it cannot run on this target now, or its fingerprint is quarantined. */
@@ -33,6 +37,16 @@
   onRefuse(call: T, reason: SuspectRefusal): void;
   /** Whether this target is the one that probes the fingerprint, according to the local target directory. */
   isProbeTarget(fingerprint: string, call: T): boolean;
+  /** A suspect started to run, or no longer runs. */
+  onRun(call: T, run: SuspectRunEvent): void;
+}
+
+/** Start or end of the run of a suspect. */
+export interface SuspectRunEvent {
+  kind: 'started' | 'ended';
+  fingerprint: string;
+  /** Whether it runs as a probe. */
+  probe: boolean;
 }
 
 /** A call that was in flight when its target crashed. */
@@ -46,16 +60,27 @@
 interface SuspectEntry<T extends SuspectCall> {
   call: T;
   fingerprint: string;
+  /** Its run, while it runs. */
+  run: SuspectRun | undefined;
+  /** Whether it runs as a probe. */
+  probe: boolean;
 }
 
 const kPass: SuspectDecision = { kind: 'pass' };
+/**
+ * Time for which an aborted or lost run may still be in flight, in milliseconds. A target may continue to run a request after its connection
+ * was closed, and crash by it.
+ */
+const kAbandonedMs = 1_000;
 
 /** Suspect requests at one target. */
 export class SuspectGate<T extends SuspectCall> {
   private readonly _queue: SuspectQueue<SuspectEntry<T>>;
   private readonly _suspectCalls = new Map<T, SuspectEntry<T>>();
 
+  /** @param _host returns the host of this target */
   constructor(
+    private readonly _host: () => string,
     private readonly _suspects: Suspects,
     private readonly _events: SuspectGateEvents<T>,
   ) {
@@ -83,26 +108,36 @@
       this._suspects.rebroadcast(known);
       return { kind: 'refused', reason: verdict === 'quarantined' ? verdict : 'suspected' };
     }
-    if (verdict === 'trial' && !this._events.isProbeTarget(known.fingerprint, call)) {
+    if (!this._mayRunHere(known.fingerprint, verdict, call)) {
       // The ingress has a different view of the ready targets. Two probes at once could crash two targets.
       return { kind: 'refused', reason: 'suspected' };
     }
-    const suspect = { call, fingerprint: known.fingerprint };
+    const suspect = { call, fingerprint: known.fingerprint, run: undefined, probe: false };
     this._suspectCalls.set(call, suspect);
-    return this._queue.enter(suspect) ? kPass : { kind: 'wait' };
+    if (!this._queue.enter(suspect)) {
+      return { kind: 'wait' };
+    }
+    this._recordStart(suspect);
+    return kPass;
   }
 
-  /** Removes a call that is over, whether it ran or not, and starts or refuses the calls that waited for it. */
-  leave(call: T): void {
+  /**
+   * Removes a call that is over, whether it ran or not, and starts or refuses the calls that waited for it.
+   *
+   * @param mayStillRun whether the target may still run it, because it was aborted or its connection was lost
+   */
+  leave(call: T, mayStillRun = false): void {
     const suspect = this._suspectCalls.get(call);
     if (!suspect) {
       return;
     }
     this._suspectCalls.delete(call);
+    this._recordEnd(suspect, mayStillRun);
     for (const next of this._queue.leave(suspect)) {
       if (this._suspects.verdict(next.fingerprint) === 'quarantined') {
         this._refuse(next.call, 'quarantined');
       } else {
+        this._recordStart(next);
         this._events.onPass(next.call);
       }
     }
@@ -147,6 +182,38 @@
       crash,
       inFlight.map(({ identity, route, call }) => ({ identity, route, tested: this._isProbe(call) })),
     );
+    for (const suspect of this._suspectCalls.values()) {
+      this._recordEnd(suspect, false);
+    }
+  }
+
+  /** While a request with the fingerprint is in flight elsewhere, the choice of the target does not move here. */
+  private _mayRunHere(fingerprint: string, verdict: Verdict, call: T): boolean {
+    const runningAt = this._suspects.runningAt(fingerprint);
+    if (runningAt !== undefined) {
+      return runningAt === this._host();
+    }
+    return verdict !== 'trial' || this._events.isProbeTarget(fingerprint, call);
+  }
+
+  private _recordStart(suspect: SuspectEntry<T>): void {
+    if (!this._queue.isRunning(suspect)) {
+      return;
+    }
+    const { call, fingerprint } = suspect;
+    suspect.run = this._suspects.startRun(fingerprint, this._host(), call.expiresAt - monotonicMs() + kAbandonedMs);
+    suspect.probe = this._queue.isProbe(suspect);
+    this._events.onRun(call, { kind: 'started', fingerprint, probe: suspect.probe });
+  }
+
+  private _recordEnd(suspect: SuspectEntry<T>, mayStillRun: boolean): void {
+    const { call, fingerprint, run, probe } = suspect;
+    if (!run) {
+      return;
+    }
+    suspect.run = undefined;
+    this._suspects.limitRun(fingerprint, run, mayStillRun ? kAbandonedMs : 0);
+    this._events.onRun(call, { kind: 'ended', fingerprint, probe });
   }
 
   private _isProbe(call: T | undefined): boolean {
--- a/packages/core/src/quarantine/suspectQueue.ts
+++ b/packages/core/src/quarantine/suspectQueue.ts
@@ -33,6 +33,11 @@
     return this._probe === call;
   }
 
+  /** Whether a call runs as a suspect: no other request with its fingerprint runs on this target meanwhile. */
+  isRunning(call: T): boolean {
+    return this._running.get(call.fingerprint) === call;
+  }
+
   /** Adds a suspect; returns true when it may run now, false when it waits. */
   enter(call: T): boolean {
     if (this._mayRun(call)) {
--- a/packages/core/src/quarantine/suspectTable.ts
+++ b/packages/core/src/quarantine/suspectTable.ts
@@ -67,6 +67,11 @@
     return this._entries.get(fingerprintOf(identity))?.suspicion;
   }
 
+  /** The suspicion against a fingerprint; undefined when it is unknown. */
+  get(fingerprint: string): Suspicion | undefined {
+    return this._entries.get(fingerprint)?.suspicion;
+  }
+
   /** The current verdict on a fingerprint: a quarantine that has expired becomes a probe. */
   verdict(fingerprint: string): Verdict {
     const entry = this._entries.get(fingerprint);
@@ -113,7 +118,8 @@
       const known = this._entries.get(suspicion.fingerprint)?.suspicion;
       const marks = mergeMarks(known?.marks ?? [], suspicion.marks);
       if (marks) {
-        changed.push(this._set({ ...(known ?? suspicion), marks }));
+        const { fingerprint, screen, route } = known ?? suspicion;
+        changed.push(this._set({ fingerprint, screen, route, marks }));
       }
     }
     this._evictSurplus();
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -6,6 +6,7 @@
 /** The suspicions known to one daemon, and their propagation: local changes go to all linked daemons, which forward them once. */
 
 import type { RequestIdentity } from './requestFingerprint.js';
+import { type SuspectRun, SuspectRuns } from './suspectRuns.js';
 import { type Crash, type InFlightRequest, SuspectTable } from './suspectTable.js';
 import { type Suspicion, type Verdict, verdictOf } from './suspicion.js';
 
@@ -48,6 +49,7 @@
 /** The suspicions known to one daemon. */
 export class Suspects {
   private readonly _table = new SuspectTable();
+  private readonly _runs = new SuspectRuns();
   /** Crash ids of targets on this host. */
   private readonly _localCrashes = new Set<number>();
 
@@ -61,7 +63,10 @@
 
   /** The suspicions to send over a new link, most severe first. */
   get snapshot(): Suspicion[] {
-    return this._table.list().slice(0, kMaxSnapshot);
+    return this._table
+      .list()
+      .slice(0, kMaxSnapshot)
+      .map((suspicion) => this._withRuns(suspicion));
   }
 
   /** Quarantines that involve a crash on this host; stored in the host's record so that they survive a restart of all daemons. */
@@ -80,7 +85,7 @@
   /** Looks up the suspicion against a request; undefined when there is none. Does not call `identity` while the table is empty. */
   assess(identity: () => RequestIdentity): Assessment | undefined {
     const suspicion = this._table.size > 0 ? this._table.find(identity()) : undefined;
-    return suspicion && { suspicion, verdict: this._table.verdict(suspicion.fingerprint) };
+    return suspicion && { suspicion: this._withRuns(suspicion), verdict: this._table.verdict(suspicion.fingerprint) };
   }
 
   /** The current verdict on a fingerprint. */
@@ -93,9 +98,30 @@
     return this._table.msSinceUpdate(fingerprint);
   }
 
+  /** Host on whose target a suspect with the fingerprint may be in flight; undefined when there is none. */
+  runningAt(fingerprint: string): string | undefined {
+    return this._runs.runningAt(fingerprint);
+  }
+
+  /** Reserves a known fingerprint for a run on the target of a host, until the run is over or its time has passed. */
+  startRun(fingerprint: string, host: string, remainingMs: number): SuspectRun {
+    const run = this._runs.start(fingerprint, host, remainingMs);
+    this._broadcastRun(fingerprint, run);
+    return run;
+  }
+
+  /** Reduces the time for which a run may still be in flight; 0 when it is over. */
+  limitRun(fingerprint: string, run: SuspectRun, remainingMs: number): void {
+    const limited = { ...run, remainingMs };
+    if (this._runs.merge(fingerprint, [limited])) {
+      this._broadcastRun(fingerprint, limited);
+    }
+  }
+
   /** Removes expired entries; called periodically. */
   prune(): void {
     this._table.prune();
+    this._runs.prune();
   }
 
   /** Restores the suspicions that an earlier daemon of this host stored in its record. */
@@ -135,14 +161,21 @@
   /** Merges a suspicion that arrived with a call, without forwarding it. */
   mergeFromCall(suspicion: Suspicion): void {
     this._reportQuarantined(this._table.merge([suspicion]));
+    this._runs.merge(suspicion.fingerprint, suspicion.runs ?? []);
   }
 
   /** Merges suspicions from another daemon and forwards those that changed. */
   mergeFromPeer(received: readonly Suspicion[]): void {
     const changed = this._table.merge(received);
     this._reportQuarantined(changed);
-    if (changed.length > 0) {
-      this._deps.sendSome(kForwardCount, changed);
+    const changedFingerprints = new Set(changed.map(({ fingerprint }) => fingerprint));
+    const forwarded = received.flatMap(({ fingerprint, runs = [] }) => {
+      const known = this._table.get(fingerprint);
+      const hasNewRuns = this._runs.merge(fingerprint, runs);
+      return known && (hasNewRuns || changedFingerprints.has(fingerprint)) ? [{ ...known, runs }] : [];
+    });
+    if (forwarded.length > 0) {
+      this._deps.sendSome(kForwardCount, forwarded);
     }
   }
 
@@ -151,6 +184,18 @@
     this._deps.broadcast([suspicion]);
   }
 
+  private _broadcastRun(fingerprint: string, run: SuspectRun): void {
+    const suspicion = this._table.get(fingerprint);
+    if (suspicion) {
+      this._deps.broadcast([{ ...suspicion, runs: [run] }]);
+    }
+  }
+
+  private _withRuns(suspicion: Suspicion): Suspicion {
+    const runs = this._runs.active(suspicion.fingerprint);
+    return runs.length > 0 ? { ...suspicion, runs } : suspicion;
+  }
+
   private _broadcast(changed: Suspicion[]): void {
     this._reportQuarantined(changed);
     if (changed.length > 0) {
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -8,6 +8,8 @@
  * receive updates in any order and repeatedly, so merging is a union: flags are only ever set, and each crashed incarnation counts once.
  */
 
+import type { SuspectRun } from './suspectRuns.js';
+
 /** A target crash during which a request with the fingerprint was in flight there. */
 export interface CrashMark {
   /** Identifies the incarnation that crashed. */
@@ -30,6 +32,8 @@
   /** Route of the first request seen; informational. */
   route: string;
   marks: readonly CrashMark[];
+  /** Runs that may be in flight. Exchanged with the marks, but kept apart from them, as they expire. */
+  runs?: readonly SuspectRun[] | undefined;
 }
 
 /** How the next request with a fingerprint is treated. */
--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -103,6 +103,7 @@
     }
     this._bodyBytes += size;
     this._terms.set(terms.attempt, terms);
+    let mayStillRun = true;
     try {
       const refusal = await suspects.enter(terms, payload);
       if (refusal) {
@@ -115,11 +116,12 @@
         awaitAdmission: ({ attempt }) => this._awaitAdmission(attempt),
         forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline),
       });
+      mayStillRun = result.kind === 'lost' || result.kind === 'failed';
       return withSuspicion(result, () => suspects.suspicionOf(terms, payload));
     } finally {
       this._bodyBytes -= size;
       this._terms.delete(terms.attempt);
-      suspects.leave(terms.attempt);
+      suspects.leave(terms.attempt, mayStillRun);
     }
   }
 
--- a/packages/daemon/src/app/peerCodec.ts
+++ b/packages/daemon/src/app/peerCodec.ts
@@ -6,7 +6,7 @@
 /** Converts between the core's records and the messages of the peer protocol. */
 
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
-import type { Member, MemberState, ServeResult, Suspicion, TargetState } from '@gentiandrum/core';
+import type { CrashMark, Member, MemberState, ServeResult, SuspectRun, Suspicion, TargetState } from '@gentiandrum/core';
 import {
   type Suspicion as SuspicionMsg,
   type Member as MemberMsg,
@@ -55,12 +55,23 @@
   };
 }
 
-export function decodeSuspicion({ fingerprint, screen, route, marks }: SuspicionMsg): Suspicion {
+/** Fields of a suspicion as the message type takes them: its lists are mutable. */
+export interface EncodedSuspicion extends Omit<Suspicion, 'marks' | 'runs'> {
+  marks: CrashMark[];
+  runs: SuspectRun[];
+}
+
+export function encodeSuspicion({ marks, runs = [], ...rest }: Suspicion): EncodedSuspicion {
+  return { ...rest, marks: [...marks], runs: [...runs] };
+}
+
+export function decodeSuspicion({ fingerprint, screen, route, marks, runs }: SuspicionMsg): Suspicion {
   return {
     fingerprint,
     screen,
     route,
     marks: marks.map(({ crash, at, tested, cleared, released }) => ({ crash, at, tested, cleared, released })),
+    runs: runs.map(({ host, startedAt, remainingMs }) => ({ host, startedAt, remainingMs })),
   };
 }
 
--- a/packages/daemon/src/app/suspectOffers.ts
+++ b/packages/daemon/src/app/suspectOffers.ts
@@ -42,9 +42,11 @@
 
 /** One offer at the suspect gate. */
 class SuspectOffer implements SuspectCall {
+  readonly request: string;
   readonly route: string;
   readonly suspicion: Suspicion | undefined;
   readonly waitUntil: number;
+  readonly expiresAt: number;
   resolve: (refusal: SuspectRefusal | undefined) => void = () => undefined;
 
   constructor(
@@ -52,9 +54,11 @@
     terms: OfferTerms,
     private readonly _payload: Payload,
   ) {
+    this.request = terms.request;
     this.route = terms.className;
     this.suspicion = terms.suspicion;
     this.waitUntil = monotonicMs() + terms.remainingMs * kWaitShare;
+    this.expiresAt = monotonicMs() + terms.remainingMs;
   }
 
   readonly identity = (): RequestIdentity => requestIdentity(this.service, this._payload);
@@ -69,7 +73,7 @@
   private _expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _deps: SuspectOffersDeps) {
-    this._gate = new SuspectGate<SuspectOffer>(_deps.suspects, {
+    this._gate = new SuspectGate<SuspectOffer>(() => _deps.target()?.name ?? '', _deps.suspects, {
       onPass: (offer) => {
         offer.resolve(undefined);
       },
@@ -77,6 +81,13 @@
         offer.resolve(reason);
       },
       isProbeTarget: (fingerprint, { service }) => this._isProbeTarget(fingerprint, service),
+      onRun: ({ request }, { kind, fingerprint, probe }) => {
+        _deps.logger.info('quarantine', kind === 'started' ? 'Run of a suspect started.' : 'Run of a suspect ended.', {
+          kind: fingerprint,
+          request,
+          probe,
+        });
+      },
     });
   }
 
@@ -106,13 +117,13 @@
     return this._deps.suspects.assess(() => requestIdentity(service, payload))?.suspicion;
   }
 
-  /** Removes an offer that is over, whether or not it ran. */
-  leave(attempt: string): void {
+  /** Removes an offer that is over, whether or not it ran; `mayStillRun` if its connection was lost or closed before the response. */
+  leave(attempt: string, mayStillRun: boolean): void {
     const offer = this._offers.get(attempt);
     if (offer) {
       this._offers.delete(attempt);
       this._running.delete(offer);
-      this._gate.leave(offer);
+      this._gate.leave(offer, mayStillRun);
     }
   }
 
--- a/packages/daemon/src/client/peerClient.ts
+++ b/packages/daemon/src/client/peerClient.ts
@@ -18,7 +18,7 @@
   SettleKeyResponse_Verdict as Verdict,
 } from '@gentiandrum/protocol/peers';
 import { Agent } from 'node:http';
-import { decodeMember, decodeServeResult, decodeSuspicion, encodeMember } from '../app/peerCodec.js';
+import { decodeMember, decodeServeResult, decodeSuspicion, encodeMember, encodeSuspicion } from '../app/peerCodec.js';
 
 const kRequestTimeoutMs = 500;
 const kClaimTimeoutMs = 2_000;
@@ -113,7 +113,7 @@
 
   /** Reports request fingerprints suspected of crashing targets; returns the suspects that the other daemon knows. */
   async tellSuspects(address: string, suspects: readonly Suspicion[]): Promise<Suspicion[] | undefined> {
-    const encoded = suspects.map((suspicion) => ({ ...suspicion, marks: [...suspicion.marks] }));
+    const encoded = suspects.map(encodeSuspicion);
     const res = await undefinedOnError(this._clientFor(address).tellSuspects({ suspects: encoded }, { timeoutMs: kRequestTimeoutMs }));
     return res?.suspects.map(decodeSuspicion);
   }
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -18,7 +18,7 @@
   SettleKeyResponseSchema,
 } from '@gentiandrum/protocol/peers';
 import type { Daemon } from '../app/daemon.js';
-import { decodeMember, decodeSuspicion, encodeMember, encodeServeResult } from '../app/peerCodec.js';
+import { decodeMember, decodeSuspicion, encodeMember, encodeServeResult, encodeSuspicion } from '../app/peerCodec.js';
 
 /** Routes of the peer service of a daemon. */
 export function peerRoutes(daemon: Daemon): (router: ConnectRouter) => void {
@@ -30,7 +30,7 @@
       },
       tellSuspects: ({ suspects }) => {
         const known = daemon.suspects.mergeFromPeer(suspects.map(decodeSuspicion));
-        return { suspects: known.map((suspicion) => ({ ...suspicion, marks: [...suspicion.marks] })) };
+        return { suspects: known.map(encodeSuspicion) };
       },
       fetchMembers: () => ({ members: daemon.members.view.all().map(encodeMember) }),
       fetchConfig: ({ next }) => {
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -21,10 +21,10 @@
   type RouteResult,
   foundNoTarget,
   routeRequest,
-  mayProbe,
   type Suspects,
   type TargetRecord,
   chooseProbeTarget,
+  maySendSuspect,
   type Verdict,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
@@ -56,7 +56,7 @@
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
-  suspects: Pick<Suspects, 'assess' | 'msSinceUpdate'>;
+  suspects: Pick<Suspects, 'assess' | 'msSinceUpdate' | 'runningAt'>;
   deadlines: Deadlines;
   /** Called before each offer; `first` for the first one of the request. */
   onOfferSent(target: TargetRecord, first: boolean): void;
@@ -116,7 +116,7 @@
     this._procedure = routeRequest(_req.route, {
       choose: (excluded) => this._choose(excluded),
       verdict: () => this._verdict(),
-      mayProbe: () => this._mayProbe(),
+      maySendSuspect: () => this._maySendSuspect(),
       remainingMs: () => this._remainingMs(),
       minUsefulMs: () => kMinRemainingMs,
     });
@@ -165,10 +165,16 @@
     return this._assessment?.verdict ?? 'clear';
   }
 
-  private _mayProbe(): boolean {
+  private _maySendSuspect(): boolean {
     const { service } = this._req;
-    const targets = { ready: this._deps.candidates(service).length, unreachable: this._deps.unreachable(service) };
-    return mayProbe(targets, this._deps.suspects.msSinceUpdate(this._assessment?.suspicion.fingerprint ?? ''));
+    const { suspects } = this._deps;
+    if (!this._assessment) {
+      return true;
+    }
+    const { suspicion, verdict } = this._assessment;
+    const { fingerprint } = suspicion;
+    const state = { verdict, runningAt: suspects.runningAt(fingerprint), msSinceUpdate: suspects.msSinceUpdate(fingerprint) };
+    return maySendSuspect(state, this._deps.candidates(service), this._deps.unreachable(service));
   }
 
   /** All daemons send suspects with the same fingerprint to the same target, so that one gate serializes them. */
@@ -176,7 +182,8 @@
     const { route, service } = this._req;
     const candidates = this._deps.candidates(service);
     if (this._assessment && this._assessment.verdict !== 'clear') {
-      return chooseProbeTarget(this._assessment.suspicion.fingerprint, candidates, excluded);
+      const { fingerprint } = this._assessment.suspicion;
+      return chooseProbeTarget(fingerprint, candidates, excluded, this._deps.suspects.runningAt(fingerprint));
     }
     return this._deps.choose(candidates, excluded, route);
   }
--- a/packages/mesh/src/app/calls/logSuspectEvent.ts
+++ b/packages/mesh/src/app/calls/logSuspectEvent.ts
@@ -3,9 +3,9 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Logs quarantine events: request fingerprints that are quarantined, cleared or released. */
+/** Logs quarantine events: request fingerprints that are quarantined, cleared or released, and the runs of suspects. */
 
-import { crashesOf, type SuspectEvent } from '@gentiandrum/core';
+import { crashesOf, type SuspectEvent, type SuspectRunEvent } from '@gentiandrum/core';
 import type { EventLog } from '../eventLog.js';
 
 /** Logs one event. */
@@ -31,3 +31,12 @@
       return;
   }
 }
+
+/** Logs that a suspect started to run on the local target, or no longer runs. */
+export function logSuspectRun(events: EventLog, requestId: string, { kind, fingerprint, probe }: SuspectRunEvent): void {
+  events.info('quarantine', kind === 'started' ? 'Run of a suspect started.' : 'Run of a suspect ended.', {
+    kind: fingerprint,
+    req: requestId,
+    probe,
+  });
+}
--- a/packages/mesh/src/app/calls/offeredCall.ts
+++ b/packages/mesh/src/app/calls/offeredCall.ts
@@ -22,7 +22,6 @@
 /** A call at the gate, from its offer to its result. */
 export interface OfferedCall extends GatedCall, SuspectCall {
   readonly call: PeerCall;
-  expiresAt: number;
   /** Time until which the key of the workspace may be trusted, on the monotonic clock. */
   validUntil: number;
   run: Run | undefined;
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -33,6 +33,7 @@
 import { ConditionTracker } from './conditionTracker.js';
 import { CrashRecorder } from './crashRecorder.js';
 import { createOfferedCall, type OfferDone, type OfferedCall, type OfferHandle } from './offeredCall.js';
+import { logSuspectRun } from './logSuspectEvent.js';
 import { identityOf } from './requestIdentity.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
@@ -45,6 +46,8 @@
 export interface TargetGateDeps {
   names: HeaderNames;
   bound: RepeatBound;
+  /** Id of this host. */
+  host: string;
   /** Address of the target in the settings. */
   address: string;
   maxConnections(service: string): number;
@@ -91,7 +94,7 @@
     this._lifecycle = new TargetLifecycle(_deps.address);
     this._budget = new RepeatBudget(_deps.bound);
     this._crashes = new CrashRecorder(_deps.metrics, _deps.events);
-    this._suspects = new SuspectGate<OfferedCall>(_deps.suspects, {
+    this._suspects = new SuspectGate<OfferedCall>(() => _deps.host, _deps.suspects, {
       onPass: (offered) => {
         this._offerToSlotGate(offered);
       },
@@ -99,6 +102,9 @@
         this._refuse(offered, reason);
       },
       isProbeTarget: (fingerprint) => _deps.isProbeTarget(fingerprint, this._lifecycle.known.service),
+      onRun: ({ call }, run) => {
+        logSuspectRun(_deps.events, call.requestId, run);
+      },
     });
     this._gate = new SlotGate<OfferedCall>(
       {
@@ -465,7 +471,7 @@
       this._gate.callEnded(offered.id, ran ? tookMs : undefined);
     }
     offered.done(result, this.report(offered.call.route));
-    this._suspects.leave(offered);
+    this._suspects.leave(offered, result.kind === 'lost');
   }
 
   private _cancel(offered: OfferedCall): void {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -125,6 +125,7 @@
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
+      host: _settings.id,
       address: _settings.target.address,
       maxConnections: (service) => this._configs.maxConnections(service) ?? kDefaultMaxConnections,
       targets: (service) => this._directory.ready(service).length,
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -51,7 +51,14 @@
   fingerprint: z.string().min(1),
   screen: z.number().min(0),
   route: z.string(),
-  marks: z.array(z.object({ crash: z.number().min(0), at: z.number(), tested: z.boolean(), cleared: z.boolean(), released: z.boolean() })),
+  marks: z
+    .array(z.object({ crash: z.number().min(0), at: z.number(), tested: z.boolean(), cleared: z.boolean(), released: z.boolean() }))
+    .readonly(),
+  /** Runs that may be in flight; absent where there are none. */
+  runs: z
+    .array(z.object({ host: z.string(), startedAt: z.number(), remainingMs: z.number().min(0) }))
+    .readonly()
+    .optional(),
 });
 
 /** Terms of an offer from one daemon to another. */
--- a/tests/platform/crashingTarget.ts
+++ b/tests/platform/crashingTarget.ts
@@ -7,10 +7,17 @@
 
 import { type SeenRequest, UpstreamStandin } from './upstreamStandin.js';
 
-/** Time between a crash and the restart, in milliseconds. */
-const kRestartDelayMs = 1_500;
-/** Time for which a request runs before it crashes the target, in milliseconds. */
-const kCrashDelayMs = 30;
+/** Times of a target that crashes, in milliseconds. */
+export interface CrashTiming {
+  /** Time for which a request runs before it crashes the target; undefined if only {@link CrashingTarget.crash} does. */
+  runMs: number | undefined;
+  /** Time between a crash and the restart; undefined if only {@link CrashingTarget.restart} starts it again. */
+  restartMs: number | undefined;
+  /** Time for which the crashed target accepts connections after it has closed those that were open. */
+  listenMs: number;
+}
+
+const kDefaultTiming: CrashTiming = { runMs: 30, restartMs: 1_500, listenMs: 0 };
 
 /** Runs successive incarnations of a target on one port. */
 export class CrashingTarget {
@@ -18,6 +25,10 @@
   control = '';
   current: UpstreamStandin;
   crashes = 0;
+  /** Whether a request that crashes the target is running. */
+  doomed = false;
+  private _down = false;
+  private readonly _timing: CrashTiming;
   private _starts = 1;
   private _closed = false;
   private _restartTimer: NodeJS.Timeout | undefined;
@@ -26,7 +37,9 @@
     private readonly _name: string,
     private readonly _service: string,
     private readonly _crashesTarget: (req: SeenRequest) => boolean,
+    timing: Partial<CrashTiming> = {},
   ) {
+    this._timing = { ...kDefaultTiming, ...timing };
     this.current = this._create();
   }
 
@@ -37,15 +50,27 @@
 
   /** Closes all connections as a crash does, and schedules the restart. */
   crash(): void {
-    if (this._restartTimer || this._closed) {
+    if (this._down || this._closed) {
       return;
     }
     this.crashes++;
-    this.current.close();
-    this._restartTimer = setTimeout(() => {
-      this._restartTimer = undefined;
-      void this._restart();
-    }, kRestartDelayMs);
+    this._down = true;
+    this.doomed = false;
+    if (this._timing.listenMs > 0) {
+      this.current.exitSlowly(this._timing.listenMs);
+    } else {
+      this.current.close();
+    }
+    if (this._timing.restartMs !== undefined) {
+      this._restartTimer = setTimeout(() => {
+        void this.restart();
+      }, this._timing.restartMs);
+    }
+  }
+
+  /** Whether the target has crashed and not started again. */
+  get down(): boolean {
+    return this._down;
   }
 
   /** Stops without a restart. */
@@ -55,7 +80,8 @@
     this.current.close();
   }
 
-  private async _restart(): Promise<void> {
+  /** Starts the next incarnation. */
+  async restart(): Promise<void> {
     const [, port = '0'] = this.current.address.split(':');
     this._starts++;
     this.current = this._create();
@@ -65,6 +91,7 @@
       this.current.close();
       return;
     }
+    this._down = false;
     await this.current.sendHeartbeat(this.control);
   }
 
@@ -72,11 +99,14 @@
     const target = new UpstreamStandin(`${this._name}-${this._starts}`, this._service);
     target.onRun = (req) => {
       if (this._crashesTarget(req)) {
-        setTimeout(() => {
-          if (this.current === target) {
-            this.crash();
-          }
-        }, kCrashDelayMs);
+        this.doomed = true;
+        if (this._timing.runMs !== undefined) {
+          setTimeout(() => {
+            if (this.current === target) {
+              this.crash();
+            }
+          }, this._timing.runMs);
+        }
         // The request never completes.
         return new Promise(() => undefined);
       }
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -66,6 +66,7 @@
   /** Port to listen on; 0 selects a free one. */
   port = 0;
   private _sequence = 0;
+  private _exiting = false;
   private readonly _server: Server;
 
   constructor(
@@ -115,7 +116,22 @@
     this._server.closeAllConnections();
   }
 
+  /**
+   * Stops like a process that takes a while to exit: open connections close at once, new ones are accepted without a response until the
+   * listening socket closes.
+   */
+  exitSlowly(listenMs: number): void {
+    this._exiting = true;
+    this._server.closeAllConnections();
+    setTimeout(() => {
+      this.close();
+    }, listenMs);
+  }
+
   private async _handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this._exiting) {
+      return;
+    }
     if (this.respondsEarly) {
       const id = String(req.headers['x-attempt-id'] ?? '');
       res.writeHead(500, { 'x-attempt-id': id, 'x-response-seal': `seal.${id}`, 'content-length': 0 }).end();
--- a/tests/quarantine/histories.spec.ts
+++ b/tests/quarantine/histories.spec.ts
@@ -10,7 +10,7 @@
 
 import { type Random, seededRandom } from '@gentiandrum/core';
 import { describe, itSerial } from '../support/describe.js';
-import { type RequestType, QuarantineFleet } from './quarantineFleet.js';
+import { type FleetTiming, type RequestType, QuarantineFleet } from './quarantineFleet.js';
 
 const kHosts = 8;
 const kHistoryMs = 10_000;
@@ -19,6 +19,9 @@
 const kMaxCrashes = 3;
 const kMaxNotServed = 0.02;
 const kDetectionMs = 12;
+/** Run of a lethal request in the histories in which crashed targets return within one run of each other, in milliseconds. */
+const kRunMs = 350;
+const kReturnTogether: FleetTiming = { lethalMs: kRunMs, restartMs: 3_000, restartSpreadMs: kRunMs };
 
 interface History {
   /** Mean time between two requests of each lethal type, in milliseconds. */
@@ -28,6 +31,8 @@
   crashesEveryMs?: number;
   restartsEveryMs?: number;
   partition?: { from: number; until: number };
+  hosts?: number;
+  timing?: FleetTiming;
 }
 
 interface Result {
@@ -56,9 +61,10 @@
   next();
 }
 
-function runHistory(seed: number, { lethalEveryMs = [], idempotent = true, crashesEveryMs, restartsEveryMs, partition }: History): Result {
+function runHistory(seed: number, history: History): Result {
+  const { lethalEveryMs = [], idempotent = true, crashesEveryMs, restartsEveryMs, partition, hosts = kHosts, timing } = history;
   const random = seededRandom(seed);
-  const fleet = new QuarantineFleet(kHosts, random);
+  const fleet = new QuarantineFleet(hosts, random, timing);
   try {
     const shared = requestTypeOf('/s/shared', 15);
     const lethal = lethalEveryMs.map((_, i) => requestTypeOf(`/s/lethal/${i}`, 0, true, idempotent));
@@ -154,6 +160,19 @@
     }
   });
 
+  itSerial('should crash at most three targets that return within one run of each other', (t) => {
+    for (const hosts of [4, kHosts]) {
+      for (const seed of seeds(100)) {
+        const { lethal } = runHistory(seed, { hosts, lethalEveryMs: [kRunMs], timing: kReturnTogether });
+        const details = `seed ${seed}, ${hosts} hosts: ${JSON.stringify(lethal)}`;
+        t.true(
+          lethal.every(({ crashes, early }) => crashes <= allowedCrashes(early)),
+          details,
+        );
+      }
+    }
+  });
+
   itSerial('should crash at most three targets on each side of a network partition, and none afterwards for what one side knew', (t) => {
     for (const seed of seeds(80)) {
       const { lethal } = runHistory(seed, { lethalEveryMs: [300], partition: { from: 20 + seed * 40, until: 6_000 + seed * 20 } });
--- a/tests/quarantine/quarantineFleet.ts
+++ b/tests/quarantine/quarantineFleet.ts
@@ -13,7 +13,7 @@
   type RequestIdentity,
   type RouteResult,
   routeRequest,
-  mayProbe,
+  maySendSuspect,
   type SuspectCall,
   SuspectGate,
   Suspects,
@@ -24,9 +24,8 @@
 } from '@gentiandrum/core';
 import { VirtualTime } from '../support/virtualTime.js';
 
-const kLethalMs = 30;
-const kRestartMs = 1_500;
-const kRestartSpreadMs = 1_500;
+/** Time for which a lethal request runs before its target crashes, and the delay of the target's restart, in milliseconds. */
+const kDefaultTiming: FleetTiming = { lethalMs: 30, restartMs: 1_500, restartSpreadMs: 1_500 };
 /** Time after which a gate detects that its target crashed, in milliseconds. */
 const kDetectionMs = 6;
 const kLinkTimeoutMs = 300;
@@ -38,6 +37,15 @@
 const kDuplicateProbability = 0.05;
 const kMaxDelayMs = 4;
 
+/** Durations in the simulated fleet, in milliseconds. */
+export interface FleetTiming {
+  /** Run of a lethal request until its target crashes. */
+  lethalMs: number;
+  /** Minimum time between the crash of a target and its return, and the range of the random time on top. */
+  restartMs: number;
+  restartSpreadMs: number;
+}
+
 /** A type of request: its requests share one fingerprint. */
 export interface RequestType {
   identity: RequestIdentity;
@@ -65,6 +73,8 @@
   readonly ready = new Set<string>();
   /** Incremented on each daemon restart; replies to an earlier generation are lost. */
   generation = 0;
+  /** False from a restart of the daemon until another one has sent the suspects that it knows: its gate accepts no calls. */
+  accepting = true;
   targetUp = true;
   incarnation = 1;
   running = new Set<ModelCall>();
@@ -84,6 +94,7 @@
     this.suspects = this._newSuspects();
     this.gate = this._newGate();
     this.running = new Set();
+    this.accepting = false;
     this._fleet.relink(this);
   }
 
@@ -104,7 +115,7 @@
   }
 
   private _newGate(): SuspectGate<ModelCall> {
-    return new SuspectGate<ModelCall>(this.suspects, {
+    return new SuspectGate<ModelCall>(() => this.name, this.suspects, {
       onPass: (call) => {
         this._fleet.run(this, call);
       },
@@ -112,6 +123,7 @@
         call.reply({ kind: 'not_run', reason, retryAfterMs: 0 });
       },
       isProbeTarget: (fingerprint) => chooseProbeTarget(fingerprint, this._fleet.readyAt(this), new Set())?.host === this.name,
+      onRun: () => undefined,
     });
   }
 }
@@ -133,6 +145,7 @@
   constructor(
     count: number,
     private readonly _random: () => number,
+    private readonly _timing = kDefaultTiming,
   ) {
     this.hosts = Array.from({ length: count }, (_, i) => new ModelHost(this, `h${i}`, `z${i % 2}`));
     for (const host of this.hosts) {
@@ -156,22 +169,27 @@
     const deadline = monotonicMs() + kDeadlineMs;
     const { generation } = host;
     const suspicion = (): Suspicion | undefined => host.suspects.assess(() => type.identity)?.suspicion;
-    const verdict = (): Verdict => host.suspects.verdict(suspicion()?.fingerprint ?? '');
+    const fingerprint = (): string => suspicion()?.fingerprint ?? '';
+    const verdict = (): Verdict => host.suspects.verdict(fingerprint());
     const candidates = (): TargetRecord[] => this.readyAt(host);
     const procedure = routeRequest(
       { idempotent: type.idempotent, maxAttempts: kMaxAttempts },
       {
         choose: (excluded) => {
           if (verdict() !== 'clear') {
-            return chooseProbeTarget(suspicion()?.fingerprint ?? '', candidates(), excluded);
+            return chooseProbeTarget(fingerprint(), candidates(), excluded, host.suspects.runningAt(fingerprint()));
           }
           const open = candidates().filter((record) => !excluded.has(record.host));
           return open[Math.floor(this._random() * open.length)];
         },
         verdict,
-        mayProbe: () => {
-          const ready = candidates().length;
-          return mayProbe({ ready, unreachable: this.hosts.length - ready }, host.suspects.msSinceUpdate(suspicion()?.fingerprint ?? ''));
+        maySendSuspect: () => {
+          const state = {
+            verdict: verdict(),
+            runningAt: host.suspects.runningAt(fingerprint()),
+            msSinceUpdate: host.suspects.msSinceUpdate(fingerprint()),
+          };
+          return maySendSuspect(state, candidates(), this.hosts.length - candidates().length);
         },
         remainingMs: () => deadline - monotonicMs(),
         minUsefulMs: () => 5,
@@ -203,7 +221,7 @@
     if (call.type.lethal) {
       this.lethalStarts.push({ at: this.time.now, type: call.type });
     }
-    this.time.after(call.type.lethal ? kLethalMs : call.type.runMs, () => {
+    this.time.after(call.type.lethal ? this._timing.lethalMs : call.type.runMs, () => {
       if (host.incarnation !== incarnation || !host.targetUp || !host.running.has(call)) {
         return;
       }
@@ -243,7 +261,7 @@
         this._finish(host, call, { kind: 'lost', reason: 'target ended' });
       }
     });
-    this.time.after(kRestartMs + this._random() * kRestartSpreadMs, () => {
+    this.time.after(this._timing.restartMs + this._random() * this._timing.restartSpreadMs, () => {
       host.targetUp = true;
       host.incarnation++;
       this._sendState(host, true);
@@ -306,6 +324,7 @@
       route: 'r',
       suspicion,
       waitUntil: (monotonicMs() + deadline) / 2,
+      expiresAt: deadline,
       reply: (result) => {
         this._send(to, from, () => {
           settle(result);
@@ -326,6 +345,10 @@
   }
 
   private _receiveOffer(host: ModelHost, call: ModelCall): void {
+    if (!host.accepting) {
+      call.reply({ kind: 'not_run', reason: 'not_accepting', retryAfterMs: 0 });
+      return;
+    }
     const decision = host.gate.offer(call);
     switch (decision.kind) {
       case 'pass':
@@ -344,7 +367,7 @@
 
   private _finish(host: ModelHost, call: ModelCall, result: CallResult): void {
     call.reply(result);
-    host.gate.leave(call);
+    host.gate.leave(call, result.kind === 'lost');
   }
 
   private _sendState(host: ModelHost, ready: boolean): void {
@@ -360,13 +383,14 @@
   }
 
   private _sendSuspects(from: ModelHost, to: ModelHost, suspects: Suspicion[]): void {
-    if (to === from || suspects.length === 0) {
+    if (to === from) {
       return;
     }
     const times = this._random() < kDuplicateProbability ? 2 : 1;
     for (let i = 0; i < times; i++) {
       this._send(from, to, () => {
         to.suspects.mergeFromPeer(suspects);
+        to.accepting = true;
       });
     }
   }
--- a/tests/routing/deadTargets.spec.ts
+++ b/tests/routing/deadTargets.spec.ts
@@ -86,7 +86,7 @@
       choose: (excluded) => placement.choose(this._directory.ready('s'), excluded, kRoute),
       remainingMs: () => 1_000,
       verdict: () => 'clear',
-      mayProbe: () => true,
+      maySendSuspect: () => true,
       minUsefulMs: () => 5,
     });
     const advance = (step: ReturnType<typeof procedure.next>): void => {
--- a/tests/routing/routeRequest.spec.ts
+++ b/tests/routing/routeRequest.spec.ts
@@ -25,7 +25,7 @@
       choose: (excluded) => hosts.find(({ host }) => !excluded.has(host)),
       remainingMs: () => 1_000,
       verdict: () => 'clear',
-      mayProbe: () => true,
+      maySendSuspect: () => true,
       minUsefulMs: () => 5,
     },
   );
--- a/tests/standins/targetStandin.ts
+++ b/tests/standins/targetStandin.ts
@@ -32,6 +32,8 @@
   drop: number;
   /** The process exits while it runs a call whose path contains this text; disabled if empty. */
   endsOn: string;
+  /** Time between the start of such a call and the exit, in milliseconds. */
+  endsAfterMs: number;
   /** Returns the request body instead of a short text. */
   echo: boolean;
 }
@@ -44,8 +46,6 @@
 }
 
 const kAnnounceIntervalMs = 500;
-/** Time between the start of a call that crashes the process and the crash, in milliseconds. */
-const kCrashDelayMs = 30;
 const kMaxConnections = 1_000;
 
 export class TargetStandin {
@@ -55,6 +55,8 @@
   ended = 0;
   cancelled = 0;
   private _running = 0;
+  /** Whether a call that ends the process is running. */
+  private _doomed = false;
   private readonly _server: Server;
   private _timer: NodeJS.Timeout | undefined;
   private _url = '';
@@ -74,6 +76,7 @@
       truncate: 0,
       drop: 0,
       endsOn: '',
+      endsAfterMs: 30,
       echo: false,
     };
     this.behaviour = { ...defaults, ...behaviour };
@@ -136,9 +139,10 @@
     const body = await readBody(req);
     const call = String(req.headers['x-call'] ?? 'none');
     this.runs.set(call, (this.runs.get(call) ?? 0) + 1);
-    const { endsOn } = this.behaviour;
+    const { endsOn, endsAfterMs } = this.behaviour;
     if (endsOn !== '' && req.url?.includes(endsOn) === true) {
-      setTimeout(() => process.exit(1), kCrashDelayMs);
+      this._doomed = true;
+      setTimeout(() => process.exit(1), endsAfterMs);
       return;
     }
     const callerGone = (): boolean => res.closed && !res.writableEnded;
@@ -213,8 +217,8 @@
       this.behaviour = { ...this.behaviour, ...(body as Partial<Behaviour>) };
       await this.announce();
     }
-    const { started, ended, cancelled, _running: running } = this;
-    sendJson(res, 200, { started, ended, cancelled, running, runs: Object.fromEntries(this.runs) });
+    const { started, ended, cancelled, _running: running, _doomed: doomed } = this;
+    sendJson(res, 200, { started, ended, cancelled, running, doomed, runs: Object.fromEntries(this.runs) });
   }
 
   /** Base URL of the target; empty before the start. */
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -153,6 +153,12 @@
     return ((await res.json()) as { runs: Record<string, number> }).runs;
   }
 
+  /** Whether a host's target runs a call that ends its process. */
+  async isDoomed(id: string): Promise<boolean> {
+    const res = await fetch(`${this.host(id).targetUrl}/-/counts`);
+    return ((await res.json()) as { doomed: boolean }).doomed;
+  }
+
   /** Number of runs of one call at all targets of the fleet. */
   async totalRuns(call: string): Promise<number> {
     const ids = [...this.hosts.values()].filter((host) => host.targetUrl !== '').map((host) => host.id);
