Identify a probe as the cause of a crash also after its caller has disconnected

A request that runs as a probe and whose caller gives up is aborted, but its target may go on with it and crash.

Cause: only calls in flight at the gate were taken for probes. Change: the gate keeps the fingerprints of probes that were aborted or lost for the second in which they may still run. Ruled out: to keep the call itself in the queue, which would hold back those that wait.

The test "should be identified as the cause of a crash after the caller of its probe has disconnected" failed before (third crash not marked as a probe's).

--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -6,7 +6,7 @@
 /** Runs ahead of the admission gate of one target: serializes suspect requests and records the result of each run for its fingerprint. */
 
 import { monotonicMs } from '../util/clock.js';
-import type { RequestIdentity } from './requestFingerprint.js';
+import { fingerprintOf, type RequestIdentity } from './requestFingerprint.js';
 import { SuspectQueue } from './suspectQueue.js';
 import type { SuspectRun } from './suspectRuns.js';
 import type { Suspects } from './suspects.js';
@@ -77,6 +77,8 @@
 export class SuspectGate<T extends SuspectCall> {
   private readonly _queue: SuspectQueue<SuspectEntry<T>>;
   private readonly _suspectCalls = new Map<T, SuspectEntry<T>>();
+  /** Probes that were aborted or lost and may still run: by fingerprint, the monotonic time from which they do not. */
+  private readonly _abandonedProbes = new Map<string, number>();
 
   /** @param _host returns the host of this target */
   constructor(
@@ -180,7 +182,7 @@
   crashed(crash: Crash, inFlight: readonly InFlightCall<T>[]): void {
     this._suspects.crashed(
       crash,
-      inFlight.map(({ identity, route, call }) => ({ identity, route, tested: this._isProbe(call) })),
+      inFlight.map(({ identity, route, call }) => ({ identity, route, tested: this._isProbe(call) || this._isAbandonedProbe(identity) })),
     );
     for (const suspect of this._suspectCalls.values()) {
       this._recordEnd(suspect, false);
@@ -212,6 +214,10 @@
       return;
     }
     suspect.run = undefined;
+    this._abandonedProbes.delete(fingerprint);
+    if (probe && mayStillRun) {
+      this._addAbandonedProbe(fingerprint);
+    }
     this._suspects.limitRun(fingerprint, run, mayStillRun ? kAbandonedMs : 0);
     this._events.onRun(call, { kind: 'ended', fingerprint, probe });
   }
@@ -221,6 +227,20 @@
     return suspect !== undefined && this._queue.isProbe(suspect);
   }
 
+  private _addAbandonedProbe(fingerprint: string): void {
+    const now = monotonicMs();
+    for (const [other, until] of this._abandonedProbes) {
+      if (until <= now) {
+        this._abandonedProbes.delete(other);
+      }
+    }
+    this._abandonedProbes.set(fingerprint, now + kAbandonedMs);
+  }
+
+  private _isAbandonedProbe(identity: RequestIdentity): boolean {
+    return this._abandonedProbes.size > 0 && (this._abandonedProbes.get(fingerprintOf(identity)) ?? 0) > monotonicMs();
+  }
+
   private _refuse(call: T, reason: SuspectRefusal): void {
     this._events.onRefuse(call, reason);
     this.leave(call);
--- a/tests/quarantine/suspectRuns.spec.ts
+++ b/tests/quarantine/suspectRuns.spec.ts
@@ -134,4 +134,18 @@
       t.is(started.offer().kind, 'refused');
     });
   });
+
+  itSerial('should be identified as the cause of a crash after the caller of its probe has disconnected', (t) => {
+    withHosts((a, _, time) => {
+      const { call } = a.offer();
+      a.gate.leave(call, true);
+      time.runUntil(500);
+      a.gate.crashed({ id: 3, at: 3 }, [{ identity: kIdentity, route: 'r', call: undefined }]);
+      const [{ marks } = { marks: [] }] = a.suspects.list();
+      t.deepEqual(
+        marks.map(({ tested }) => tested),
+        [false, false, true],
+      );
+    });
+  });
 });
