Take a target for alive only if a connection to it stays open, in the routing daemon too

Cause: a target that exits may close its connections some time before its listening socket. The check after a lost run ended as soon as a connection was accepted, so the run counted as lost without a crash and went to another target as an ordinary one. The crash was known at the next refused connection, with whatever had been sent to the exiting process meanwhile.

Evidence: found by reading after the same fault in the other daemon; provoked with a stand-in that exits slowly.

Change: one rule for both daemons, `checkLiveness` in core, a generator: a refused connection means a crash, one that stays open for 50 ms means alive, one that is closed before is tried again. The routing daemon lends no call the connection of a check. If a target exits later than that, its crash is attributed to the calls sent before the first lost connection; a response to a later call, or an older connection that is still open, ends this. An idle connection that the target closes soon after a lost run starts a check at once.

tests/mesh/crashEvidence.spec.ts: both new tests failed before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from './config/configFold.js';
 export * from './config/mergePatch.js';
 export * from './errors/errorKind.js';
+export * from './membership/livenessCheck.js';
 export * from './membership/memberView.js';
 export * from './membership/readerRank.js';
 export * from './membership/targetDirectory.js';
--- a/packages/daemon/src/client/connectionCheck.ts
+++ b/packages/daemon/src/client/connectionCheck.ts
@@ -3,57 +3,82 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Checks whether the local target accepts TCP connections, to detect that it has crashed. */
+/** Checks over TCP whether the local target is alive. */
 
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
-import { monotonicMs } from '@gentiandrum/core';
+import { checkLiveness, type Liveness, type LivenessEffect, type LivenessObservation } from '@gentiandrum/core';
 
 const kConnectTimeoutMs = 1_000;
-/** Time for which a connection has to stay open, in milliseconds. An exiting process may still accept one before it closes its sockets. */
-const kStableMs = 50;
-/** Time within which a check is repeated after its connection was closed, and the pause before it, in milliseconds. */
-const kRepeatWithinMs = 500;
-const kRepeatPauseMs = 5;
-
-/** Result of a check; `unknown` after a timeout, or when connections are accepted and closed. */
-export type ConnectionCheckResult = 'connected' | 'refused' | 'unknown';
-
-/** Checks an origin such as `http://10.1.2.3:80`. */
-export async function checkConnection(url: string): Promise<ConnectionCheckResult> {
-  const repeatUntil = monotonicMs() + kRepeatWithinMs;
-  for (;;) {
-    const result = await tryConnection(url);
-    if (result !== 'closed') {
-      return result;
-    }
-    if (monotonicMs() >= repeatUntil) {
-      return 'unknown';
-    }
-    await pause(kRepeatPauseMs);
+
+/** Checks the target at an origin such as `http://10.1.2.3:80`. */
+export async function checkConnection(url: string): Promise<Liveness> {
+  const connection = new CheckedConnection(url);
+  const check = checkLiveness();
+  let step = check.next();
+  while (step.done !== true) {
+    step = check.next(await connection.perform(step.value));
   }
+  connection.close();
+  return step.value;
 }
 
-/** Opens one connection, and closes it once it has been open for some time; `closed` when the target closes it before. */
-function tryConnection(url: string): Promise<ConnectionCheckResult | 'closed'> {
-  const { hostname, port } = new URL(url);
-  return new Promise((resolve) => {
+/** Performs the effects of one check. */
+class CheckedConnection {
+  private _socket: Socket | undefined;
+
+  constructor(private readonly _url: string) {}
+
+  async perform(effect: LivenessEffect): Promise<LivenessObservation> {
+    switch (effect.kind) {
+      case 'connect':
+        return this._connect();
+      case 'hold':
+        return this._hold(effect.ms);
+      case 'pause':
+        return pause(effect.ms, 'open' as const);
+    }
+  }
+
+  close(): void {
+    this._socket?.destroy();
+  }
+
+  private _connect(): Promise<LivenessObservation> {
+    this.close();
+    const { hostname, port } = new URL(this._url);
     const socket = connect({ host: hostname, port: Number(port), timeout: kConnectTimeoutMs });
-    const settle = (result: ConnectionCheckResult | 'closed'): void => {
-      socket.destroy();
-      resolve(result);
-    };
-    socket.on('connect', () => {
-      setTimeout(settle, kStableMs, 'connected');
-    });
-    socket.on('timeout', () => {
-      settle('unknown');
-    });
-    socket.on('error', (err: NodeJS.ErrnoException) => {
-      settle(err.code === 'ECONNREFUSED' ? 'refused' : 'closed');
+    this._socket = socket;
+    return new Promise((resolve) => {
+      socket.once('connect', () => {
+        resolve('open');
+      });
+      socket.once('timeout', () => {
+        resolve('failed');
+      });
+      // The listener stays for resets while the connection is held.
+      socket.on('error', (err: NodeJS.ErrnoException) => {
+        resolve(err.code === 'ECONNREFUSED' ? 'refused' : 'closed');
+      });
     });
-    socket.on('close', () => {
-      settle('closed');
+  }
+
+  private _hold(ms: number): Promise<LivenessObservation> {
+    const socket = this._socket;
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms, 'open');
+      const onClosed = (): void => {
+        clearTimeout(timer);
+        resolve('closed');
+      };
+      if (!socket || socket.destroyed) {
+        onClosed();
+        return;
+      }
+      socket.once('close', onClosed);
+      socket.once('end', onClosed);
+      // Without a reader, the end of the stream would not be noticed.
+      socket.resume();
     });
-  });
+  }
 }
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -14,8 +14,8 @@
 import { kNoCondition, type TargetCondition } from '../http/targetCondition.js';
 import type { HeaderNames } from '../ports.js';
 import type { PeerCall } from './callCodec.js';
-import { CrashDetector } from './crashDetector.js';
-import { type ExchangeOutcome, type TargetResponse, TargetConnection } from './targetConnection.js';
+import { type CheckConnection, type CheckEvents, CrashDetector, type SentCall } from './crashDetector.js';
+import { type ExchangeOutcome, type TargetConnectionEvents, type TargetResponse, TargetConnection } from './targetConnection.js';
 
 /** Statuses that mean "not run". Without the target's proof such a response is not forwarded, and the call counts as lost. */
 const kNotRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -70,10 +70,8 @@
   ) {
     this._headers = new HeaderReader(_names);
     this._crashDetector = new CrashDetector({
-      tryConnect: () =>
-        this._open(() => {
-          this._crashDetector.connected();
-        }) !== undefined,
+      connect: (checkEvents) => this._openForCheck(checkEvents),
+      hasConnectionSince: (time) => [...this._connections].some(({ connectedAt }) => connectedAt < time),
       disconnectAll: () => {
         for (const connection of this._connections) {
           connection.closeAfterCrash('the target crashed');
@@ -104,10 +102,13 @@
       onDone: (outcome) => {
         this._runs.delete(run);
         run.ended = true;
+        if (outcome.kind === 'answered') {
+          this._crashDetector.responded(sentAt);
+        }
         if (outcome.kind === 'answered' && provesNoRateLimit(call, outcome.response)) {
           this._events.onNoRateLimit(call, sentAt);
         }
-        this._handleOutcome(call, connection, outcome, run.aborted, done);
+        this._handleOutcome({ call, sentAt }, connection, outcome, run.aborted, done);
       },
     });
     return run;
@@ -137,21 +138,21 @@
   }
 
   private _handleOutcome(
-    call: PeerCall,
+    { call, sentAt }: SentCall,
     connection: TargetConnection,
     outcome: ExchangeOutcome,
     aborted: boolean,
     done: (runResult: RunResult) => void,
   ): void {
     if (outcome.kind === 'broken' && outcome.byTarget && !aborted) {
-      this._crashDetector.addInterrupted(call, (crashed) => {
+      this._crashDetector.addInterrupted(call, sentAt, (crashed) => {
         done(lostRun(crashed ? kTargetCrashedReason : `connection: ${outcome.reason}`));
       });
       return;
     }
     const runResult = this._resultOf(call, outcome, aborted);
     if (outcome.kind === 'broken') {
-      this._crashDetector.addAbandoned(call);
+      this._crashDetector.addAbandoned(call, sentAt);
     }
     if (runResult.result.kind === 'lost') {
       // The rest of this response cannot be distinguished from the next one on the connection.
@@ -192,32 +193,68 @@
     return undefined;
   }
 
-  private _open(onConnected: () => void = () => undefined): TargetConnection | undefined {
+  /** Opens a connection that no call uses before its release. */
+  private _openForCheck({ onConnect, onClosed }: CheckEvents): CheckConnection | undefined {
+    const reserved = { held: true };
+    const connection = this._open({
+      onReachability: (evidence) => {
+        onConnect(evidence === 'connected' ? 'open' : evidence === 'refused' ? 'refused' : 'failed');
+      },
+      onIdle: (idle) => {
+        if (!reserved.held) {
+          this._idle.push(idle);
+        }
+      },
+      onClosed,
+    });
+    if (!connection) {
+      return undefined;
+    }
+    return {
+      release: () => {
+        reserved.held = false;
+        if (connection.isReusable(monotonicMs()) && connection.connectedAt < Infinity) {
+          this._idle.push(connection);
+        }
+      },
+    };
+  }
+
+  private _open(events: Partial<TargetConnectionEvents> = {}): TargetConnection | undefined {
     if (this._connections.size >= this._maxConnections()) {
       return undefined;
     }
     const connection = new TargetConnection(this._address, this._headers, {
       onReachability: (evidence) => {
-        if (evidence === 'connected') {
-          onConnected();
-        }
+        events.onReachability?.(evidence);
         this._handleReachability(evidence);
       },
-      onIdle: (idle) => {
-        this._idle.push(idle);
-      },
+      onIdle:
+        events.onIdle ??
+        ((idle) => {
+          this._idle.push(idle);
+        }),
       onClosed: (closed) => {
         this._connections.delete(closed);
-        const at = this._idle.indexOf(closed);
-        if (at >= 0) {
-          this._idle.splice(at, 1);
-        }
+        this._removeIdle(closed);
+        events.onClosed?.(closed);
       },
     });
     this._connections.add(connection);
     return connection;
   }
 
+  private _removeIdle(connection: TargetConnection): void {
+    const at = this._idle.indexOf(connection);
+    if (at < 0) {
+      return;
+    }
+    this._idle.splice(at, 1);
+    if (connection.closedByTarget) {
+      this._crashDetector.idleClosed();
+    }
+  }
+
   private _resultOf(call: PeerCall, outcome: ExchangeOutcome, aborted: boolean): RunResult {
     switch (outcome.kind) {
       case 'answered':
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -57,7 +57,7 @@
 export class TargetConnection {
   private readonly _socket: Socket;
   private readonly _parser: MessageParser;
-  private _connected = false;
+  private _connectedAt = Infinity;
   private _refused = false;
   private _closed = false;
   private _closedByTarget = false;
@@ -126,6 +126,16 @@
     });
   }
 
+  /** Monotonic time at which the connection was established; `Infinity` before. */
+  get connectedAt(): number {
+    return this._connectedAt;
+  }
+
+  /** Whether the target closed the connection. */
+  get closedByTarget(): boolean {
+    return this._closedByTarget;
+  }
+
   /** Whether the connection is within the target's keep-alive timeout. */
   isReusable(now: number): boolean {
     return !this._closed && now < this._idleUntil;
@@ -147,10 +157,10 @@
     this._socket.destroy();
     this._parser.close();
     this._events.onClosed(this);
-    if (!this._connected && !aborted) {
+    if (!this._isConnected && !aborted) {
       this._events.onReachability(this._refused ? 'refused' : 'timed_out');
     }
-    this._finish(this._connected ? { kind: 'broken', reason, byTarget: this._closedByTarget } : { kind: 'unreachable' });
+    this._finish(this._isConnected ? { kind: 'broken', reason, byTarget: this._closedByTarget } : { kind: 'unreachable' });
   }
 
   /** Closes the connection of a crashed target; the close counts as one by the target. */
@@ -159,8 +169,12 @@
     this.close(reason, true);
   }
 
+  private get _isConnected(): boolean {
+    return this._connectedAt < Infinity;
+  }
+
   private _handleConnect(): void {
-    this._connected = true;
+    this._connectedAt = monotonicMs();
     this._socket.setTimeout(0);
     this._events.onReachability('connected');
     if (!this._exchange) {
--- a/tests/mesh/crashEvidence.spec.ts
+++ b/tests/mesh/crashEvidence.spec.ts
@@ -8,6 +8,10 @@
 import { type FleetHost, type MeshFleet, withFleet } from './meshFleet.js';
 
 const kWorkMs = 300;
+/** Times for which an exiting target accepts connections after it has closed those that were open, in milliseconds. */
+const kExitMs = [30, 80];
+/** Time for the daemon, which runs in this process, to notice that the connections were closed, in milliseconds. */
+const kNoticeMs = 10;
 
 /** Starts one host; returns it with a call in flight on its target. */
 async function startCall(fleet: MeshFleet): Promise<{ host: FleetHost; call: Promise<number> }> {
@@ -20,6 +24,12 @@
   return { host, call };
 }
 
+/** Number of suspected fingerprints that the daemon of a host knows. */
+async function suspectCount(host: FleetHost): Promise<number> {
+  const res = await fetch(`http://${host.metrics}/-/suspects`);
+  return ((await res.json()) as { suspects: unknown[] }).suspects.length;
+}
+
 async function crashCount(fleet: MeshFleet, host: FleetHost): Promise<number> {
   const [, count = '0'] = /target_crashes_total\{[^}]*\} (\d+)/.exec(await fleet.metrics(host)) ?? [];
   return Number(count);
@@ -46,6 +56,33 @@
     });
   });
 
+  // A connection that is accepted by an exiting process once ended the check, so the lost call was repeated as if nothing had crashed.
+  itSerial('should be detected before a lost call is reported when the target accepts a connection while it exits', async (t) => {
+    const [shortExitMs = 0] = kExitMs;
+    await withFleet(async (fleet) => {
+      const { host, call } = await startCall(fleet);
+      host.target.exitSlowly(shortExitMs);
+      t.is(await call, 502);
+      t.is(await crashCount(fleet, host), 1);
+      t.is(await suspectCount(host), 1);
+    });
+  });
+
+  // The calls that an exiting process accepted and never ran were taken for the cause of its crash.
+  itSerial('should not be attributed to calls that were sent while the target was exiting', async (t) => {
+    for (const exitMs of kExitMs) {
+      await withFleet(async (fleet) => {
+        const { host, call } = await startCall(fleet);
+        host.target.exitSlowly(exitMs);
+        await new Promise((resolve) => setTimeout(resolve, kNoticeMs));
+        const later = Array.from({ length: 5 }, (_, i) => fleet.call(host, `/s/later/${i}`));
+        await Promise.all([call, ...later]);
+        await fleet.until('the crash to be counted', async () => (await crashCount(fleet, host)) === 1);
+        t.is(await suspectCount(host), 1, `exit of ${exitMs} ms`);
+      });
+    }
+  });
+
   itSerial('should be detected after the caller has timed out', async (t) => {
     await withFleet(async (fleet) => {
       fleet.configure([{ prefix: '/s/', service: 's' }]);
