Read a pending close before a connection check succeeds

After a stall of the daemon's process the timers run before the sockets are read, so a connection that the target had closed long before counted as open: the crash went unnoticed, and the call was repeated as an ordinary one.

Change: the result of the timer waits for the next reading of the sockets.

--- a/packages/daemon/src/client/connectionCheck.ts
+++ b/packages/daemon/src/client/connectionCheck.ts
@@ -66,7 +66,8 @@
   private _hold(ms: number): Promise<LivenessObservation> {
     const socket = this._socket;
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, ms, 'open');
+      // After a stall of this process, a pending close is processed before the immediate.
+      const timer = setTimeout(() => setImmediate(resolve, 'open'), ms);
       const onClosed = (): void => {
         clearTimeout(timer);
         resolve('closed');
--- a/tests/targets/connectionCheck.spec.ts
+++ b/tests/targets/connectionCheck.spec.ts
@@ -8,11 +8,20 @@
  * other processes take the processor in between. A connection that is accepted in that time does not show that the target is alive.
  */
 
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { createServer, type Server, type Socket } from 'node:net';
 import { checkConnection } from '@gentiandrum/daemon';
 import { describe, it } from '../support/describe.js';
 
 const kExitMs = 30;
+/** Time for which this process is stalled while the target exits, in milliseconds; longer than a connection has to stay open. */
+const kStallMs = 200;
+/** Process that listens, and exits some time after it has accepted a connection. */
+const kExitingProcess = `
+  const server = require('node:net').createServer(() => setTimeout(() => process.exit(), ${kExitMs}));
+  server.listen(0, '127.0.0.1', () => console.log(server.address().port));
+`;
 
 /** A listening process that can exit. */
 class Listener {
@@ -37,6 +46,13 @@
   }
 }
 
+function stall(): void {
+  const until = performance.now() + kStallMs;
+  while (performance.now() < until) {
+    // Keeps the event loop busy.
+  }
+}
+
 describe('connection check', () => {
   it('should find that a target has crashed which accepts a connection while it exits', async (t) => {
     const listener = new Listener();
@@ -47,6 +63,16 @@
     t.is(await checkConnection(url), 'refused');
   });
 
+  // After a stall, the timer of the check fired before the close of its connection was read.
+  it('should find that a target has crashed which exits while this process is stalled', async (t) => {
+    const child = spawn(process.execPath, ['-e', kExitingProcess], { stdio: ['ignore', 'pipe', 'inherit'] });
+    const [port] = (await once(child.stdout, 'data')) as [Buffer];
+    const result = checkConnection(`http://127.0.0.1:${port.toString().trim()}`);
+    // Timers run after an immediate, before the next sockets are read.
+    setTimeout(() => setImmediate(stall), kExitMs / 2);
+    t.is(await result, 'refused');
+  });
+
   it('should find that a target is alive which keeps the connection', async (t) => {
     const listener = new Listener();
     t.is(await checkConnection(await listener.start()), 'connected');
