Offer calls to a target on a suspected host when no other is left

What callers saw: 502 or 503 at once for calls whose only target was on a host that had stalled for half a second.

Cause: a daemon that answers a ping after more than 500 ms is suspected, and only daemons that are alive were candidates. The only target of a service was gone until the suspicion was refuted; its callers' responses were not retried, as the service counted as absent.

Change: a suspected daemon stays a candidate, after all others, as in other failure detectors of this kind: it is no proof of a failure. Probes of suspected requests still avoid it. Ruled out: a longer ping timeout, which would find dead hosts later, and calls to no avail until then are refused as not run when the connection fails.

--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -95,6 +95,7 @@
   const choice = suspect.kind === 'suspect' ? suspect.choice : ctx.picker.pick(candidates, run.tried, now);
   if (!choice) {
     run.level = candidates.length === 0 ? { level: 0, service: call.cls.service, absent: true } : run.level;
+    run.logDecision('refuse', candidates.length === 0 ? 'no_target' : 'no_other_target');
     return false;
   }
   const attemptAllowance = allowanceForAttempt(run);
--- a/packages/core/src/procedures/suspectChoice.ts
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -36,7 +36,8 @@
   if (verdict === 'quarantined') {
     return { kind: 'refused', reason: 'quarantined' };
   }
-  const candidates = ctx.candidates(service).map((candidate) => ({ host: candidate.target, candidate }));
+  const responsive = ctx.candidates(service).filter(({ suspected }) => suspected !== true);
+  const candidates = responsive.map((candidate) => ({ host: candidate.target, candidate }));
   const { fingerprint } = suspicion;
   const runningAt = ctx.suspects.runningAt(fingerprint);
   const state = { verdict, runningAt, msSinceUpdate: ctx.suspects.msSinceUpdate(fingerprint) };
--- a/packages/core/src/routing/targetPicker.ts
+++ b/packages/core/src/routing/targetPicker.ts
@@ -22,6 +22,8 @@
   zone: string;
   region: string;
   slots: number;
+  /** Whether the daemon is suspected to have failed, because it missed a ping. */
+  suspected?: boolean;
 }
 
 /** A chosen candidate, and the scores that decided. */
@@ -51,11 +53,15 @@
     private readonly _random: Random,
   ) {}
 
-  /** Chooses among the `candidates` that are not in `tried`; ejected ones only if no other is left. */
+  /**
+   * Chooses among the `candidates` that are not in `tried`: ejected ones only if no other is left, and suspected ones only if there are not
+   * even ejected ones. A daemon that was stalled for half a second is suspected; most such daemons respond again.
+   */
   pick(candidates: readonly Candidate[], tried: ReadonlySet<string>, now: number): Choice | undefined {
     const untried = candidates.filter((candidate) => !tried.has(candidate.target));
-    const eligible = untried.filter((candidate) => !this._isEjected(candidate, now));
-    const pool = eligible.length > 0 ? eligible : untried;
+    const responsive = untried.filter(({ suspected }) => suspected !== true);
+    const eligible = responsive.filter((candidate) => !this._isEjected(candidate, now));
+    const [pool = untried] = [eligible, responsive].filter(({ length }) => length > 0);
     const scored = [
       ...this._sample(pool.filter((c) => c.zone === this._zone)),
       ...this._sample(pool.filter((c) => c.zone !== this._zone && c.region === this._region)),
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -107,7 +107,7 @@
           const announced = this.target.announcement;
           return announced && { name: announced.target, url: announced.url };
         },
-        targets: (service) => (this._candidates.get(service) ?? []).map(({ target }) => target),
+        targets: (service) => this._responsiveTargets(service),
       }),
       favour: () => this.config.fold.config.overload.favour,
     });
@@ -151,6 +151,11 @@
     };
   }
 
+  private _responsiveTargets(service: string): string[] {
+    const candidates = this._candidates.get(service) ?? [];
+    return candidates.filter(({ suspected }) => suspected !== true).map(({ target }) => target);
+  }
+
   private _unavailableTargets(service: string): number {
     return this.members.view.all().filter((member) => member.service === service && member.targetState === 'absent').length;
   }
@@ -306,11 +311,11 @@
     const { targets } = this.config.fold.config;
     const candidates = new Map<string, Candidate[]>();
     for (const member of this.members.view.all()) {
-      const usable = member.state === 'alive' && acceptsRequests(member.targetState) && targets[member.target] !== 'leaving';
-      if (usable) {
+      const present = member.state === 'alive' || member.state === 'suspect';
+      if (present && acceptsRequests(member.targetState) && targets[member.target] !== 'leaving') {
         const { target, id: daemon, incarnation, address, service, zone, region, slots } = member;
         const list = candidates.get(service) ?? [];
-        list.push({ target, daemon, incarnation, address, service, zone, region, slots });
+        list.push({ target, daemon, incarnation, address, service, zone, region, slots, suspected: member.state === 'suspect' });
         candidates.set(service, list);
       }
     }
