Replace a key's claim that its holder has given up without a run

What callers saw: 504 at the end of their time for a chain whose onward call ran once or not at all, and 502 after each retry of a chain whose onward call had been refused.

Cause: a bid for a derived key has 500 ms. The daemon where the request entered granted it later, when it ran again; the bidder had given up by then. A retry at another daemon found the key held, was told that the call had not run, and was refused; one at the bidder itself found the key held by itself, with its own new call marked as running, and waited for itself until the deadline. The same held for a call that was refused after its key had been granted: a retry elsewhere could not run it.

Change: the answer that a call did not run gives its claim up for good, and the asker bids again with the claim that it replaces. A daemon that gave up a claim may replace it itself. A bid for a derived key is repeated twice; the settler gives the same verdict. A key held by a claim of this very daemon that it no longer knows has an unknown outcome, at once. At most once holds: after the answer no call runs under the claim that was given up. Claims in the log are released as before. Ruled out: a longer time for bids, which only moves the limit.

--- a/packages/core/src/claims/keySettler.ts
+++ b/packages/core/src/claims/keySettler.ts
@@ -19,6 +19,8 @@
   /** Identifies the bidding call. A repeated bid gets the same verdict. */
   claimant: string;
   address: string;
+  /** An earlier claimant of the key that has given up its claim without a run. */
+  replaces?: string | undefined;
 }
 
 interface Grant {
@@ -110,7 +112,7 @@
   if (grant.body !== bid.body) {
     return { kind: 'mismatch' };
   }
-  if (grant.claimant === bid.claimant) {
+  if (grant.claimant === bid.claimant || grant.claimant === bid.replaces) {
     return { kind: 'granted' };
   }
   return { kind: 'held', holder: grant.claimant, address: grant.address };
--- a/packages/core/src/claims/lookUpResponse.ts
+++ b/packages/core/src/claims/lookUpResponse.ts
@@ -15,7 +15,10 @@
   claimant: string;
 }
 
-/** Looks up a key on the daemon `self`, given as `daemon/incarnation`. Claims of another incarnation are unknown. */
+/**
+ * Looks up a key on the daemon `self`, given as `daemon/incarnation`. Claims of another incarnation are unknown. The answer that a claim of
+ * a settled key did not run gives it up.
+ */
 export function lookUpResponse(responses: ResponseStore, query: ResponseQuery, self: string): FetchResult {
   const { key, body, claimant } = query;
   if (claimant !== self && !claimant.startsWith(`${self}/`)) {
@@ -31,10 +34,19 @@
     case 'running':
       return { kind: 'running' };
     case 'abandoned':
+    case 'given_up':
     case 'releasing':
+      if (isSettled(claimant, self)) {
+        responses.giveUp(key);
+      }
       return { kind: 'not_run' };
     case 'forgotten':
     case undefined:
       return { kind: 'unknown' };
   }
 }
+
+/** Whether a claimant of the daemon `self` holds its key by the grant of a settler, rather than by a claim in the log. */
+export function isSettled(claimant: string, self: string): boolean {
+  return claimant !== self;
+}
--- a/packages/core/src/claims/responseStore.ts
+++ b/packages/core/src/claims/responseStore.ts
@@ -19,6 +19,8 @@
   | { kind: 'forgotten'; body: string }
   /** The call was abandoned before it ran; a repeated call on this daemon may reuse its claim. */
   | { kind: 'abandoned'; body: string; nonce: string }
+  /** The claim was abandoned, and another daemon may have replaced it at the settler; no call may run under it any more. */
+  | { kind: 'given_up'; body: string; nonce: string }
   /** The claim is being released in the log; no call may run under it any more. */
   | { kind: 'releasing'; body: string; nonce: string };
 
@@ -70,6 +72,14 @@
     this._trim();
   }
 
+  /** Prevents reuse of an abandoned claim that a settler granted, so that another daemon may replace it. */
+  giveUp(key: string): void {
+    const state = this._states.get(key);
+    if (state?.kind === 'abandoned') {
+      this._states.set(key, { ...state, kind: 'given_up' });
+    }
+  }
+
   /** Prevents reuse of an abandoned claim while it is released; returns its nonce, or undefined when there is none. */
   beginRelease(key: string): string | undefined {
     const state = this._states.get(key);
--- a/packages/core/src/procedures/settleCall.ts
+++ b/packages/core/src/procedures/settleCall.ts
@@ -19,6 +19,9 @@
 import { type FetchResult, perform, type Procedure } from './effects.js';
 import { errorResult, type ServeResult } from './serveResult.js';
 
+/** Maximum number of bids for one key, of which those after the first replace claims that were given up, or repeat a bid without an answer. */
+const kMaxBids = 3;
+
 /** The right to run a call under a nonce, or the call's result. */
 export type SettleResult = { kind: 'run'; nonce?: string } | { kind: 'done'; served: ServeResult };
 
@@ -30,6 +33,7 @@
   }
   const state = ctx.responses.get(key.key);
   const nonce = state?.kind === 'abandoned' ? state.nonce : ctx.newId();
+  const replaces = state?.kind === 'given_up' ? claimantOf(ctx, state.nonce) : undefined;
   ctx.responses.begin(key.key, call.bodyDigest);
   if (call.cls.idempotent) {
     return { kind: 'run', nonce };
@@ -38,9 +42,9 @@
     case 'own':
       return yield* settleOwn(call, ctx, key.key, nonce);
     case 'minted':
-      return yield* settleMinted(call, ctx, key, nonce);
+      return yield* settleAtDaemon(call, ctx, { nonce, replaces, bid: (bid) => bidForMinted(ctx, key, bid) });
     case 'derived':
-      return yield* settleDerived(call, ctx, key.key, nonce);
+      return yield* settleAtDaemon(call, ctx, { nonce, replaces, bid: (bid) => bidForDerived(ctx, call.chain, bid) });
   }
 }
 
@@ -68,6 +72,7 @@
     case 'releasing':
       return refusal(call, ctx, 'log_unavailable', 'The earlier claim of this key is being released.');
     case 'abandoned':
+    case 'given_up':
       return undefined;
   }
 }
@@ -104,44 +109,73 @@
   return yield* claimInLog(record, shard, index);
 }
 
-function* settleMinted(
-  call: Call,
-  ctx: ServeContext,
-  key: Extract<Call['key'], { kind: 'minted' }>,
-  nonce: string,
-): Procedure<SettleResult> {
-  if (key.owner === ctx.daemon.id && key.incarnation === ctx.daemon.incarnation) {
-    const verdict = ctx.settler.settleMinted(makeBid(call, ctx, key.key, nonce));
-    return yield* applyVerdict(call, ctx, nonce, verdict);
-  }
-  const { address, incarnation } = key;
-  const bid = makeBid(call, ctx, key.key, nonce);
-  const verdict = yield* perform('settleKey', { to: address, incarnation, bid });
-  if (verdict.kind === 'unreachable') {
-    return abandonCall(call, ctx, nonce, 'outcome_unknown', 'The daemon that minted the key is unreachable.');
+type BidResult = KeyVerdict | { kind: 'unreachable' };
+
+/** A bid for a key that a daemon settles from memory. */
+interface SettledBid {
+  nonce: string;
+  /** Claimant that has given up its claim; undefined if none is known. */
+  replaces: string | undefined;
+  bid: (bid: KeyBid) => Procedure<BidResult>;
+}
+
+/**
+ * Bids for a key. If its holder has given up its claim without a run, as after a bid whose answer came too late for it, bids again to replace
+ * the claim: no call would ever run under it.
+ */
+function* settleAtDaemon(call: Call, ctx: ServeContext, { nonce, replaces, bid }: SettledBid): Procedure<SettleResult> {
+  let replaced = replaces;
+  for (let bids = 0; bids < kMaxBids; bids++) {
+    const verdict = yield* bid({ ...makeBid(call, ctx, nonce), replaces: replaced });
+    if (verdict.kind === 'unreachable') {
+      // The settler may only have been slow. A repeated bid gets the same verdict.
+      if (call.key.kind === 'derived' && bids + 1 < kMaxBids && monotonicMs() < call.deadline) {
+        continue;
+      }
+      return abandonUnreachable(call, ctx, nonce);
+    }
+    if (verdict.kind !== 'held') {
+      return applyVerdict(call, ctx, nonce, verdict);
+    }
+    const { holder: claimant, address } = verdict;
+    if (claimant.startsWith(claimantOf(ctx, ''))) {
+      return dropCall(call, ctx, 'outcome_unknown', 'This daemon held the key before, and no longer knows the answer.');
+    }
+    const fetched = yield* askHolder(call, ctx, { claimant, address });
+    if (fetched.kind !== 'not_run') {
+      return doneWith(call, ctx, resultOfFetch(fetched));
+    }
+    replaced = claimant;
   }
-  return yield* applyVerdict(call, ctx, nonce, verdict);
+  return doneWith(call, ctx, resultOfFetch({ kind: 'not_run' }));
 }
 
-function* settleDerived(call: Call, ctx: ServeContext, key: string, nonce: string): Procedure<SettleResult> {
-  const { chain } = call;
-  const bid = makeBid(call, ctx, key, nonce);
-  if (chain.rootDaemon === ctx.daemon.id && chain.rootIncarnation === ctx.daemon.incarnation) {
-    return yield* applyVerdict(call, ctx, nonce, ctx.settler.settleDerived(chain.root, bid));
+function* bidForMinted(ctx: ServeContext, key: Extract<Call['key'], { kind: 'minted' }>, bid: KeyBid): Procedure<BidResult> {
+  const { owner, address, incarnation } = key;
+  if (owner === ctx.daemon.id && incarnation === ctx.daemon.incarnation) {
+    return ctx.settler.settleMinted(bid);
   }
-  const verdict = yield* perform('settleKey', { to: chain.rootAddress, incarnation: chain.rootIncarnation, bid, root: chain.root });
-  if (verdict.kind === 'unreachable') {
-    return abandonCall(call, ctx, nonce, 'settler_unreachable', 'The daemon where the request entered is unreachable.');
+  return yield* perform('settleKey', { to: address, incarnation, bid });
+}
+
+function* bidForDerived(ctx: ServeContext, chain: Call['chain'], bid: KeyBid): Procedure<BidResult> {
+  const { root, rootDaemon, rootAddress, rootIncarnation } = chain;
+  if (rootDaemon === ctx.daemon.id && rootIncarnation === ctx.daemon.incarnation) {
+    return ctx.settler.settleDerived(root, bid);
   }
-  return yield* applyVerdict(call, ctx, nonce, verdict);
+  return yield* perform('settleKey', { to: rootAddress, incarnation: rootIncarnation, bid, root });
+}
+
+function abandonUnreachable(call: Call, ctx: ServeContext, nonce: string): SettleResult {
+  return call.key.kind === 'minted'
+    ? abandonCall(call, ctx, nonce, 'outcome_unknown', 'The daemon that minted the key is unreachable.')
+    : abandonCall(call, ctx, nonce, 'settler_unreachable', 'The daemon where the request entered is unreachable.');
 }
 
-function* applyVerdict(call: Call, ctx: ServeContext, nonce: string, verdict: KeyVerdict): Procedure<SettleResult> {
+function applyVerdict(call: Call, ctx: ServeContext, nonce: string, verdict: Exclude<KeyVerdict, { kind: 'held' }>): SettleResult {
   switch (verdict.kind) {
     case 'granted':
       return startWithNonce(call, ctx, nonce, 'granted by settler');
-    case 'held':
-      return yield* fetchFromHolder(call, ctx, { claimant: verdict.holder, address: verdict.address });
     case 'mismatch':
       return dropCall(call, ctx, 'key_mismatch', 'The key was used with another request.');
     case 'unknown':
@@ -158,13 +192,23 @@
   return { kind: 'run', nonce };
 }
 
-function* fetchFromHolder(call: Call, ctx: ServeContext, holder: { claimant: string; address: string }): Procedure<SettleResult> {
-  logDecision(call, ctx, 'join', `held by ${holder.claimant}`);
-  const { claimant, address } = holder;
-  const key = keyText(call);
-  const fetched = yield* perform('fetchAnswer', { address, claimant, key, body: call.bodyDigest, until: call.deadline });
-  const served = resultOfFetch(fetched);
-  ctx.responses.drop(key, served);
+/** Daemon that holds a key, and its address. */
+interface KeyHolder {
+  claimant: string;
+  address: string;
+}
+
+function* fetchFromHolder(call: Call, ctx: ServeContext, holder: KeyHolder): Procedure<SettleResult> {
+  return doneWith(call, ctx, resultOfFetch(yield* askHolder(call, ctx, holder)));
+}
+
+function* askHolder(call: Call, ctx: ServeContext, { claimant, address }: KeyHolder): Procedure<FetchResult> {
+  logDecision(call, ctx, 'join', `held by ${claimant}`);
+  return yield* perform('fetchAnswer', { address, claimant, key: keyText(call), body: call.bodyDigest, until: call.deadline });
+}
+
+function doneWith(call: Call, ctx: ServeContext, served: ServeResult): SettleResult {
+  ctx.responses.drop(keyText(call), served);
   return { kind: 'done', served };
 }
 
@@ -221,6 +265,10 @@
   return { key, nonce, claimant: `${ctx.daemon.id}/${ctx.daemon.incarnation}`, address: ctx.daemon.address, body: call.bodyDigest };
 }
 
-function makeBid(call: Call, ctx: ServeContext, key: string, nonce: string): KeyBid {
-  return { key, body: call.bodyDigest, claimant: `${ctx.daemon.id}/${ctx.daemon.incarnation}/${nonce}`, address: ctx.daemon.address };
+function makeBid(call: Call, ctx: ServeContext, nonce: string): KeyBid {
+  return { key: keyText(call), body: call.bodyDigest, claimant: claimantOf(ctx, nonce), address: ctx.daemon.address };
+}
+
+function claimantOf({ daemon }: ServeContext, nonce: string): string {
+  return `${daemon.id}/${daemon.incarnation}/${nonce}`;
 }
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -7,7 +7,7 @@
 
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
-import { type KeyVerdict, lookUpResponse, monotonicMs } from '@gentiandrum/core';
+import { type KeyVerdict, isSettled, lookUpResponse, monotonicMs } from '@gentiandrum/core';
 import {
   type FetchAnswerRequest,
   FetchAnswerResponse_State as AnswerState,
@@ -87,7 +87,9 @@
     case 'running':
       return create(FetchAnswerResponseSchema, { state: AnswerState.RUNNING });
     case 'not_run':
-      void daemon.calls.release(key);
+      if (!isSettled(claimant, self)) {
+        void daemon.calls.release(key);
+      }
       return create(FetchAnswerResponseSchema, { state: AnswerState.NOT_RUN });
     case 'mismatch':
       return create(FetchAnswerResponseSchema, { state: AnswerState.MISMATCH });
