Let a common request run elsewhere when the host that ran it as a suspect is gone

What callers saw: "onward call failed" once in a whole e2e run beside load (rolling restart of all daemons with killed targets, one of a few hundred calls, all of one fingerprint). So whether this was the cause is inferred.

Change: a host that is no longer ready binds probes only, that is, fingerprints of two crashes. A crash reaches the other daemons before the new state of its target does, so a lethal request is a probe by then. One function decides it for both daemons and the gates.

Two new cases in tests/quarantine/suspectRuns.spec.ts; the first failed before.

--- a/packages/core/src/procedures/suspectChoice.ts
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -7,7 +7,7 @@
 
 import type { RequestIdentity } from '../quarantine/requestFingerprint.js';
 import type { Suspicion } from '../quarantine/suspicion.js';
-import { chooseProbeTarget, maySendSuspect } from '../quarantine/probeTarget.js';
+import { chooseProbeTarget, targetsForSuspect } from '../quarantine/probeTarget.js';
 import type { Choice } from '../routing/targetPicker.js';
 import type { Call, ServeContext } from './callContext.js';
 import type { Payload } from './effects.js';
@@ -39,11 +39,11 @@
   const responsive = ctx.candidates(service).filter(({ suspected }) => suspected !== true);
   const candidates = responsive.map((candidate) => ({ host: candidate.target, candidate }));
   const { fingerprint } = suspicion;
-  const runningAt = ctx.suspects.runningAt(fingerprint);
-  const state = { verdict, runningAt, msSinceUpdate: ctx.suspects.msSinceUpdate(fingerprint) };
-  if (!maySendSuspect(state, candidates, ctx.unavailableTargets(service))) {
+  const state = { verdict, runningAt: ctx.suspects.runningAt(fingerprint), msSinceUpdate: ctx.suspects.msSinceUpdate(fingerprint) };
+  const targets = targetsForSuspect(state, candidates, ctx.unavailableTargets(service));
+  if (targets.length === 0 && candidates.length > 0) {
     return { kind: 'refused', reason: 'suspected' };
   }
-  const target = chooseProbeTarget(fingerprint, candidates, tried, runningAt);
+  const target = chooseProbeTarget(fingerprint, targets, tried);
   return { kind: 'suspect', choice: target && ctx.picker.pick([target.candidate], new Set(), now), suspicion };
 }
--- a/packages/core/src/quarantine/probeTarget.ts
+++ b/packages/core/src/quarantine/probeTarget.ts
@@ -27,7 +27,7 @@
   return unreachable === 0 || (ready - 1) * 2 >= ready + unreachable || msSinceUpdate > kRecoveryMs;
 }
 
-/** What decides whether a suspect may run. */
+/** What decides whether and where a suspect may run. */
 export interface SuspectState {
   verdict: Verdict;
   /** Host on whose target the fingerprint is in flight; undefined when it is not. */
@@ -36,27 +36,37 @@
   msSinceUpdate: number;
 }
 
-/** Whether a suspect may be sent to a target now: to the one that runs its fingerprint already, or to any if the service can afford it. */
-export function maySendSuspect(state: SuspectState, candidates: readonly { host: string }[], unreachable: number): boolean {
-  const { verdict, runningAt, msSinceUpdate } = state;
-  if (runningAt !== undefined) {
-    return candidates.some(({ host }) => host === runningAt);
+/**
+ * Host on which a suspect has to run because its fingerprint is in flight there; undefined when any may be chosen. A host that is not ready
+ * binds only probes: a common request that was in flight at one crash must not wait for a host that has left.
+ */
+export function bindingHost({ verdict, runningAt }: SuspectState, isReady: (host: string) => boolean): string | undefined {
+  return runningAt !== undefined && (verdict === 'trial' || isReady(runningAt)) ? runningAt : undefined;
+}
+
+/** The targets that a suspect may be sent to now; none if it has to wait. */
+export function targetsForSuspect<T extends { host: string }>(
+  state: SuspectState,
+  candidates: readonly T[],
+  unreachable: number,
+): readonly T[] {
+  const bound = bindingHost(state, (ready) => candidates.some(({ host }) => host === ready));
+  if (bound !== undefined) {
+    return candidates.filter(({ host }) => host === bound);
   }
-  return verdict !== 'trial' || mayProbe({ ready: candidates.length, unreachable }, msSinceUpdate);
+  const mayRun = state.verdict !== 'trial' || mayProbe({ ready: candidates.length, unreachable }, state.msSinceUpdate);
+  return mayRun ? candidates : [];
 }
 
 /**
  * The target of a suspect. Daemons that know the same targets choose the same one without communicating, and different fingerprints are
- * spread over the targets. While the fingerprint is in flight on a target, the choice stays there: a target that becomes ready meanwhile
- * would otherwise run it at the same time.
+ * spread over the targets.
  */
 export function chooseProbeTarget<T extends { host: string }>(
   fingerprint: string,
   candidates: readonly T[],
   excluded: ReadonlySet<string>,
-  runningAt?: string,
 ): T | undefined {
-  const allowed = candidates.filter(({ host }) => !excluded.has(host) && (runningAt === undefined || host === runningAt));
-  const [first] = new RendezvousRank(fingerprint).order(allowed);
+  const [first] = new RendezvousRank(fingerprint).order(candidates.filter(({ host }) => !excluded.has(host)));
   return first;
 }
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -6,6 +6,7 @@
 /** Runs ahead of the admission gate of one target: serializes suspect requests and records the result of each run for its fingerprint. */
 
 import { monotonicMs } from '../util/clock.js';
+import { bindingHost } from './probeTarget.js';
 import { fingerprintOf, type RequestIdentity } from './requestFingerprint.js';
 import { SuspectQueue } from './suspectQueue.js';
 import type { SuspectRun } from './suspectRuns.js';
@@ -37,6 +38,8 @@
   onRefuse(call: T, reason: SuspectRefusal): void;
   /** Whether this target is the one that probes the fingerprint, according to the local target directory. */
   isProbeTarget(fingerprint: string, call: T): boolean;
+  /** Whether the target of a host is ready, according to the local target directory. */
+  isReady(host: string, call: T): boolean;
   /** A suspect started to run, or no longer runs. */
   onRun(call: T, run: SuspectRunEvent): void;
 }
@@ -191,9 +194,10 @@
 
   /** While a request with the fingerprint is in flight elsewhere, the choice of the target does not move here. */
   private _mayRunHere(fingerprint: string, verdict: Verdict, call: T): boolean {
-    const runningAt = this._suspects.runningAt(fingerprint);
-    if (runningAt !== undefined) {
-      return runningAt === this._host();
+    const state = { verdict, runningAt: this._suspects.runningAt(fingerprint), msSinceUpdate: 0 };
+    const bound = bindingHost(state, (host) => this._events.isReady(host, call));
+    if (bound !== undefined) {
+      return bound === this._host();
     }
     return verdict !== 'trial' || this._events.isProbeTarget(fingerprint, call);
   }
--- a/packages/daemon/src/app/suspectOffers.ts
+++ b/packages/daemon/src/app/suspectOffers.ts
@@ -81,6 +81,7 @@
         offer.resolve(reason);
       },
       isProbeTarget: (fingerprint, { service }) => this._isProbeTarget(fingerprint, service),
+      isReady: (host, { service }) => _deps.targets(service).includes(host),
       onRun: ({ request }, { kind, fingerprint, probe }) => {
         _deps.logger.info('quarantine', kind === 'started' ? 'Run of a suspect started.' : 'Run of a suspect ended.', {
           kind: fingerprint,
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -24,7 +24,7 @@
   type Suspects,
   type TargetRecord,
   chooseProbeTarget,
-  maySendSuspect,
+  targetsForSuspect,
   type Verdict,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
@@ -166,26 +166,25 @@
   }
 
   private _maySendSuspect(): boolean {
-    const { service } = this._req;
-    const { suspects } = this._deps;
-    if (!this._assessment) {
-      return true;
-    }
-    const { suspicion, verdict } = this._assessment;
-    const { fingerprint } = suspicion;
-    const state = { verdict, runningAt: suspects.runningAt(fingerprint), msSinceUpdate: suspects.msSinceUpdate(fingerprint) };
-    return maySendSuspect(state, this._deps.candidates(service), this._deps.unreachable(service));
+    return this._targetsForSuspect().length > 0 || this._deps.candidates(this._req.service).length === 0;
   }
 
   /** All daemons send suspects with the same fingerprint to the same target, so that one gate serializes them. */
   private _choose(excluded: ReadonlySet<string>): TargetRecord | undefined {
     const { route, service } = this._req;
-    const candidates = this._deps.candidates(service);
     if (this._assessment && this._assessment.verdict !== 'clear') {
-      const { fingerprint } = this._assessment.suspicion;
-      return chooseProbeTarget(fingerprint, candidates, excluded, this._deps.suspects.runningAt(fingerprint));
+      return chooseProbeTarget(this._assessment.suspicion.fingerprint, this._targetsForSuspect(), excluded);
     }
-    return this._deps.choose(candidates, excluded, route);
+    return this._deps.choose(this._deps.candidates(service), excluded, route);
+  }
+
+  private _targetsForSuspect(): readonly TargetRecord[] {
+    const { candidates, unreachable, suspects } = this._deps;
+    const { service } = this._req;
+    const { verdict = 'clear', suspicion } = this._assessment ?? {};
+    const fingerprint = suspicion?.fingerprint ?? '';
+    const state = { verdict, runningAt: suspects.runningAt(fingerprint), msSinceUpdate: suspects.msSinceUpdate(fingerprint) };
+    return targetsForSuspect(state, candidates(service), unreachable(service));
   }
 
   private _remainingMs(): number {
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -55,6 +55,8 @@
   targets(service: string): number;
   /** Whether this host's target runs the probes of a fingerprint for a service. */
   isProbeTarget(fingerprint: string, service: string): boolean;
+  /** Whether the target of a host is ready to run calls of a service. */
+  isReady(host: string, service: string): boolean;
   /** Mean charge of the calls on a route that this host sends, in milliseconds. */
   chargeMs(route: string): number;
   /** Whether a key still belongs to its workspace in the configuration of this daemon. */
@@ -102,6 +104,7 @@
         this._refuse(offered, reason);
       },
       isProbeTarget: (fingerprint) => _deps.isProbeTarget(fingerprint, this._lifecycle.known.service),
+      isReady: (host) => _deps.isReady(host, this._lifecycle.known.service),
       onRun: ({ call }, run) => {
         logSuspectRun(_deps.events, call.requestId, run);
       },
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -134,6 +134,7 @@
       targets: (service) => this._directory.ready(service).length,
       isProbeTarget: (fingerprint, service) =>
         chooseProbeTarget(fingerprint, this._directory.ready(service), kNoHosts)?.host === _settings.id,
+      isReady: (host, service) => this._directory.ready(service).some((record) => record.host === host),
       chargeMs: (route) => this._placement.chargeMs(route),
       isKeyValid: (workspace) => this._workspaces.isKeyValid(workspace),
       onChange: () => {
--- a/tests/quarantine/quarantineFleet.ts
+++ b/tests/quarantine/quarantineFleet.ts
@@ -13,7 +13,7 @@
   type RequestIdentity,
   type RouteResult,
   routeRequest,
-  maySendSuspect,
+  targetsForSuspect,
   type SuspectCall,
   SuspectGate,
   Suspects,
@@ -123,6 +123,7 @@
         call.reply({ kind: 'not_run', reason, retryAfterMs: 0 });
       },
       isProbeTarget: (fingerprint) => chooseProbeTarget(fingerprint, this._fleet.readyAt(this), new Set())?.host === this.name,
+      isReady: (host) => this.ready.has(host),
       onRun: () => undefined,
     });
   }
@@ -172,25 +173,23 @@
     const fingerprint = (): string => suspicion()?.fingerprint ?? '';
     const verdict = (): Verdict => host.suspects.verdict(fingerprint());
     const candidates = (): TargetRecord[] => this.readyAt(host);
+    const targets = (): readonly TargetRecord[] => {
+      const runningAt = host.suspects.runningAt(fingerprint());
+      const state = { verdict: verdict(), runningAt, msSinceUpdate: host.suspects.msSinceUpdate(fingerprint()) };
+      return targetsForSuspect(state, candidates(), this.hosts.length - candidates().length);
+    };
     const procedure = routeRequest(
       { idempotent: type.idempotent, maxAttempts: kMaxAttempts },
       {
         choose: (excluded) => {
           if (verdict() !== 'clear') {
-            return chooseProbeTarget(fingerprint(), candidates(), excluded, host.suspects.runningAt(fingerprint()));
+            return chooseProbeTarget(fingerprint(), targets(), excluded);
           }
           const open = candidates().filter((record) => !excluded.has(record.host));
           return open[Math.floor(this._random() * open.length)];
         },
         verdict,
-        maySendSuspect: () => {
-          const state = {
-            verdict: verdict(),
-            runningAt: host.suspects.runningAt(fingerprint()),
-            msSinceUpdate: host.suspects.msSinceUpdate(fingerprint()),
-          };
-          return maySendSuspect(state, candidates(), this.hosts.length - candidates().length);
-        },
+        maySendSuspect: () => targets().length > 0,
         remainingMs: () => deadline - monotonicMs(),
         minUsefulMs: () => 5,
       },
--- a/tests/quarantine/suspectRuns.spec.ts
+++ b/tests/quarantine/suspectRuns.spec.ts
@@ -18,6 +18,8 @@
   readonly gate: SuspectGate<SuspectCall>;
   /** Messages to the other daemon, in order. */
   readonly sent: Suspicion[][] = [];
+  /** Whether this daemon considers the targets of other hosts ready. */
+  othersReady = true;
 
   constructor(name: string) {
     this.suspects = new Suspects({
@@ -29,6 +31,7 @@
       onPass: () => undefined,
       onRefuse: () => undefined,
       isProbeTarget: () => true,
+      isReady: () => this.othersReady,
       onRun: () => undefined,
     });
   }
@@ -49,13 +52,13 @@
   }
 }
 
-/** Runs a test on virtual time with two daemons that know two crashes of the fingerprint. */
-function withHosts(body: (a: ProbeHost, b: ProbeHost, time: VirtualTime) => void): void {
+/** Runs a test on virtual time with two daemons that know one or two crashes of the fingerprint. */
+function withHosts(body: (a: ProbeHost, b: ProbeHost, time: VirtualTime) => void, crashes = 2): void {
   const time = new VirtualTime();
   try {
     const a = new ProbeHost('a');
     const b = new ProbeHost('b');
-    for (const id of [1, 2]) {
+    for (let id = 1; id <= crashes; id++) {
       a.suspects.crashed({ id, at: id }, [{ identity: kIdentity, route: 'r', tested: false }]);
     }
     a.deliverTo(b);
@@ -148,4 +151,24 @@
       );
     });
   });
+
+  // A common request waited at all hosts until the deadline of a run on a host that had left.
+  itSerial('should run elsewhere after one crash when the target that runs it is no longer ready', (t) => {
+    withHosts((a, b) => {
+      a.offer();
+      a.deliverTo(b);
+      t.is(b.offer().kind, 'refused');
+      b.othersReady = false;
+      t.is(b.offer().kind, 'pass');
+    }, 1);
+  });
+
+  itSerial('should not run elsewhere as a probe when the target that runs it is no longer ready', (t) => {
+    withHosts((a, b) => {
+      a.offer();
+      a.deliverTo(b);
+      b.othersReady = false;
+      t.is(b.offer().kind, 'refused');
+    });
+  });
 });
