--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -196,7 +196,8 @@
     });
     this.logger.info('start', `Started with configuration version ${version} from source "${source}".`, { version, source });
     this.config.start();
-    void this.suspects.fetchFromPeers();
+    await this.suspects.fetchFromPeers();
+    this.target.start();
     this._timers = [
       setInterval(() => {
         this._tick();
--- a/packages/daemon/src/app/localTarget.ts
+++ b/packages/daemon/src/app/localTarget.ts
@@ -15,6 +15,8 @@
   accepting: boolean;
   /** Intake that the operator configured. */
   intake: TargetIntake;
+  /** Whether the daemon is starting, and may not know yet which requests crash targets. */
+  starting: boolean;
   /** Whether the daemon is stopping. */
   stopping: boolean;
 }
@@ -24,7 +26,7 @@
   private _announcement: Announcement | undefined;
   private _announcedAt = -Infinity;
   private _gate: Gate<GateCall> | undefined;
-  private readonly _inputs: StateInputs = { accepting: true, intake: 'serving', stopping: false };
+  private readonly _inputs: StateInputs = { accepting: true, intake: 'serving', starting: true, stopping: false };
   private _state: TargetState = 'absent';
 
   constructor(
@@ -77,6 +79,12 @@
     this._updateState();
   }
 
+  /** Accepts requests from now on, as far as the target does: the start of the daemon is over. */
+  start(): void {
+    this._inputs.starting = false;
+    this._updateState();
+  }
+
   /** Refuses new requests because the daemon is stopping. */
   stop(): void {
     this._inputs.stopping = true;
@@ -107,7 +115,10 @@
     if (!this._announcement || monotonicMs() - this._announcedAt > this._timeoutMs) {
       return 'absent';
     }
-    const { accepting, intake, stopping } = this._inputs;
+    const { accepting, intake, starting, stopping } = this._inputs;
+    if (starting) {
+      return 'absent';
+    }
     return stopping || !accepting || intake === 'leaving' ? 'leaving' : 'serving';
   }
 
