--- a/packages/core/src/quarantine/probeTarget.ts
+++ b/packages/core/src/quarantine/probeTarget.ts
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Decides on which target, and when, a fingerprint is probed. */
+/** Decides on which target, and when, a suspect runs. */
 
 import { RendezvousRank } from '../util/rendezvousRank.js';
 import type { Verdict } from './suspicion.js';
@@ -12,7 +12,7 @@
 const kRecoveryMs = 5_000;
 
 /** Number of targets of a service, as known to one daemon. */
-export interface ServiceTargets {
+interface ServiceTargets {
   ready: number;
   unreachable: number;
 }
@@ -23,7 +23,7 @@
  *
  * @param msSinceUpdate time since the suspicion last changed, in milliseconds
  */
-export function mayProbe({ ready, unreachable }: ServiceTargets, msSinceUpdate: number): boolean {
+function mayProbe({ ready, unreachable }: ServiceTargets, msSinceUpdate: number): boolean {
   return unreachable === 0 || (ready - 1) * 2 >= ready + unreachable || msSinceUpdate > kRecoveryMs;
 }
 
@@ -40,7 +40,10 @@
  * Host on which a suspect has to run because its fingerprint is in flight there; undefined when any may be chosen. A host that is not ready
  * binds only probes: a common request that was in flight at one crash must not wait for a host that has left.
  */
-export function bindingHost({ verdict, runningAt }: SuspectState, isReady: (host: string) => boolean): string | undefined {
+export function bindingHost(
+  { verdict, runningAt }: Pick<SuspectState, 'verdict' | 'runningAt'>,
+  isReady: (host: string) => boolean,
+): string | undefined {
   return runningAt !== undefined && (verdict === 'trial' || isReady(runningAt)) ? runningAt : undefined;
 }
 
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -194,8 +194,8 @@
 
   /** While a request with the fingerprint is in flight elsewhere, the choice of the target does not move here. */
   private _mayRunHere(fingerprint: string, verdict: Verdict, call: T): boolean {
-    const state = { verdict, runningAt: this._suspects.runningAt(fingerprint), msSinceUpdate: 0 };
-    const bound = bindingHost(state, (host) => this._events.isReady(host, call));
+    const runningAt = this._suspects.runningAt(fingerprint);
+    const bound = bindingHost({ verdict, runningAt }, (host) => this._events.isReady(host, call));
     if (bound !== undefined) {
       return bound === this._host();
     }
--- a/packages/mesh/src/client/crashDetector.ts
+++ b/packages/mesh/src/client/crashDetector.ts
@@ -58,7 +58,7 @@
   /** Opens a connection for a check; undefined when the connection limit is reached. */
   connect(events: CheckEvents): CheckConnection | undefined;
   /** Whether a connection is open that was established before a monotonic time. */
-  hasConnectionSince(time: number): boolean;
+  hasConnectionOlderThan(time: number): boolean;
   /** Closes all connections to the crashed target, which adds their runs to the detector. */
   disconnectAll(): void;
   /** The target crashed while these calls were in flight. Called before the result of any of them is reported. */
@@ -204,7 +204,7 @@
 
   private _conclude(liveness: Liveness): void {
     this._stopCheck();
-    if (liveness === 'connected' && this._deps.hasConnectionSince(this._firstLossAt)) {
+    if (liveness === 'connected' && this._deps.hasConnectionOlderThan(this._firstLossAt)) {
       this._firstLossAt = Infinity;
     }
     this._finish(false);
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -71,7 +71,7 @@
     this._headers = new HeaderReader(_names);
     this._crashDetector = new CrashDetector({
       connect: (checkEvents) => this._openForCheck(checkEvents),
-      hasConnectionSince: (time) => [...this._connections].some(({ connectedAt }) => connectedAt < time),
+      hasConnectionOlderThan: (time) => [...this._connections].some(({ connectedAt }) => connectedAt < time),
       disconnectAll: () => {
         for (const connection of this._connections) {
           connection.closeAfterCrash('the target crashed');
