Stop a fleet of the end-to-end tests whose start failed

A fleet that did not start in 20 s beside load left its processes, so the test runner hung on them or ended with "0 passed". The processes are stopped when a start fails, and four hosts start at a time. tests/e2e/fleet.spec.ts failed before: the processes were still there.

--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -20,6 +20,8 @@
 const kStandin = fileURLToPath(new URL('../standins/main.js', import.meta.url));
 const kWaitTimeoutMs = 20_000;
 const kPollMs = 50;
+/** Number of hosts that start at the same time. Each start takes 0.7 s of processor time, and has to end before the timeout. */
+const kStartsAtOnce = 4;
 
 /** A running daemon and its target, if any. */
 export interface FleetHost {
@@ -64,8 +66,16 @@
     process.once('exit', () => {
       fleet.stop();
     });
-    fleet.logUrl = await fleet._spawnStandin(['log']).line;
-    await Promise.all(plans.map((plan) => fleet.startHost(plan, settings)));
+    try {
+      fleet.logUrl = await fleet._spawnStandin(['log']).line;
+      for (let i = 0; i < plans.length; i += kStartsAtOnce) {
+        await Promise.all(plans.slice(i, i + kStartsAtOnce).map((plan) => fleet.startHost(plan, settings)));
+      }
+    } catch (err) {
+      // The test runner would wait for the processes.
+      fleet.stop();
+      throw err;
+    }
     return fleet;
   }
 
