--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -179,12 +179,12 @@
   }
 
   private _targetsForSuspect(): readonly TargetRecord[] {
-    const { candidates, unreachable, suspects } = this._deps;
+    const { suspects } = this._deps;
     const { service } = this._req;
     const { verdict = 'clear', suspicion } = this._assessment ?? {};
     const fingerprint = suspicion?.fingerprint ?? '';
     const state = { verdict, runningAt: suspects.runningAt(fingerprint), msSinceUpdate: suspects.msSinceUpdate(fingerprint) };
-    return targetsForSuspect(state, candidates(service), unreachable(service));
+    return targetsForSuspect(state, this._deps.candidates(service), this._deps.unreachable(service));
   }
 
   private _remainingMs(): number {
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -194,18 +194,20 @@
   }
 
   /** Opens a connection that no call uses before its release. */
-  private _openForCheck({ onConnect, onClosed }: CheckEvents): CheckConnection | undefined {
+  private _openForCheck(events: CheckEvents): CheckConnection | undefined {
     const reserved = { held: true };
     const connection = this._open({
       onReachability: (evidence) => {
-        onConnect(evidence === 'connected' ? 'open' : evidence === 'refused' ? 'refused' : 'failed');
+        events.onConnect(evidence === 'connected' ? 'open' : evidence === 'refused' ? 'refused' : 'failed');
       },
       onIdle: (idle) => {
         if (!reserved.held) {
           this._idle.push(idle);
         }
       },
-      onClosed,
+      onClosed: () => {
+        events.onClosed();
+      },
     });
     if (!connection) {
       return undefined;
