Log rank and level with refusals for overload

The check now prints both when it fails; the check itself is unchanged.

'overloaded' alone did not tell whether a gate or the daemon where the request entered refused it, nor by which level. Its log line, and gentiandrum explain, now name the rank of the call, the level and the service that set it: 'gate: overloaded (rank 402, level 390 of beta)'.

--- a/packages/cli/src/client/statusCommands.ts
+++ b/packages/cli/src/client/statusCommands.ts
@@ -48,6 +48,7 @@
   reason: string;
   target?: string;
   weighed?: { target: string; score: number }[];
+  overload?: { rank: number; level: number; service: string };
   at: number;
 }
 
@@ -115,9 +116,10 @@
     printJson({ request, decisions: all });
     return;
   }
-  for (const { at, step, cls, reason, target, weighed } of all) {
+  for (const { at, step, cls, reason, target, weighed, overload } of all) {
     const considered = weighed ? ` among ${weighed.map((w) => `${w.target}=${w.score}`).join(', ')}` : '';
-    printLine(`${new Date(at).toISOString()} ${step} [${cls}]${target === undefined ? '' : ` ${target}`}: ${reason}${considered}`);
+    const detail = overload ? ` (rank ${overload.rank}, level ${overload.level} of ${overload.service})` : considered;
+    printLine(`${new Date(at).toISOString()} ${step} [${cls}]${target === undefined ? '' : ` ${target}`}: ${reason}${detail}`);
   }
 }
 
--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -69,6 +69,15 @@
   target?: string;
   weighed?: Choice['weighed'];
   reason: string;
+  overload?: OverloadDetail;
+}
+
+/** Why a call is refused as `overloaded`: its rank is not below the admission level, or the gate can't run it in time. */
+export interface OverloadDetail {
+  rank: number;
+  level: number;
+  /** Service that set the level. */
+  service: string;
 }
 
 /** Parts of the daemon that serve a call. */
--- a/packages/core/src/procedures/gateCall.ts
+++ b/packages/core/src/procedures/gateCall.ts
@@ -14,6 +14,7 @@
 import type { LedgerSummary, RetryLedger } from '../chain/retryLedger.js';
 import type { ErrorKind } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
+import type { OverloadDetail } from './callContext.js';
 import { type ForwardResult, type GateLoad, type OfferResult, type Payload, perform, type Procedure } from './effects.js';
 
 /** A call at the gate. */
@@ -21,6 +22,17 @@
   terms: OfferTerms;
 }
 
+/** Log entry of a gate's decision. */
+export interface GateDecisionEntry {
+  request: string;
+  attempt: string;
+  step: 'gate';
+  cls: string;
+  target: string;
+  reason: string;
+  overload?: OverloadDetail;
+}
+
 /** Parts of the daemon that pass a call through a gate. */
 export interface GateContext {
   gate: Gate<GateCall> | undefined;
@@ -31,7 +43,7 @@
   downstream: RootFilter;
   /** Received attempts. A duplicate delivery does not start the attempt again. */
   seenAttempts: { add: (attempt: string) => boolean };
-  logDecision: (decision: { request: string; attempt: string; step: 'gate'; cls: string; target: string; reason: string }) => void;
+  logDecision: (decision: GateDecisionEntry) => void;
 }
 
 /** HTTP statuses with which a target sheds a call. */
@@ -141,12 +153,22 @@
 
 function refuseOffer(terms: OfferTerms, ctx: GateContext, reason: ErrorKind): OfferResult {
   const { gate } = ctx;
-  ctx.logDecision({ request: terms.request, attempt: terms.attempt, step: 'gate', cls: terms.className, target: terms.target, reason });
+  const level = gate ? tighterReport(downstreamLevel(terms, ctx), levelOf({ gate, service: terms.service })) : kOpenReport;
+  const overload = reason === 'overloaded' ? { rank: rankOf(terms), level: Math.round(level.level), service: level.service } : undefined;
+  ctx.logDecision({
+    request: terms.request,
+    attempt: terms.attempt,
+    step: 'gate',
+    cls: terms.className,
+    target: terms.target,
+    reason,
+    overload,
+  });
   return {
     kind: 'refused',
     reason,
     unspent: terms.allowance,
-    level: gate ? tighterReport(downstreamLevel(terms, ctx), levelOf({ gate, service: terms.service })) : kOpenReport,
+    level,
     load: gate ? loadOf(gate) : undefined,
   };
 }
--- a/packages/core/src/procedures/serveCall.ts
+++ b/packages/core/src/procedures/serveCall.ts
@@ -10,7 +10,7 @@
 import { rankOf } from '../admission/rank.js';
 import { errorResponse, type ErrorKind } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
-import type { Call, ServeContext, ServedCall } from './callContext.js';
+import type { Call, OverloadDetail, ServeContext, ServedCall } from './callContext.js';
 import type { Procedure } from './effects.js';
 import { runAttempts } from './runAttempts.js';
 import { errorResult, type ServeResult } from './serveResult.js';
@@ -77,10 +77,16 @@
 }
 
 function refusedResult(call: Call, ctx: ServeContext, error: ErrorKind): ServeResult {
-  ctx.logDecision({ request: call.id, step: 'refuse', cls: call.cls.name, reason: error });
+  const overload = error === 'overloaded' ? overloadDetail(call, ctx) : undefined;
+  ctx.logDecision({ request: call.id, step: 'refuse', cls: call.cls.name, reason: error, overload });
   return errorResult(error, errorResponse(error).outcome, 'Refused before the first hop.');
 }
 
+function overloadDetail({ chain, cls }: Call, { rootFilter }: ServeContext): OverloadDetail {
+  const level = Math.round(rootFilter.level(cls.name, monotonicMs()));
+  return { rank: rankOf(chain), level, service: rootFilter.restrictingService(cls.name) ?? '' };
+}
+
 function resultWithoutRun(served: ServeResult, unspent: number, refusal?: ErrorKind): ServedCall {
   return { served, unspent, level: kOpenReport, final: refusal === 'overloaded' };
 }
--- a/packages/daemon/src/app/decisionLog.ts
+++ b/packages/daemon/src/app/decisionLog.ts
@@ -5,7 +5,7 @@
 
 /** Logs routing and admission decisions, and stores those of the latest requests for `gentiandrum explain`. */
 
-import { wallMs } from '@gentiandrum/core';
+import { type OverloadDetail, wallMs } from '@gentiandrum/core';
 import type { Logger } from './logger.js';
 import type { Metrics } from './metrics.js';
 
@@ -21,6 +21,7 @@
   target?: string;
   attempt?: string;
   weighed?: { target: string; score: number }[];
+  overload?: OverloadDetail;
   at?: number;
 }
 
@@ -67,13 +68,13 @@
   }
 }
 
-function textOf({ step, target, reason }: LoggedDecision): string {
+function textOf({ step, target, reason, overload }: LoggedDecision): string {
   switch (step) {
     case 'route':
     case 'retry':
     case 'compete':
       return `${step} to ${target ?? 'nowhere'} (${reason})`;
     default:
-      return `${step}: ${reason}`;
+      return overload ? `${step}: ${reason} (rank ${overload.rank}, level ${overload.level} of ${overload.service})` : `${step}: ${reason}`;
   }
 }
--- a/tests/e2e/faults.spec.ts
+++ b/tests/e2e/faults.spec.ts
@@ -44,6 +44,7 @@
   outcome: string | null;
   retryAfter: string | null;
   kind: string | undefined;
+  body: string;
 }
 
 async function send(host: string, path: string, call: string, init: RequestInit = {}): Promise<CallResult> {
@@ -58,9 +59,15 @@
     outcome: res.headers.get('gentiandrum-outcome'),
     retryAfter: res.headers.get('retry-after'),
     kind: problem?.kind,
+    body,
   };
 }
 
+/** The body of a response and the daemons' log lines about its request, for failure messages. */
+function explain({ body }: CallResult): string {
+  return [body, fleet.logLinesFor([body])].join('\n');
+}
+
 function hold(key: string): RequestInit {
   return { method: 'POST', body: key, headers: { 'idempotency-key': key } };
 }
@@ -81,7 +88,8 @@
     const truncated = await send('a1', '/beta/holds', 'cut-hold', { method: 'POST' });
     t.deepEqual([truncated.kind, truncated.outcome], ['answer_truncated', 'unknown']);
     t.is(await fleet.totalRuns('cut-hold'), 1);
-    t.is((await send('a1', '/beta/x', 'cut-read')).status, 200);
+    const read = await send('a1', '/beta/x', 'cut-read');
+    t.is(read.status, 200, explain(read));
   });
 
   itSerial('should have its late complete response used when the competing attempt fails', async (t) => {
