Offer a refused retry elsewhere, like a first attempt

What callers saw: 502 attempt_lost for an idempotent read with a retry left, while one of the service's two targets was idle.

The log of each: b1 refuses (overloaded), b2 truncates its response, the retry goes to b1, which refuses again, and the call ends with its retry unused.

Cause: refusals were counted over the whole call, and a target once offered the call was not offered it again. So a retry that a second target refused had nowhere to go, although the target of the failed run was there. Now each retry has the bounds of a first attempt (three refusals, two for overload), and when all others refused it, it goes to targets whose earlier attempts failed, but to none that refused it, and to none where an attempt still runs.

--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -16,9 +16,9 @@
 import { type CallEvent, type OfferResult, perform, type Procedure } from './effects.js';
 import { type TargetResponse, errorResult, type ServeResult } from './serveResult.js';
 
-/** Number of refusals after which the call is not offered to another target. */
+/** Number of refusals, since the first attempt or the latest retry, after which the call is not offered to another target. */
 const kMaxRefusals = 3;
-/** The same for refusals because of overload: the call is offered to one alternative target at most. */
+/** The same for refusals because of overload: an attempt is offered to one alternative target at most. */
 const kMaxOverloadRefusals = 2;
 const kServerErrorStatus = 500;
 /** Tolerance for timers that fire early, in milliseconds. */
@@ -27,7 +27,11 @@
 /** State of a running call. */
 class CallRun {
   readonly attempts: Attempt[] = [];
-  readonly tried = new Set<string>();
+  /** Targets that are not offered the call. */
+  tried = new Set<string>();
+  /** Targets that refused the call, or could not be reached, since the latest retry. */
+  private readonly _refusing = new Set<string>();
+  /** Refusals since the latest retry. */
   refusals = 0;
   overloadRefusals = 0;
   retries = 0;
@@ -47,6 +51,31 @@
     return this.attempts.filter((attempt) => attempt.state.kind === 'offered');
   }
 
+  /** Records that an attempt never started. */
+  recordRefusal({ choice, state }: Attempt): void {
+    this._refusing.add(choice.candidate.target);
+    this.refusals++;
+    if (state.kind === 'refused' && state.reason === 'overloaded') {
+      this.overloadRefusals++;
+    }
+  }
+
+  /** Starts a retry. Like a first attempt, it is offered elsewhere when targets refuse it. */
+  startRetry(): void {
+    this.retries++;
+    this._refusing.clear();
+    this.refusals = 0;
+    this.overloadRefusals = 0;
+  }
+
+  /**
+   * Allows the targets again whose attempts failed before the latest retry, unless they refused the retry. Where a service has two targets,
+   * a call would otherwise fail with its retry unused when one of them fails and the other refuses.
+   */
+  allowFailedTargets(): void {
+    this.tried = new Set([...this._refusing, ...this.open.map(({ choice }) => choice.candidate.target)]);
+  }
+
   logDecision(step: 'refuse' | 'route' | 'retry' | 'compete' | 'lost' | 'end', reason: string, attempt?: Attempt): void {
     this.ctx.logDecision({
       request: this.call.id,
@@ -232,27 +261,34 @@
     return true;
   }
   const ended = event.kind === 'ended' ? run.attempts.find((attempt) => attempt.id === event.attempt) : undefined;
-  const offered = ended !== undefined && (yield* offerAgain(run, ended.state));
+  const offered = ended !== undefined && (yield* offerAgain(run, ended));
   return offered || run.open.length > 0;
 }
 
 /** Offers the call again after an attempt without a usable response. */
-function* offerAgain(run: CallRun, state: AttemptState): Procedure<boolean> {
+function* offerAgain(run: CallRun, ended: Attempt): Procedure<boolean> {
+  const { state } = ended;
   const neverStarted = (state.kind === 'refused' && state.reason !== 'target_shed') || (state.kind === 'lost' && !state.written);
   if (neverStarted) {
-    return mayOfferElsewhere(run, state) && (yield* offerAttempt(run, 'route'));
+    run.recordRefusal(ended);
+    return mayOfferElsewhere(run) && (yield* offerAttempt(run, 'route'));
   }
   return mayRetry(run) && (yield* offerAttempt(run, 'retry'));
 }
 
 /** Whether a call that never started may be offered to another target. This needs no allowance. */
-function mayOfferElsewhere(run: CallRun, state: AttemptState): boolean {
-  run.refusals++;
-  if (state.kind === 'refused' && state.reason === 'overloaded') {
-    run.overloadRefusals++;
+function mayOfferElsewhere(run: CallRun): boolean {
+  if (run.refusals >= kMaxRefusals || run.overloadRefusals >= kMaxOverloadRefusals) {
+    return false;
+  }
+  if (!hasUntriedTarget(run) && run.retries > 0) {
+    run.allowFailedTargets();
   }
-  const untried = run.ctx.candidates(run.call.cls.service).some((candidate) => !run.tried.has(candidate.target));
-  return untried && run.refusals < kMaxRefusals && run.overloadRefusals < kMaxOverloadRefusals;
+  return hasUntriedTarget(run);
+}
+
+function hasUntriedTarget(run: CallRun): boolean {
+  return run.ctx.candidates(run.call.cls.service).some((candidate) => !run.tried.has(candidate.target));
 }
 
 /** Whether a call that may have run may be retried; if so, takes one retry from the allowance. */
@@ -269,8 +305,8 @@
   } else if (call.chain.parent === undefined || !ctx.ledger.takeOne(call.chain.parent)) {
     return false;
   }
-  run.retries++;
-  if (ctx.candidates(call.cls.service).every((candidate) => run.tried.has(candidate.target))) {
+  run.startRetry();
+  if (!hasUntriedTarget(run)) {
     run.tried.clear();
   }
   return true;
