Keep the admission level while a target announces no slots

Without slots, the concurrency limit is 1, so the estimated capacity is one call in its mean duration, and one call a second exceeds it when the mean holds a stalled call.

The level orders calls by urgency when some of them can run. Without slots none can, so nothing is to be learned: the level stays as it was, and the window in which slots return begins anew. A level that comes from overload is kept when a target changes its slots.

--- a/packages/core/src/admission/adaptiveLimit.ts
+++ b/packages/core/src/admission/adaptiveLimit.ts
@@ -73,7 +73,12 @@
     this._windowStart = now;
   }
 
-  /** Number of calls that may run concurrently at `now`. */
+  /** Slots that the target announced. */
+  get slots(): number {
+    return this._slots;
+  }
+
+  /** Number of calls that may run concurrently at `now`. At least 1, as only a call shows whether the target runs one. */
   current(now: number): number {
     const ramp = now - this._startedAt >= kMaxRampMs ? 1 : this._ramp;
     return Math.max(1, Math.floor(this._limit * ramp));
--- a/packages/core/src/admission/admissionLevel.ts
+++ b/packages/core/src/admission/admissionLevel.ts
@@ -38,6 +38,8 @@
   meanMs: number;
   /** Concurrency limit of the target. */
   limit: number;
+  /** Whether the target announced any slots. */
+  hasSlots: boolean;
   hasFreeSlots: boolean;
 }
 
@@ -89,6 +91,16 @@
     this._shedCount++;
   }
 
+  /** Ends the current window without its arrivals and sheds, when the target announces slots after it had none. */
+  discardWindow(now: number): void {
+    this._roll(now);
+    this._windowStart = now;
+    this._counts.fill(0);
+    this._arrivals = 0;
+    this._shedCount = 0;
+    this._hadFreeSlots = false;
+  }
+
   private _roll(now: number): void {
     const windows = Math.floor((now - this._windowStart) / kWindowMs);
     if (windows < 1) {
@@ -103,10 +115,12 @@
   }
 
   private _adjust(): void {
-    this._hadFreeSlots ||= this._arrivals === 0 && this._state().hasFreeSlots;
+    const { hasFreeSlots, hasSlots } = this._state();
+    this._hadFreeSlots ||= this._arrivals === 0 && hasFreeSlots;
     this._smoothRates();
     const error = this._queueError();
-    if (this._level < kOpenLevel || error < 0) {
+    // Without slots, all calls are shed. A level learned from that would refuse less urgent calls when the target has slots again.
+    if (hasSlots && (this._level < kOpenLevel || error < 0)) {
       this._adjustTo(this._capacity() * (1 + kGain * error));
     }
     this._shedCount = 0;
--- a/packages/core/src/admission/gate.ts
+++ b/packages/core/src/admission/gate.ts
@@ -99,6 +99,9 @@
 
   /** Applies the slots that the target announced. */
   announce(slots: number): void {
+    if (this._limit.slots === 0 && slots > 0) {
+      this._level.discardWindow(monotonicMs());
+    }
     this._limit.announce(slots);
     this._startWaiting();
   }
@@ -158,6 +161,7 @@
       delayMs: (this._queue.size * this._meanMs) / limit,
       meanMs: this._meanMs,
       limit,
+      hasSlots: this._limit.slots > 0,
       hasFreeSlots: this._running.size < limit * kFreeBelowShare,
     };
   }
--- a/tests/admission/gate.spec.ts
+++ b/tests/admission/gate.spec.ts
@@ -169,6 +169,38 @@
 });
 
 describe('an admission level', () => {
+  // Guards against refusals of less urgent calls by an idle target, for what its gate had learned while the target announced no slots.
+  itSerial('should be open when a target that announced no slots announces some again', (t) => {
+    withFakeClock((clock) => {
+      const gate = new Gate(50, () => 'goodput', createRecorder(), performance.now());
+      gate.offer(call('slow', 3));
+      clock.tick(600);
+      gate.callEnded('slow', { kind: 'completed', totalMs: 600, selfMs: 600 });
+      gate.announce(0);
+      for (const id of ['shed-1', 'shed-2']) {
+        gate.offer(call(id, 3, { deadline: performance.now() + 2_000 }));
+        clock.tick(10);
+        gate.callEnded(id, { kind: 'shed_by_target' });
+      }
+      t.is(gate.level, kOpenLevel);
+      gate.announce(50);
+      clock.tick(100);
+      t.is(gate.level, kOpenLevel);
+      t.is(gate.offer(call('low', 3)).kind, 'started');
+    });
+  });
+
+  itSerial('should keep what it learned from overload while the target announces slots', (t) => {
+    withFakeClock((clock) => {
+      const gate = new Gate(4, () => 'goodput', createRecorder(), kWarm);
+      overload(gate, clock, 100);
+      const { level } = gate;
+      gate.announce(5);
+      t.true(level < kOpenLevel);
+      t.is(gate.level, level);
+    });
+  });
+
   itSerial('should fall under sustained overload and shed the least important calls first', (t) => {
     withFakeClock((clock) => {
       const gate = new Gate(4, () => 'goodput', createRecorder(), kWarm);
