Leave interrupted calls out of a target's durations

The duration of a call that was cut short (truncated or lost) included the check whether the target crashed: 50 ms for a living target, up to 500 ms and its connection timeouts for one that closes each connection. The gate counted it as a completed call, so a crash or a few truncated responses raised the mean duration of a target and lowered the estimate of its capacity: just when the target is back, the gate would refuse less urgent calls and narrow its limit.

Such calls are 'interrupted' now and are no samples. Calls that reach their deadline still count.

--- a/packages/core/src/admission/gate.ts
+++ b/packages/core/src/admission/gate.ts
@@ -30,8 +30,14 @@
 /** Decision on an offered call. */
 export type GateDecision = { kind: 'started' } | { kind: 'queued' } | { kind: 'refused'; reason: ErrorKind };
 
-/** Result of a started call. `totalMs` is its duration at the target, and `selfMs` excludes time spent in downstream calls. */
-export type GateResult = { kind: 'completed'; totalMs: number; selfMs: number } | { kind: 'shed_by_target' } | { kind: 'not_run' };
+/** Result of a started call. */
+export type GateResult =
+  /** `totalMs` is its duration at the target, and `selfMs` excludes time spent in downstream calls. */
+  | { kind: 'completed'; totalMs: number; selfMs: number }
+  /** The connection closed before the response was complete. The duration says nothing about the target. */
+  | { kind: 'interrupted' }
+  | { kind: 'shed_by_target' }
+  | { kind: 'not_run' };
 
 /** Callbacks for waiting calls. */
 export interface GateEvents<T extends QueuedCall> {
@@ -176,6 +182,7 @@
         this._limit.recordTargetShed(inFlight);
         this._level.recordShed();
         return;
+      case 'interrupted':
       case 'not_run':
         return;
     }
--- a/packages/core/src/procedures/gateCall.ts
+++ b/packages/core/src/procedures/gateCall.ts
@@ -104,15 +104,19 @@
   const summary = ctx.ledger.close(call.id, now) ?? kEmptySummary;
   ctx.downstream.update(terms.className, summary.level, now);
   const refusal = provenRefusal(result, summary);
-  gate.callEnded(call.id, gateResult(refusal, now - startedAt, summary));
+  gate.callEnded(call.id, gateResult(result, refusal, now - startedAt, summary));
   return offerResult(result, summary, refusal, { gate, service: terms.service });
 }
 
-function gateResult(refusal: ErrorKind | undefined, totalMs: number, summary: LedgerSummary): GateResult {
-  if (refusal === 'target_shed') {
-    return { kind: 'shed_by_target' };
+function gateResult(result: ForwardResult, refusal: ErrorKind | undefined, totalMs: number, summary: LedgerSummary): GateResult {
+  if (refusal) {
+    return { kind: refusal === 'target_shed' ? 'shed_by_target' : 'not_run' };
+  }
+  if (result.kind === 'truncated' || result.kind === 'lost') {
+    // Their time includes the check whether the target crashed, which takes 50 ms to seconds.
+    return { kind: 'interrupted' };
   }
-  return refusal ? { kind: 'not_run' } : { kind: 'completed', totalMs, selfMs: Math.max(0, totalMs - summary.waitedMs) };
+  return { kind: 'completed', totalMs, selfMs: Math.max(0, totalMs - summary.waitedMs) };
 }
 
 const kEmptySummary: LedgerSummary = { unspent: 0, level: kOpenReport, retriedBelow: false, downstreamCalls: 0, waitedMs: 0 };
