Let one stalled call not make an idle target refuse less urgent calls

Cause, from the gate's lines (level lowered to 157 with 0.2 of the limit in use at the peak, mean 1,238 ms, where a call takes 1 ms): the first call set the mean duration, and a stalled one counts for a third after 20 others. So the estimated capacity (limit / mean) was below one call a window; and while a level is in force, it was moved to that estimate, also with all slots free.

Now the first twenty calls have equal weights in the mean, and a window without sheds whose slots were less than half in use at any moment never lowers the level, and raises it at least to one call a window.

tests/admission/gate.spec.ts, before: level 1 instead of 512 after a second of sparse calls; mean 1,133 ms instead of 151.

--- a/packages/core/src/admission/admissionLevel.ts
+++ b/packages/core/src/admission/admissionLevel.ts
@@ -14,6 +14,8 @@
 import { kCohorts, kOpenLevel, passesLevel } from './rank.js';
 
 const kWindowMs = 100;
+/** Share of the slots below which some count as free. */
+const kFreeBelowShare = 0.9;
 /** Weight of the latest window in the smoothed arrival rates. */
 const kRateWeight = 0.3;
 /** Weight of a window with free slots, which outdates the earlier rates. */
@@ -27,6 +29,13 @@
 const kMaxCut = 0.5;
 /** Largest rise of the level in one window, in ranks; it doubles with each consecutive rise while slots are free. */
 const kMaxRise = { goodput: 16, recovery: 64 } as const;
+/**
+ * Share of the slots up to which a window counts as nearly idle. Such a window disproves an estimate of too little capacity: one call that
+ * was stalled for three seconds makes the estimate 50 times too low for the next 60 calls.
+ */
+const kNearlyIdleShare = 0.5;
+/** Rate that is admitted at least after a nearly idle window, in calls per window. */
+const kMinIdleRate = 1;
 /** Minimum arrival rate assumed for a newly admitted rank, in calls per window. */
 const kMinRatePerRank = 0.01;
 
@@ -40,7 +49,8 @@
   limit: number;
   /** Whether the target announced any slots. */
   hasSlots: boolean;
-  hasFreeSlots: boolean;
+  /** Share of the slots that are in use. */
+  usedShare: number;
 }
 
 /** Admission level of one gate. */
@@ -53,6 +63,8 @@
   private _windowStart: number;
   private _shedCount = 0;
   private _hadFreeSlots = false;
+  /** Largest share of the slots that was in use in the window. */
+  private _peakUsedShare = 0;
   private _arrivals = 0;
 
   /**
@@ -81,9 +93,10 @@
     return passesLevel(rank, depth, this._level);
   }
 
-  /** Records that slots are free although calls arrive. */
-  recordFreeSlots(): void {
-    this._hadFreeSlots = true;
+  /** Records the share of the slots that are in use when a call has started. */
+  recordStart(usedShare: number): void {
+    this._hadFreeSlots ||= usedShare < kFreeBelowShare;
+    this._peakUsedShare = Math.max(this._peakUsedShare, usedShare);
   }
 
   /** Records a call that passed the level but was shed later. */
@@ -99,6 +112,7 @@
     this._arrivals = 0;
     this._shedCount = 0;
     this._hadFreeSlots = false;
+    this._peakUsedShare = 0;
   }
 
   private _roll(now: number): void {
@@ -115,8 +129,9 @@
   }
 
   private _adjust(): void {
-    const { hasFreeSlots, hasSlots } = this._state();
-    this._hadFreeSlots ||= this._arrivals === 0 && hasFreeSlots;
+    const { hasSlots, usedShare } = this._state();
+    this._hadFreeSlots ||= this._arrivals === 0 && usedShare < kFreeBelowShare;
+    this._peakUsedShare = Math.max(this._peakUsedShare, usedShare);
     this._smoothRates();
     const error = this._queueError();
     // Without slots, all calls are shed. A level learned from that would refuse less urgent calls when the target has slots again.
@@ -126,6 +141,7 @@
     this._shedCount = 0;
     this._arrivals = 0;
     this._hadFreeSlots = false;
+    this._peakUsedShare = 0;
   }
 
   private _smoothRates(): void {
@@ -159,7 +175,9 @@
   /** Moves the level so that `desiredRate` calls per window are admitted, within the limits per window. */
   private _adjustTo(desiredRate: number): void {
     const admitted = this._ratesBelow(0, this._level);
-    if (admitted > desiredRate) {
+    if (this._shedCount === 0 && this._peakUsedShare < kNearlyIdleShare) {
+      this._raiseBy(Math.max(desiredRate, admitted * (1 + kGain), kMinIdleRate) - admitted);
+    } else if (admitted > desiredRate) {
       this._consecutiveRises = 0;
       this._lowerTo(Math.max(desiredRate, admitted * (1 - kMaxCut)));
     } else {
--- a/packages/core/src/admission/gate.ts
+++ b/packages/core/src/admission/gate.ts
@@ -20,12 +20,13 @@
 const kMaxQueue = 2_048;
 /** Share of a call's slack (remaining time minus the mean duration) that it may spend in the queue. */
 const kMaxWaitShare = 0.5;
-/** Weight of the latest call in the mean duration. */
-const kMeanWeight = 0.05;
+/**
+ * Smallest weight of the latest call in the mean duration. The first calls have equal weights: with the first call as the initial mean, one
+ * that was stalled for three seconds would count for a third of its duration after 20 ordinary calls.
+ */
+const kMinMeanWeight = 0.05;
 /** Wait of the least important call above which the queue is a standing queue, in milliseconds. */
 const kStandingQueueMs = 20;
-/** Share of the limit below which the gate counts as having free slots. */
-const kFreeBelowShare = 0.9;
 
 /** Decision on an offered call. */
 export type GateDecision = { kind: 'started' } | { kind: 'queued' } | { kind: 'refused'; reason: ErrorKind };
@@ -55,6 +56,7 @@
   private readonly _level: AdmissionLevel;
   private readonly _limit: AdaptiveLimit;
   private _meanMs = 0;
+  private _completed = 0;
   private _closed: ClosedReason | undefined;
 
   constructor(
@@ -168,7 +170,7 @@
       meanMs: this._meanMs,
       limit,
       hasSlots: this._limit.slots > 0,
-      hasFreeSlots: this._running.size < limit * kFreeBelowShare,
+      usedShare: this._running.size / limit,
     };
   }
 
@@ -176,7 +178,8 @@
     switch (result.kind) {
       case 'completed':
         this._limit.recordCompletion(result.selfMs, inFlight, now);
-        this._meanMs = this._meanMs === 0 ? result.totalMs : this._meanMs + (result.totalMs - this._meanMs) * kMeanWeight;
+        this._completed++;
+        this._meanMs += (result.totalMs - this._meanMs) * Math.max(kMinMeanWeight, 1 / this._completed);
         return;
       case 'shed_by_target':
         this._limit.recordTargetShed(inFlight);
@@ -235,9 +238,7 @@
 
   private _start(call: T, now: number): void {
     this._running.set(call.id, call);
-    if (this._running.size < this._limit.current(now) * kFreeBelowShare) {
-      this._level.recordFreeSlots();
-    }
+    this._level.recordStart(this._running.size / this._limit.current(now));
   }
 
   private _shed(call: T, reason: ErrorKind): void {
--- a/tests/admission/gate.spec.ts
+++ b/tests/admission/gate.spec.ts
@@ -115,6 +115,17 @@
     });
   });
 
+  itSerial('should take the mean duration from all of the first calls, not mostly from the very first', (t) => {
+    withFakeClock(() => {
+      const gate = new Gate(50, () => 'goodput', createRecorder(), kWarm);
+      for (let i = 0; i < 20; i++) {
+        gate.offer(call(String(i), 1));
+        gate.callEnded(String(i), { kind: 'completed', totalMs: i === 0 ? 3_000 : 1, selfMs: 1 });
+      }
+      t.true(Math.abs(gate.meanMs - (3_000 + 19) / 20) < 1e-6, String(gate.meanMs));
+    });
+  });
+
   itSerial('should never shed a call while a less important one waits', (t) => {
     const arrival = fc.record({
       importance: fc.nat(3),
@@ -190,6 +201,30 @@
     });
   });
 
+  // Guards against an idle target that refuses less urgent calls for minutes, because one stalled call raised the estimate of its durations.
+  itSerial('should reopen within a second while calls use few of the slots, also after a call that was stalled', (t) => {
+    withFakeClock((clock) => {
+      const gate = new Gate(50, () => 'goodput', createRecorder(), kWarm);
+      const run = (id: string, ms: number, result: 'completed' | 'shed_by_target'): void => {
+        gate.offer(call(id, id.startsWith('low') ? 3 : 0, { deadline: performance.now() + 10_000 }));
+        clock.tick(ms);
+        gate.callEnded(id, result === 'completed' ? { kind: 'completed', totalMs: ms, selfMs: ms } : { kind: 'shed_by_target' });
+      };
+      run('stalled', 3_000, 'completed');
+      for (let i = 0; i < 10; i++) {
+        run(`low-shed-${i}`, 10, 'shed_by_target');
+      }
+      clock.tick(100);
+      t.true(gate.level < kOpenLevel);
+      for (let i = 0; i < 20; i++) {
+        run(`critical-${i}`, 1, 'completed');
+        run(`low-${i}`, 1, 'completed');
+        clock.tick(48);
+      }
+      t.is(gate.level, kOpenLevel);
+    });
+  });
+
   itSerial('should keep what it learned from overload while the target announces slots', (t) => {
     withFakeClock((clock) => {
       const gate = new Gate(4, () => 'goodput', createRecorder(), kWarm);
