--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -7,87 +7,20 @@
  * Runs a call: offers it to targets, retries within the allowance, and returns the first complete response.
  */
 
-import { kOpenReport, tighterReport } from '../admission/levelReport.js';
-import { errorResponse, type ErrorKind } from '../errors/errorKind.js';
+import { tighterReport } from '../admission/levelReport.js';
+import { errorResponse } from '../errors/errorKind.js';
 import { monotonicMs } from '../util/clock.js';
 import { type Attempt, type AttemptState, proveOutcome } from './attempt.js';
 import { type Call, offerTerms, type ServeContext, type ServedCall } from './callContext.js';
+import { CallRun } from './callRun.js';
 import { chooseForSuspect } from './suspectChoice.js';
 import { type CallEvent, type OfferResult, perform, type Procedure } from './effects.js';
-import { type TargetResponse, errorResult, type ServeResult } from './serveResult.js';
+import { errorResult, type ServeResult } from './serveResult.js';
 
-/** Number of refusals, since the first attempt or the latest retry, after which the call is not offered to another target. */
-const kMaxRefusals = 3;
-/** The same for refusals because of overload: an attempt is offered to one alternative target at most. */
-const kMaxOverloadRefusals = 2;
 const kServerErrorStatus = 500;
 /** Tolerance for timers that fire early, in milliseconds. */
 const kTimerSlackMs = 1;
 
-/** State of a running call. */
-class CallRun {
-  readonly attempts: Attempt[] = [];
-  /** Targets that are not offered the call. */
-  tried = new Set<string>();
-  /** Targets that refused the call, or could not be reached, since the latest retry. */
-  private readonly _refusing = new Set<string>();
-  /** Refusals since the latest retry. */
-  refusals = 0;
-  overloadRefusals = 0;
-  retries = 0;
-  level = kOpenReport;
-  final = false;
-  lastResponse: TargetResponse | undefined;
-  lastReason: ErrorKind = 'no_target';
-
-  constructor(
-    readonly call: Call,
-    readonly ctx: ServeContext,
-    public allowance: number,
-  ) {}
-
-  /** Attempts without a result. */
-  get open(): Attempt[] {
-    return this.attempts.filter((attempt) => attempt.state.kind === 'offered');
-  }
-
-  /** Records that an attempt never started. */
-  recordRefusal({ choice, state }: Attempt): void {
-    this._refusing.add(choice.candidate.target);
-    this.refusals++;
-    if (state.kind === 'refused' && state.reason === 'overloaded') {
-      this.overloadRefusals++;
-    }
-  }
-
-  /** Starts a retry. Like a first attempt, it is offered elsewhere when targets refuse it. */
-  startRetry(): void {
-    this.retries++;
-    this._refusing.clear();
-    this.refusals = 0;
-    this.overloadRefusals = 0;
-  }
-
-  /**
-   * Allows the targets again whose attempts failed before the latest retry, unless they refused the retry. Where a service has two targets,
-   * a call would otherwise fail with its retry unused when one of them fails and the other refuses.
-   */
-  allowFailedTargets(): void {
-    this.tried = new Set([...this._refusing, ...this.open.map(({ choice }) => choice.candidate.target)]);
-  }
-
-  logDecision(step: 'refuse' | 'route' | 'retry' | 'compete' | 'lost' | 'end', reason: string, attempt?: Attempt): void {
-    this.ctx.logDecision({
-      request: this.call.id,
-      step,
-      cls: this.call.cls.name,
-      target: attempt?.choice.candidate.target,
-      weighed: attempt?.choice.weighed,
-      reason,
-    });
-  }
-}
-
 /** Runs a call that has the right to run under its key. `allowance` is its share of the chain's retries. */
 export function* runAttempts(call: Call, ctx: ServeContext, allowance: number): Procedure<ServedCall> {
   const run = new CallRun(call, ctx, allowance);
@@ -271,33 +204,18 @@
   const neverStarted = (state.kind === 'refused' && state.reason !== 'target_shed') || (state.kind === 'lost' && !state.written);
   if (neverStarted) {
     run.recordRefusal(ended);
-    return mayOfferElsewhere(run) && (yield* offerAttempt(run, 'route'));
+    return run.mayOfferElsewhere() && (yield* offerAttempt(run, 'route'));
   }
   return mayRetry(run) && (yield* offerAttempt(run, 'retry'));
 }
 
-/** Whether a call that never started may be offered to another target. This needs no allowance. */
-function mayOfferElsewhere(run: CallRun): boolean {
-  if (run.refusals >= kMaxRefusals || run.overloadRefusals >= kMaxOverloadRefusals) {
-    return false;
-  }
-  if (!hasUntriedTarget(run) && run.retries > 0) {
-    run.allowFailedTargets();
-  }
-  return hasUntriedTarget(run);
-}
-
-function hasUntriedTarget(run: CallRun): boolean {
-  return run.ctx.candidates(run.call.cls.service).some((candidate) => !run.tried.has(candidate.target));
-}
-
 /** Whether a call that may have run may be retried; if so, takes one retry from the allowance. */
 function mayRetry(run: CallRun): boolean {
   const { call, ctx } = run;
   if (!call.cls.idempotent || run.final || monotonicMs() >= call.deadline) {
     return false;
   }
-  if (!hasAllowance(run) || !ctx.retryBucket(call.cls.service).spend()) {
+  if (!run.hasAllowance() || !ctx.retryBucket(call.cls.service).spend()) {
     return false;
   }
   if (run.allowance > 0) {
@@ -306,17 +224,12 @@
     return false;
   }
   run.startRetry();
-  if (!hasUntriedTarget(run)) {
+  if (!run.hasUntriedTarget()) {
     run.tried.clear();
   }
   return true;
 }
 
-function hasAllowance(run: CallRun): boolean {
-  const { parent } = run.call.chain;
-  return run.allowance > 0 || (parent !== undefined && run.ctx.ledger.remaining(parent) > 0);
-}
-
 /** Cancels open attempts. With `awaited`, waits for each reply whether the attempt started, which decides the outcome of an error. */
 function* cancelOpen(run: CallRun, awaited: boolean): Procedure<undefined> {
   for (const attempt of run.open) {
