Name that answering a query for a response gives a claim up

lookUpResponse changes the store: the answer that a call did not run gives its claim up. It is answerResponseQuery now; no change of behaviour.

--- a/packages/core/src/claims/lookUpResponse.ts
+++ b/packages/core/src/claims/answerResponseQuery.ts
@@ -16,10 +16,10 @@
 }
 
 /**
- * Looks up a key on the daemon `self`, given as `daemon/incarnation`. Claims of another incarnation are unknown. The answer that a claim of
- * a settled key did not run gives it up.
+ * Answers for the daemon `self`, given as `daemon/incarnation`. Claims of another incarnation are unknown. The answer that a claim of a
+ * settled key did not run gives the claim up, as the asking daemon may run the call then.
  */
-export function lookUpResponse(responses: ResponseStore, query: ResponseQuery, self: string): FetchResult {
+export function answerResponseQuery(responses: ResponseStore, query: ResponseQuery, self: string): FetchResult {
   const { key, body, claimant } = query;
   if (claimant !== self && !claimant.startsWith(`${self}/`)) {
     return { kind: 'unknown' };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,7 +27,7 @@
 export * from './claims/responseStore.js';
 export * from './claims/claimIndex.js';
 export * from './claims/keySettler.js';
-export * from './claims/lookUpResponse.js';
+export * from './claims/answerResponseQuery.js';
 export * from './config/configFold.js';
 export * from './config/mergePatch.js';
 export * from './errors/errorKind.js';
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -7,7 +7,7 @@
 
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
-import { type KeyVerdict, isSettled, lookUpResponse, monotonicMs } from '@gentiandrum/core';
+import { type KeyVerdict, isSettled, answerResponseQuery, monotonicMs } from '@gentiandrum/core';
 import {
   type FetchAnswerRequest,
   FetchAnswerResponse_State as AnswerState,
@@ -80,7 +80,7 @@
   if (responses.get(key)?.kind === 'running') {
     await daemon.calls.joinRunning(key, monotonicMs() + req.waitMs);
   }
-  const found = lookUpResponse(responses, { key, body, claimant }, self);
+  const found = answerResponseQuery(responses, { key, body, claimant }, self);
   switch (found.kind) {
     case 'recorded':
       return create(FetchAnswerResponseSchema, { state: AnswerState.RECORDED, ...encodeServeResult(found.served) });
--- a/tests/claims/settleCall.spec.ts
+++ b/tests/claims/settleCall.spec.ts
@@ -14,7 +14,7 @@
   type FetchResult,
   KeySettler,
   type KeyVerdict,
-  lookUpResponse,
+  answerResponseQuery,
   type Reply,
   ResponseStore,
   type ServeContext,
@@ -91,7 +91,7 @@
     if (!holder || address === this.id) {
       throw new Error(`expected another daemon, got "${address}"`);
     }
-    return lookUpResponse(holder.responses, { key: kKey, body: 'body', claimant }, `${address}/1`);
+    return answerResponseQuery(holder.responses, { key: kKey, body: 'body', claimant }, `${address}/1`);
   }
 }
 
@@ -136,7 +136,7 @@
   it('should be granted to that daemon again if the one that asked for it does not run it', (t) => {
     const { other } = startDaemons();
     bidInVain(other);
-    t.is(lookUpResponse(other.responses, { key: kKey, body: 'body', claimant: 'o/1/n1' }, 'o/1').kind, 'not_run');
+    t.is(answerResponseQuery(other.responses, { key: kKey, body: 'body', claimant: 'o/1/n1' }, 'o/1').kind, 'not_run');
     t.is(other.settle().kind, 'run');
   });
 
--- a/tests/matrix/matrixPeers.ts
+++ b/tests/matrix/matrixPeers.ts
@@ -5,7 +5,7 @@
 
 /** Requests about keys between daemons of the matrix. */
 
-import { type Effect, isSettled, lookUpResponse, releaseClaim, type Reply, type ServeResult } from '@gentiandrum/core';
+import { type Effect, isSettled, answerResponseQuery, releaseClaim, type Reply, type ServeResult } from '@gentiandrum/core';
 import type { Fault } from './faults.js';
 import { kClaimStream } from './matrixLog.js';
 import type { MatrixDaemon } from './matrixDaemon.js';
@@ -97,7 +97,7 @@
       });
       return;
     }
-    const found = lookUpResponse(holder.responses, { key, body, claimant }, holder.name);
+    const found = answerResponseQuery(holder.responses, { key, body, claimant }, holder.name);
     if (found.kind === 'not_run' && !isSettled(claimant, holder.name)) {
       const release = { key, shard: 0, claimant: holder.name, address };
       this._world.run(holder, releaseClaim(release, holder.responses), () => undefined);
