Tell daemons of suspects that they missed, in the daemon for callers with headers

What callers saw: a target crashes with a request that all other daemons quarantine, and the calls running there are lost.

Cause: suspicions are sent once, when they change, to the daemons that are alive then. One that is cut off or paused at that time was never told.

Now a response to a ping carries a digest of the suspicions that the daemon knows, and the pinging daemon exchanges all of its own with one that has another digest, at most once in three seconds. The routing daemon exchanges suspicions over each new link; it is unchanged.

--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -168,6 +168,10 @@
       onChange: () => {
         this._refreshCandidates();
       },
+      suspectsDigest: () => this.suspects.digest,
+      onOtherSuspects: ({ address }) => {
+        void this.suspects.exchangeWith(address);
+      },
       onPause: (ms) => {
         this._onResume(ms);
       },
--- a/packages/daemon/src/app/memberService.ts
+++ b/packages/daemon/src/app/memberService.ts
@@ -29,6 +29,10 @@
   /** Another daemon reported a newer configuration version than the local one. */
   onNewerConfig(from: string): void;
   onChange(): void;
+  /** Digest of the suspicions that this daemon knows. */
+  suspectsDigest(): number;
+  /** Another daemon knows other suspicions than this one. */
+  onOtherSuspects(of: Member): void;
   /** The process was paused for about `ms` milliseconds. */
   onPause(ms: number): void;
 }
@@ -71,7 +75,12 @@
     this._compareConfig(from, configVersion);
     this._notify();
     const { self } = this.view;
-    return { configVersion: self.configVersion, changes: [self, ...this.view.takeChanges()], openOffers: this._openOffers.countFor(from) };
+    return {
+      configVersion: self.configVersion,
+      changes: [self, ...this.view.takeChanges()],
+      openOffers: this._openOffers.countFor(from),
+      suspectsDigest: this._events.suspectsDigest(),
+    };
   }
 
   /** Suspects a daemon that a call could not connect to, and pings it. */
@@ -142,6 +151,10 @@
     this._merge(pong.changes);
     this.view.markAlive(member.id, now);
     this._compareConfig(member.id, pong.configVersion);
+    // Suspicions are sent once, when they change. A daemon that was cut off or paused at that time would not learn of them otherwise.
+    if (pong.suspectsDigest !== this._events.suspectsDigest()) {
+      this._events.onOtherSuspects(member);
+    }
     this._notify();
     return pong;
   }
--- a/packages/daemon/src/app/suspectService.ts
+++ b/packages/daemon/src/app/suspectService.ts
@@ -5,7 +5,7 @@
 
 /** Exchanges suspicions with other daemons and logs their changes. */
 
-import { crashesOf, type MemberView, type SuspectEvent, Suspects, type Suspicion } from '@gentiandrum/core';
+import { crashesOf, hashText, type MemberView, monotonicMs, type SuspectEvent, Suspects, type Suspicion } from '@gentiandrum/core';
 import type { PeerClient } from '../client/peerClient.js';
 import type { Logger } from './logger.js';
 
@@ -15,10 +15,16 @@
 const kBroadcastFanout = 32;
 /** Number of daemons that a starting daemon queries. */
 const kInitialPeers = 3;
+/**
+ * Minimum time between exchanges of all suspicions, in milliseconds. A snapshot holds up to 100 of some 200 B; two daemons that know more may
+ * differ for good.
+ */
+const kExchangePeriodMs = 3_000;
 
 /** Connects the suspicions of this daemon to those of its peers. */
 export class SuspectService {
   readonly suspects: Suspects;
+  private _exchangedAt = -Infinity;
 
   constructor(
     private readonly _view: MemberView,
@@ -49,9 +55,27 @@
     await this._exchange(kInitialPeers, []);
   }
 
+  /** Digest of the known suspicions, equal at daemons that know the same; 0 when there are none. */
+  get digest(): number {
+    return this.suspects.snapshot.reduce((digest, suspicion) => (digest ^ digestOf(suspicion)) >>> 0, 0);
+  }
+
+  /** Exchanges all known suspicions with one daemon, unless there was such an exchange a short time ago. */
+  async exchangeWith(address: string): Promise<void> {
+    const now = monotonicMs();
+    if (now - this._exchangedAt >= kExchangePeriodMs) {
+      this._exchangedAt = now;
+      await this._exchangeWithAll([address], this.suspects.snapshot);
+    }
+  }
+
   private async _exchange(count: number, suspects: readonly Suspicion[]): Promise<void> {
-    const members = this._view.sampleAlive(count);
-    const responses = await Promise.all(members.map(({ address }) => this._peers.tellSuspects(address, suspects)));
+    const addresses = this._view.sampleAlive(count).map(({ address }) => address);
+    await this._exchangeWithAll(addresses, suspects);
+  }
+
+  private async _exchangeWithAll(addresses: readonly string[], suspects: readonly Suspicion[]): Promise<void> {
+    const responses = await Promise.all(addresses.map((address) => this._peers.tellSuspects(address, suspects)));
     for (const known of responses) {
       this.suspects.mergeFromPeer(known ?? []);
     }
@@ -85,3 +109,9 @@
     }
   }
 }
+
+/** Digest of one suspicion. Excludes its runs, which expire at each daemon by itself. */
+function digestOf({ fingerprint, marks }: Suspicion): number {
+  const states = marks.map(({ crash, tested, cleared, released }) => `${crash} ${tested} ${cleared} ${released}`);
+  return hashText([fingerprint, ...states.sort()].join('\n'));
+}
--- a/packages/daemon/src/client/peerClient.ts
+++ b/packages/daemon/src/client/peerClient.ts
@@ -30,6 +30,8 @@
   changes: Member[];
   /** Offers from the responding daemon to the pinging one that have no result yet. */
   openOffers: number;
+  /** Digest of the suspicions that the responding daemon knows. */
+  suspectsDigest: number;
 }
 
 export class PeerClient {
@@ -38,9 +40,9 @@
 
   /** Sends a ping with membership changes. */
   async ping(address: string, msg: { from: string; to: string; configVersion: number; changes: Member[] }): Promise<Pong | undefined> {
-    const req = { from: msg.from, to: msg.to, configVersion: BigInt(msg.configVersion), changes: msg.changes.map(encodeMember) };
+    const req = { ...msg, configVersion: BigInt(msg.configVersion), changes: msg.changes.map(encodeMember) };
     const res = await undefinedOnError(this._clientFor(address).ping(req, { timeoutMs: kRequestTimeoutMs }));
-    return res && { configVersion: Number(res.configVersion), changes: res.changes.map(decodeMember), openOffers: res.openOffers };
+    return res && { ...res, configVersion: Number(res.configVersion), changes: res.changes.map(decodeMember) };
   }
 
   /** Requests the configuration records from an offset on. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,6 +8,7 @@
 export { Daemon } from './app/daemon.js';
 export { LocalTarget } from './app/localTarget.js';
 export { Logger } from './app/logger.js';
+export { SuspectService } from './app/suspectService.js';
 export { ChainTokens } from './app/chainToken.js';
 export { loadSettings } from './app/loadSettings.js';
 export { exchange, HttpExchange } from './client/httpExchange.js';
--- a/packages/daemon/src/server/peerRoutes.ts
+++ b/packages/daemon/src/server/peerRoutes.ts
@@ -26,7 +26,7 @@
     router.service(PeerService, {
       ping: ({ from, configVersion, changes }) => {
         const pong = daemon.members.onPing(from, Number(configVersion), changes.map(decodeMember));
-        return { configVersion: BigInt(pong.configVersion), changes: pong.changes.map(encodeMember), openOffers: pong.openOffers };
+        return { ...pong, configVersion: BigInt(pong.configVersion), changes: pong.changes.map(encodeMember) };
       },
       tellSuspects: ({ suspects }) => {
         const known = daemon.suspects.mergeFromPeer(suspects.map(decodeSuspicion));
