--- a/packages/cli/src/client/statusCommands.ts
+++ b/packages/cli/src/client/statusCommands.ts
@@ -5,6 +5,7 @@
 
 /** Commands that show the state and the decisions of the daemons: status, explain. */
 
+import type { OverloadDetail } from '@gentiandrum/core';
 import { unwrap, type CommonOptions } from './configCommands.js';
 import { DaemonClient } from './daemonClient.js';
 import { CommandError, kExit, printJson, printLine, printTable } from './output.js';
@@ -48,7 +49,7 @@
   reason: string;
   target?: string;
   weighed?: { target: string; score: number }[];
-  overload?: { rank: number; level: number; service: string };
+  overload?: OverloadDetail;
   at: number;
 }
 
--- a/packages/core/src/admission/admissionLevel.ts
+++ b/packages/core/src/admission/admissionLevel.ts
@@ -109,10 +109,7 @@
     this._roll(now);
     this._windowStart = now;
     this._counts.fill(0);
-    this._arrivals = 0;
-    this._shedCount = 0;
-    this._hadFreeSlots = false;
-    this._peakUsedShare = 0;
+    this._clearWindow();
   }
 
   private _roll(now: number): void {
@@ -138,6 +135,10 @@
     if (hasSlots && (this._level < kOpenLevel || error < 0)) {
       this._adjustTo(this._capacity() * (1 + kGain * error));
     }
+    this._clearWindow();
+  }
+
+  private _clearWindow(): void {
     this._shedCount = 0;
     this._arrivals = 0;
     this._hadFreeSlots = false;
@@ -175,7 +176,7 @@
   /** Moves the level so that `desiredRate` calls per window are admitted, within the limits per window. */
   private _adjustTo(desiredRate: number): void {
     const admitted = this._ratesBelow(0, this._level);
-    if (this._shedCount === 0 && this._peakUsedShare < kNearlyIdleShare) {
+    if (this._wasNearlyIdle()) {
       this._raiseBy(Math.max(desiredRate, admitted * (1 + kGain), kMinIdleRate) - admitted);
     } else if (admitted > desiredRate) {
       this._consecutiveRises = 0;
@@ -185,6 +186,10 @@
     }
   }
 
+  private _wasNearlyIdle(): boolean {
+    return this._shedCount === 0 && this._peakUsedShare < kNearlyIdleShare;
+  }
+
   private _lowerTo(desiredRate: number): void {
     let rateBelow = 0;
     for (let rank = 0; rank < this._level; rank++) {
--- a/packages/daemon/src/app/memberService.ts
+++ b/packages/daemon/src/app/memberService.ts
@@ -32,7 +32,7 @@
   /** Digest of the suspicions that this daemon knows. */
   suspectsDigest(): number;
   /** Another daemon knows other suspicions than this one. */
-  onOtherSuspects(of: Member): void;
+  onOtherSuspects(member: Member): void;
   /** The process was paused for about `ms` milliseconds. */
   onPause(ms: number): void;
 }
