Assess a suspect once, and share what was written twice

Second reading of the change; no change of behaviour. - Verdict, host of the run and age of a suspicion were put together at three places; the assessment of a request holds them now. - The time for which a lost run may still be in flight was a constant of the suspect gate and another of the crash detector, for one reason. - Whether the daemon of a candidate is responsive was asked in three places. - A retry resets its targets where it resets its refusals; a condition that always held is gone. - The tests of retries share the start of a run. All assertions are as before.

--- a/packages/core/src/procedures/callContext.ts
+++ b/packages/core/src/procedures/callContext.ts
@@ -90,7 +90,7 @@
   /** Number of targets of a service that accept no requests now, but may recover. */
   unavailableTargets: (service: string) => number;
   /** Request fingerprints that are suspected of crashing targets. */
-  suspects: Pick<Suspects, 'assess' | 'msSinceUpdate' | 'mergeFromCall' | 'runningAt'>;
+  suspects: Pick<Suspects, 'assess' | 'mergeFromCall'>;
   picker: TargetPicker;
   rootFilter: RootFilter;
   ledger: RetryLedger;
--- a/packages/core/src/procedures/callRun.ts
+++ b/packages/core/src/procedures/callRun.ts
@@ -57,6 +57,9 @@
     this._refusing.clear();
     this._refusals = 0;
     this._overloadRefusals = 0;
+    if (!this.hasUntriedTarget()) {
+      this.tried.clear();
+    }
   }
 
   /** Whether a call that never started may be offered to another target. This needs no allowance. */
@@ -64,7 +67,7 @@
     if (this._refusals >= kMaxRefusals || this._overloadRefusals >= kMaxOverloadRefusals) {
       return false;
     }
-    if (!this.hasUntriedTarget() && this.retries > 0) {
+    if (!this.hasUntriedTarget()) {
       this._allowFailedTargets();
     }
     return this.hasUntriedTarget();
--- a/packages/core/src/procedures/runAttempts.ts
+++ b/packages/core/src/procedures/runAttempts.ts
@@ -224,9 +224,6 @@
     return false;
   }
   run.startRetry();
-  if (!run.hasUntriedTarget()) {
-    run.tried.clear();
-  }
   return true;
 }
 
--- a/packages/core/src/procedures/suspectChoice.ts
+++ b/packages/core/src/procedures/suspectChoice.ts
@@ -8,7 +8,7 @@
 import type { RequestIdentity } from '../quarantine/requestFingerprint.js';
 import type { Suspicion } from '../quarantine/suspicion.js';
 import { chooseProbeTarget, targetsForSuspect } from '../quarantine/probeTarget.js';
-import type { Choice } from '../routing/targetPicker.js';
+import { type Choice, isResponsive } from '../routing/targetPicker.js';
 import type { Call, ServeContext } from './callContext.js';
 import type { Payload } from './effects.js';
 
@@ -32,18 +32,16 @@
   if (!assessed || assessed.verdict === 'clear') {
     return { kind: 'free' };
   }
-  const { suspicion, verdict } = assessed;
-  if (verdict === 'quarantined') {
+  if (assessed.verdict === 'quarantined') {
     return { kind: 'refused', reason: 'quarantined' };
   }
-  const responsive = ctx.candidates(service).filter(({ suspected }) => suspected !== true);
+  const responsive = ctx.candidates(service).filter(isResponsive);
   const candidates = responsive.map((candidate) => ({ host: candidate.target, candidate }));
-  const { fingerprint } = suspicion;
-  const state = { verdict, runningAt: ctx.suspects.runningAt(fingerprint), msSinceUpdate: ctx.suspects.msSinceUpdate(fingerprint) };
-  const targets = targetsForSuspect(state, candidates, ctx.unavailableTargets(service));
+  const targets = targetsForSuspect(assessed, candidates, ctx.unavailableTargets(service));
   if (targets.length === 0 && candidates.length > 0) {
     return { kind: 'refused', reason: 'suspected' };
   }
-  const target = chooseProbeTarget(fingerprint, targets, tried);
+  const { suspicion } = assessed;
+  const target = chooseProbeTarget(suspicion.fingerprint, targets, tried);
   return { kind: 'suspect', choice: target && ctx.picker.pick([target.candidate], new Set(), now), suspicion };
 }
--- a/packages/core/src/quarantine/suspectGate.ts
+++ b/packages/core/src/quarantine/suspectGate.ts
@@ -74,7 +74,7 @@
  * Time for which an aborted or lost run may still be in flight, in milliseconds. A target may continue to run a request after its connection
  * was closed, and crash by it.
  */
-const kAbandonedMs = 1_000;
+export const kAbandonedMs = 1_000;
 
 /** Suspect requests at one target. */
 export class SuspectGate<T extends SuspectCall> {
--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -5,6 +5,7 @@
 
 /** The suspicions known to one daemon, and their propagation: local changes go to all linked daemons, which forward them once. */
 
+import type { SuspectState } from './probeTarget.js';
 import type { RequestIdentity } from './requestFingerprint.js';
 import { type SuspectRun, SuspectRuns } from './suspectRuns.js';
 import { type Crash, type InFlightRequest, SuspectTable } from './suspectTable.js';
@@ -40,10 +41,9 @@
   verdict: Verdict;
 }
 
-/** The suspicion against a request and its current verdict. */
-export interface Assessment {
+/** The suspicion against a request, and what decides whether and where it may run. */
+export interface Assessment extends SuspectState {
   suspicion: Suspicion;
-  verdict: Verdict;
 }
 
 /** The suspicions known to one daemon. */
@@ -85,7 +85,16 @@
   /** Looks up the suspicion against a request; undefined when there is none. Does not call `identity` while the table is empty. */
   assess(identity: () => RequestIdentity): Assessment | undefined {
     const suspicion = this._table.size > 0 ? this._table.find(identity()) : undefined;
-    return suspicion && { suspicion: this._withRuns(suspicion), verdict: this._table.verdict(suspicion.fingerprint) };
+    if (!suspicion) {
+      return undefined;
+    }
+    const { fingerprint } = suspicion;
+    return {
+      suspicion: this._withRuns(suspicion),
+      verdict: this._table.verdict(fingerprint),
+      runningAt: this._runs.runningAt(fingerprint),
+      msSinceUpdate: this._table.msSinceUpdate(fingerprint),
+    };
   }
 
   /** The current verdict on a fingerprint. */
@@ -93,11 +102,6 @@
     return this._table.verdict(fingerprint);
   }
 
-  /** Time since the suspicion last changed, in milliseconds; infinite for an unknown fingerprint. */
-  msSinceUpdate(fingerprint: string): number {
-    return this._table.msSinceUpdate(fingerprint);
-  }
-
   /** Host on whose target a suspect with the fingerprint may be in flight; undefined when there is none. */
   runningAt(fingerprint: string): string | undefined {
     return this._runs.runningAt(fingerprint);
--- a/packages/core/src/routing/targetPicker.ts
+++ b/packages/core/src/routing/targetPicker.ts
@@ -26,6 +26,11 @@
   suspected?: boolean;
 }
 
+/** Whether the daemon of a candidate responded to the latest ping. */
+export function isResponsive({ suspected }: Candidate): boolean {
+  return suspected !== true;
+}
+
 /** A chosen candidate, and the scores that decided. */
 export interface Choice {
   candidate: Candidate;
@@ -59,7 +64,7 @@
    */
   pick(candidates: readonly Candidate[], tried: ReadonlySet<string>, now: number): Choice | undefined {
     const untried = candidates.filter((candidate) => !tried.has(candidate.target));
-    const responsive = untried.filter(({ suspected }) => suspected !== true);
+    const responsive = untried.filter(isResponsive);
     const eligible = responsive.filter((candidate) => !this._isEjected(candidate, now));
     const [pool = untried] = [eligible, responsive].filter(({ length }) => length > 0);
     const scored = [
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -18,6 +18,7 @@
   AcceptedOffers,
   TargetPicker,
   type TargetState,
+  isResponsive,
 } from '@gentiandrum/core';
 import { type Config, kMembersStream, memberRecordSchema, type Settings } from '@gentiandrum/protocol';
 import { LogClient } from '../client/logClient.js';
@@ -153,7 +154,7 @@
 
   private _responsiveTargets(service: string): string[] {
     const candidates = this._candidates.get(service) ?? [];
-    return candidates.filter(({ suspected }) => suspected !== true).map(({ target }) => target);
+    return candidates.filter(isResponsive).map(({ target }) => target);
   }
 
   private _unavailableTargets(service: string): number {
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -56,7 +56,7 @@
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined;
   offer(target: TargetRecord, call: PeerCall, done: OfferDone): OfferHandle;
   chains: ChainModel;
-  suspects: Pick<Suspects, 'assess' | 'msSinceUpdate' | 'runningAt'>;
+  suspects: Pick<Suspects, 'assess'>;
   deadlines: Deadlines;
   /** Called before each offer; `first` for the first one of the request. */
   onOfferSent(target: TargetRecord, first: boolean): void;
@@ -179,12 +179,9 @@
   }
 
   private _targetsForSuspect(): readonly TargetRecord[] {
-    const { suspects } = this._deps;
     const { service } = this._req;
-    const { verdict = 'clear', suspicion } = this._assessment ?? {};
-    const fingerprint = suspicion?.fingerprint ?? '';
-    const state = { verdict, runningAt: suspects.runningAt(fingerprint), msSinceUpdate: suspects.msSinceUpdate(fingerprint) };
-    return targetsForSuspect(state, this._deps.candidates(service), this._deps.unreachable(service));
+    const candidates = this._deps.candidates(service);
+    return this._assessment ? targetsForSuspect(this._assessment, candidates, this._deps.unreachable(service)) : candidates;
   }
 
   private _remainingMs(): number {
--- a/packages/mesh/src/client/crashDetector.ts
+++ b/packages/mesh/src/client/crashDetector.ts
@@ -8,13 +8,11 @@
  * further connections have shown whether the target is alive.
  */
 
-import { checkLiveness, type Liveness, type LivenessEffect, type LivenessObservation, monotonicMs } from '@gentiandrum/core';
+import { checkLiveness, kAbandonedMs, type Liveness, type LivenessEffect, type LivenessObservation, monotonicMs } from '@gentiandrum/core';
 import type { PeerCall } from './callCodec.js';
 
 /** Longest wait for a connection attempt, in milliseconds; a busy target may accept it late. */
 const kConnectWaitMs = 250;
-/** Time for which aborted and lost calls count as in flight, in milliseconds: the target may still run them, and crash by them. */
-const kAbandonedRetentionMs = 1_000;
 /** Largest number of aborted and lost calls that are kept. */
 const kMaxAbandoned = 200;
 /** Time for the other connections of a crashed target to deliver data in transit, in milliseconds. */
@@ -236,7 +234,7 @@
 
   private _report(interrupted: readonly SentCall[]): void {
     const now = monotonicMs();
-    const recent = this._abandoned.filter(({ abandonedAt }) => abandonedAt > now - kAbandonedRetentionMs);
+    const recent = this._abandoned.filter(({ abandonedAt }) => abandonedAt > now - kAbandonedMs);
     this._abandoned = [];
     const latestSentAt = now - this._firstLossAt > kMaxExitMs ? Infinity : this._firstLossAt;
     const inFlight = [...interrupted, ...recent].filter(({ sentAt }) => sentAt <= latestSentAt);
--- a/tests/admission/gate.spec.ts
+++ b/tests/admission/gate.spec.ts
@@ -201,7 +201,7 @@
     });
   });
 
-  // Guards against an idle target that refuses less urgent calls for minutes, because one stalled call raised the estimate of its durations.
+  // Guards against an idle target that refuses less urgent calls again and again, because one stalled call raised the estimate of its durations.
   itSerial('should reopen within a second while calls use few of the slots, also after a call that was stalled', (t) => {
     withFakeClock((clock) => {
       const gate = new Gate(50, () => 'goodput', createRecorder(), kWarm);
--- a/tests/mesh/callExchange.spec.ts
+++ b/tests/mesh/callExchange.spec.ts
@@ -38,7 +38,7 @@
       return { cancel: () => undefined };
     },
     chains: new ChainModel(),
-    suspects: { assess: () => undefined, msSinceUpdate: () => 0, runningAt: () => undefined },
+    suspects: { assess: () => undefined },
     unreachable: () => 0,
     deadlines: new Deadlines(),
     onOfferSent: () => undefined,
--- a/tests/quarantine/quarantineFleet.ts
+++ b/tests/quarantine/quarantineFleet.ts
@@ -6,6 +6,7 @@
 /** A fleet on virtual time: the real suspect logic with simulated target crashes, and messages that are delayed, duplicated or lost. */
 
 import {
+  type Assessment,
   type CallResult,
   hashText,
   monotonicMs,
@@ -169,14 +170,14 @@
     this.outcomes.push(outcome);
     const deadline = monotonicMs() + kDeadlineMs;
     const { generation } = host;
-    const suspicion = (): Suspicion | undefined => host.suspects.assess(() => type.identity)?.suspicion;
+    const assess = (): Assessment | undefined => host.suspects.assess(() => type.identity);
+    const suspicion = (): Suspicion | undefined => assess()?.suspicion;
     const fingerprint = (): string => suspicion()?.fingerprint ?? '';
-    const verdict = (): Verdict => host.suspects.verdict(fingerprint());
+    const verdict = (): Verdict => assess()?.verdict ?? 'clear';
     const candidates = (): TargetRecord[] => this.readyAt(host);
     const targets = (): readonly TargetRecord[] => {
-      const runningAt = host.suspects.runningAt(fingerprint());
-      const state = { verdict: verdict(), runningAt, msSinceUpdate: host.suspects.msSinceUpdate(fingerprint()) };
-      return targetsForSuspect(state, candidates(), this.hosts.length - candidates().length);
+      const assessment = assess();
+      return assessment ? targetsForSuspect(assessment, candidates(), this.hosts.length - candidates().length) : candidates();
     };
     const procedure = routeRequest(
       { idempotent: type.idempotent, maxAttempts: kMaxAttempts },
--- a/tests/retries/refusedRetry.spec.ts
+++ b/tests/retries/refusedRetry.spec.ts
@@ -5,21 +5,17 @@
 
 /** Guards against calls that fail although they may be retried and a target would accept them, because another target refused the retry. */
 
-import { type CallEvent, type ErrorKind, importanceIndex, kOpenReport, type OfferResult, runAttempts } from '@gentiandrum/core';
+import { type CallEvent, type ErrorKind, kOpenReport, type OfferResult } from '@gentiandrum/core';
 import { MatrixWorld } from '../matrix/matrixWorld.js';
-import { onwardCall } from '../matrix/request.js';
 import { describe, itSerial } from '../support/describe.js';
+import { runRead } from './runRead.js';
 
 const kRetries = 1;
 
 /** Runs a call of a service with the targets b1 and b2; `respond` gives the result of each offer by the target and the number of offers. */
 function runCall(respond: (target: string, offerCount: number) => OfferResult): { targets: string[]; served: string } {
   const world = new MatrixWorld([], { beta: ['b1', 'b2'] });
-  const terms = { root: 'r', attempt: '', path: '', depth: 0, cohort: 0, importance: importanceIndex('normal'), repeatable: false };
-  const cls = { name: 'read', service: 'beta', methods: [], path: '/', importance: 'normal', idempotent: true, retries: kRetries } as const;
-  const req = { cls: { ...cls, methods: [], deadlineMs: 1_000 }, body: 'x' };
-  const call = onwardCall('q', req, { ...terms, rootDaemon: 'b1', rootAddress: 'b1', rootIncarnation: 1 } as never, 0);
-  const procedure = runAttempts(call, world.daemon('b1').serveContext, kRetries);
+  const procedure = runRead(world, 'b1', { retries: kRetries, deadlineMs: 1_000 });
   const targets: string[] = [];
   const events: CallEvent[] = [];
   let step = procedure.next(undefined);
