--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -38,6 +38,8 @@
   inner: boolean | undefined;
   /** Length of the longest downstream call chain. */
   height: number;
+  /** Expected number of gates that one call on the route passes in sequence, itself included; undefined while it is unknown. */
+  gates?: number | undefined;
 }
 
 interface HostLevel {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export * from './admission/targetRateLimiter.js';
 export * from './chain/retryLedger.js';
 export * from './chain/retryTokenBucket.js';
+export * from './chainTime/chainNeed.js';
 export * from './claims/responseStore.js';
 export * from './claims/claimIndex.js';
 export * from './claims/keySettler.js';
--- a/packages/core/src/routing/hostStats.ts
+++ b/packages/core/src/routing/hostStats.ts
@@ -40,6 +40,8 @@
   meanMs: number;
   /** Arrivals relative to the rate limit of the target; undefined without a limit. */
   rateLoad?: number | undefined;
+  /** How long work takes on the target's machine now, in percent of the usual time; undefined when the target does not state it. */
+  slowness?: number | undefined;
 }
 
 /** Report of a gate with each response: its load, its data on the route, and the charge for the downstream calls of one run. */
--- /dev/null
+++ b/packages/mesh/src/app/calls/gateLoad.ts
@@ -0,0 +1,94 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Load of the gate on this host: its admission level, its reports to ingresses, and the retry delays of its refusals. */
+
+import {
+  type ChainModel,
+  GateLevel,
+  type GateRefusal,
+  type GateReport,
+  isCapacityRefusal,
+  monotonicMs,
+  type NotRunReason,
+  type SlotGate,
+} from '@gentiandrum/core';
+import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
+import type { OfferedCall } from './offeredCall.js';
+
+/** Maximum retry delay sent with a refusal, in milliseconds. */
+const kMaxRetryAfterMs = 2_000;
+
+/** Daemon services that the load depends on. */
+export interface GateLoadDeps {
+  /** Mean charge of the calls on a route that this host sends, in milliseconds. */
+  chargeMs(route: string): number;
+  chains: ChainModel;
+  metrics: MeshMetrics;
+}
+
+/** Load of one gate. */
+export class GateLoad {
+  readonly level = new GateLevel();
+
+  constructor(
+    private readonly _gate: SlotGate<OfferedCall>,
+    private readonly _deps: GateLoadDeps,
+  ) {}
+
+  /** Load and admission level, for metrics. */
+  get state(): MetricsView['gate'] {
+    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
+    const rate = { rateLimit: rateLimiter.statedRate, rateTokens: rateLimiter.tokens(monotonicMs()) };
+    return { inFlight, queued, limit, meanMs, level: this.level.current, ...rate };
+  }
+
+  /** Current load and chain report for the callers of a route. */
+  report(route: string): GateReport {
+    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
+    const { chains } = this._deps;
+    const { level, inner, height } = chains.report(route, this.level.current);
+    const charge = Math.round(chains.sumDownstream(route, (call) => this._deps.chargeMs(call)));
+    const rateLoad = rateLimiter.loadAt(monotonicMs());
+    return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs: charge, rateLoad };
+  }
+
+  /** Updates the admission level for the elapsed time. */
+  step(elapsedMs: number): void {
+    const { queueWaitMs, rateLimiter } = this._gate;
+    this.level.step(queueWaitMs, elapsedMs, rateLimiter.intervalMs(monotonicMs()));
+  }
+
+  /** Counts a call that was refused because there is no capacity as excess load. */
+  recordRefusal(reason: NotRunReason): void {
+    if (!isCapacityRefusal(reason)) {
+      return;
+    }
+    const workMs = this._gate.workMs(this._gate.meanMs);
+    if (reason === 'rate_limited') {
+      this.level.recordRateLimited(workMs);
+    } else {
+      this.level.recordRefusal(workMs);
+    }
+  }
+
+  /** Returns the result of a refused call, and counts it. */
+  refusal(reason: GateRefusal): { kind: 'not_run'; reason: GateRefusal; retryAfterMs: number } {
+    this._deps.metrics.refused(reason);
+    return { kind: 'not_run', reason, retryAfterMs: this._retryAfterMs(reason) };
+  }
+
+  /** Estimated time to complete the queue and the running calls, or until the rate limit has room, in milliseconds. */
+  private _retryAfterMs(reason: GateRefusal): number {
+    if (reason === 'not_accepting') {
+      return 0;
+    }
+    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
+    if (reason === 'rate_limited') {
+      return rateLimiter.retryAfterMs(monotonicMs());
+    }
+    return Math.min(kMaxRetryAfterMs, ((inFlight + queued) / limit) * meanMs);
+  }
+}
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -7,9 +7,7 @@
 
 import {
   type Announcement,
-  GateLevel,
   type GateRefusal,
-  type GateReport,
   type ChainModel,
   monotonicMs,
   type CallResult,
@@ -21,17 +19,18 @@
   TargetReachability,
   isSameIncarnation,
   isCapacityRefusal,
-  type NotRunReason,
   SuspectGate,
   type Suspects,
   type TargetRecord,
 } from '@gentiandrum/core';
+import type { LoadSettings } from '@gentiandrum/protocol';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
 import { type RunResult, TargetClient } from '../../client/targetClient.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { ConditionTracker } from './conditionTracker.js';
 import { CrashRecorder } from './crashRecorder.js';
+import { GateLoad } from './gateLoad.js';
 import { createOfferedCall, type OfferDone, type OfferedCall, type OfferHandle } from './offeredCall.js';
 import { logSuspectRun } from './logSuspectEvent.js';
 import { identityOf } from './requestIdentity.js';
@@ -39,13 +38,12 @@
 
 /** Interval between checks for calls that have waited too long, in milliseconds. */
 const kExpiryIntervalMs = 10;
-/** Maximum retry delay sent with a refusal, in milliseconds. */
-const kMaxRetryAfterMs = 2_000;
-
 /** Daemon services that the gate depends on. */
 export interface TargetGateDeps {
   names: HeaderNames;
   bound: RepeatBound;
+  /** Parts of the load control that are on. */
+  load: LoadSettings;
   /** Id of this host. */
   host: string;
   /** Address of the target in the settings. */
@@ -87,7 +85,7 @@
   private _recovering = true;
   private _stopping = false;
   private _nextId = 1;
-  private readonly _level = new GateLevel();
+  private readonly _load: GateLoad;
   private readonly _condition: ConditionTracker;
   /** Set only while calls wait, so that an idle daemon does not wake up. */
   private _expiryTimer: NodeJS.Timeout | undefined;
@@ -115,12 +113,13 @@
           this._start(offered);
         },
         onRefuse: (offered, reason) => {
-          this._recordRefusal(reason);
+          this._load.recordRefusal(reason);
           this._refuse(offered, reason);
         },
       },
       this._connections,
     );
+    this._load = new GateLoad(this._gate, _deps);
     this._condition = new ConditionTracker({
       limiter: this._gate.rateLimiter,
       incarnation: () => this._lifecycle.known,
@@ -148,18 +147,7 @@
 
   /** Load and admission level, for metrics. */
   get state(): MetricsView['gate'] {
-    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
-    const rate = { rateLimit: rateLimiter.statedRate, rateTokens: rateLimiter.tokens(monotonicMs()) };
-    return { inFlight, queued, limit, meanMs, level: this._level.current, ...rate };
-  }
-
-  /** Current load and chain report for the callers of a route. */
-  report(route: string): GateReport {
-    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
-    const { level, inner, height } = this._deps.chains.report(route, this._level.current);
-    const chargeMs = Math.round(this._deps.chains.sumDownstream(route, (call) => this._deps.chargeMs(call)));
-    const rateLoad = rateLimiter.loadAt(monotonicMs());
-    return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs, rateLoad };
+    return this._load.state;
   }
 
   /** Number of running and waiting calls. */
@@ -222,8 +210,7 @@
 
   /** Updates the admission level for the elapsed time, and checks connections; called several times per second. */
   check(elapsedMs: number): void {
-    const { queueWaitMs, rateLimiter } = this._gate;
-    this._level.step(queueWaitMs, elapsedMs, rateLimiter.intervalMs(monotonicMs()));
+    this._load.step(elapsedMs);
     this._condition.publish();
     this._deps.chains.step();
     this._client?.check();
@@ -272,14 +259,14 @@
 
   /** Starts a call, queues it for a slot, or refuses it. */
   private _offerToSlotGate(offered: OfferedCall): void {
-    this._level.recordArrival(offered.call.waitMs);
+    this._load.level.recordArrival(offered.call.waitMs);
     const decision = this._gate.offer(offered);
     switch (decision.kind) {
       case 'started':
         this._start(offered);
         break;
       case 'refused':
-        this._recordRefusal(decision.reason);
+        this._load.recordRefusal(decision.reason);
         this._refuse(offered, decision.reason);
         break;
       case 'queued':
@@ -291,7 +278,7 @@
   private _refuse(offered: OfferedCall, reason: GateRefusal): void {
     const { call, done } = offered;
     this._refundRepeat(offered);
-    done(this._refusal(reason), this.report(call.route));
+    done(this._load.refusal(reason), this._load.report(call.route));
     this._suspects.leave(offered);
   }
 
@@ -302,19 +289,6 @@
     }
   }
 
-  /** Counts a call that was refused because there is no capacity as excess load. */
-  private _recordRefusal(reason: NotRunReason): void {
-    if (!isCapacityRefusal(reason)) {
-      return;
-    }
-    const workMs = this._gate.workMs(this._gate.meanMs);
-    if (reason === 'rate_limited') {
-      this._level.recordRateLimited(workMs);
-    } else {
-      this._level.recordRefusal(workMs);
-    }
-  }
-
   private _scheduleExpiry(): void {
     this._expiryTimer ??= setTimeout(() => {
       this._expiryTimer = undefined;
@@ -443,7 +417,7 @@
     }
     if (!client || remaining <= 0) {
       this._gate.callNotSent(offered.id);
-      this._recordRefusal('wait_too_long');
+      this._load.recordRefusal('wait_too_long');
       this._refuse(offered, 'wait_too_long');
       return;
     }
@@ -463,9 +437,9 @@
     const ran = responded && result.kind === 'answered' && result.answer.status < 400;
     const tookMs = monotonicMs() - offered.startedAt;
     if (result.kind === 'not_run' && isCapacityRefusal(result.reason)) {
-      this._recordRefusal(result.reason);
+      this._load.recordRefusal(result.reason);
     } else {
-      this._level.recordWork(this._gate.workMs(tookMs));
+      this._load.level.recordWork(this._gate.workMs(tookMs));
     }
     if (wasNotSent(result)) {
       this._gate.callNotSent(offered.id);
@@ -473,36 +447,19 @@
     } else {
       this._gate.callEnded(offered.id, ran ? tookMs : undefined);
     }
-    offered.done(result, this.report(offered.call.route));
+    offered.done(result, this._load.report(offered.call.route));
     this._suspects.leave(offered, result.kind === 'lost');
   }
 
   private _cancel(offered: OfferedCall): void {
     if (this._gate.withdraw(offered) || this._suspects.withdraw(offered)) {
       this._refundRepeat(offered);
-      offered.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this.report(offered.call.route));
+      offered.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this._load.report(offered.call.route));
       this._suspects.leave(offered);
     } else if (offered.call.idempotent) {
       offered.run?.abort();
     }
   }
-
-  private _refusal(reason: GateRefusal): CallResult {
-    this._deps.metrics.refused(reason);
-    return { kind: 'not_run', reason, retryAfterMs: this._retryAfterMs(reason) };
-  }
-
-  /** Estimated time to complete the queue and the running calls, or until the rate limit has room, in milliseconds. */
-  private _retryAfterMs(reason: GateRefusal): number {
-    if (reason === 'not_accepting') {
-      return 0;
-    }
-    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
-    if (reason === 'rate_limited') {
-      return rateLimiter.retryAfterMs(monotonicMs());
-    }
-    return Math.min(kMaxRetryAfterMs, ((inFlight + queued) / limit) * meanMs);
-  }
 }
 
 /** Whether a started call ended before it was written to a connection. */
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -128,6 +128,7 @@
     this._gate = new TargetGate({
       names: dialect.headers,
       bound: _settings.retries,
+      load: _settings.load,
       host: _settings.id,
       address: _settings.target.address,
       maxConnections: (service) => this._configs.maxConnections(service) ?? kDefaultMaxConnections,
--- a/packages/mesh/src/client/callCodec.ts
+++ b/packages/mesh/src/client/callCodec.ts
@@ -5,19 +5,25 @@
 
 /** Encodes calls and gate reports as arrays of fields for messages between daemons. Repeated names are encoded as numbers. */
 
-import type { GateReport, Suspicion } from '@gentiandrum/core';
+import type { ChainNeed, GateReport, Suspicion } from '@gentiandrum/core';
 import type { NameReader, NameWriter } from './sharedNames.js';
 
 /** Admission levels are sent as integer thousandths. */
 const kLevelScale = 1_000;
 /** Loads relative to a rate limit are sent as integer thousandths. */
 const kLoadScale = 1_000;
-/** Number of fields of a gate report before the optional last one, the load relative to a rate limit. */
+/** Number of fields of a gate report before the optional ones: the load relative to a rate limit, the gates and the slowness. */
 const kReportFields = 8;
+/** Numbers of gates are sent as integer tenths. */
+const kGatesScale = 10;
 /** Encodes an undefined rank. */
 const kNoRank = -1;
-/** Number of fields of a call message before the workspace fields, including its type and id. */
+/**
+ * Number of fields of a call message before the optional ones, including its type and id. Either one field follows, with the need of the
+ * chain, or the fields of the workspace: calls of targets carry no workspace, and external requests have no chain above them.
+ */
 const kCallFields = 18;
+const kCallFieldsWithChain = kCallFields + 1;
 /** Encodes an infinite time. */
 const kNoLimit = -1;
 
@@ -47,8 +53,10 @@
   inner: boolean;
   /** Whether it may run more than once. Such a call is aborted when its deadline has passed or its caller has disconnected. */
   idempotent: boolean;
-  /** Rank of an external request under overload, 0 being the most urgent; undefined for calls of targets. */
+  /** Rank of the root request under overload, 0 being the most urgent; undefined for calls of targets whose root is unknown. */
   rank: number | undefined;
+  /** What the chain above needs after this call; undefined for external requests, and for calls whose parent is unknown. */
+  chain?: ChainNeed | undefined;
   /** Expected instance of the target. */
   instance: string;
   /** Service of the host on which the call originated. */
@@ -85,10 +93,22 @@
     call.headers.map((text) => names.write(text)),
     call.body,
     call.suspicion,
-    ...encodeWorkspace(call.workspace, names),
+    ...(call.chain ? [encodeChain(call.chain)] : encodeWorkspace(call.workspace, names)),
   ];
 }
 
+function encodeChain({ afterMs, gatesAfter }: ChainNeed): [number, number] {
+  return [Math.round(afterMs), Math.round(gatesAfter * kGatesScale)];
+}
+
+function parseChain(fields: unknown[]): ChainNeed | undefined {
+  if (fields.length !== kCallFieldsWithChain) {
+    return undefined;
+  }
+  const [afterMs = 0, gatesAfter = 0] = fields[kCallFields] as number[];
+  return { afterMs, gatesAfter: gatesAfter / kGatesScale };
+}
+
 function encodeWorkspace(workspace: CallWorkspace | undefined, names: NameWriter): unknown[] {
   if (!workspace) {
     return [];
@@ -97,9 +117,14 @@
   return [names.write(name), keyHash, version, validMs === Infinity ? kNoLimit : Math.floor(validMs)];
 }
 
-export function encodeReport({ inFlight, queued, limit, meanMs, level, inner, height, chargeMs, rateLoad }: GateReport): unknown[] {
+export function encodeReport(report: GateReport): unknown[] {
+  const { inFlight, queued, limit, meanMs, level, inner, height, chargeMs, rateLoad, gates, slowness } = report;
   const fields = [inFlight, queued, limit, Math.round(meanMs), Math.round(level * kLevelScale), chargeMs, height, inner];
-  return rateLoad === undefined ? fields : [...fields, Math.round(rateLoad * kLoadScale)];
+  const optional = [scaled(rateLoad, kLoadScale), scaled(gates, kGatesScale), slowness === undefined ? undefined : Math.round(slowness)];
+  while (optional.length > 0 && optional.at(-1) === undefined) {
+    optional.pop();
+  }
+  return [...fields, ...optional];
 }
 
 /** Decodes the gate report whose fields begin at index `at`. */
@@ -109,7 +134,7 @@
     at + kReportFields - 1,
   ) as number[];
   const inner = (fields[at + kReportFields - 1] ?? undefined) as boolean | undefined;
-  const rateLoad = fields[at + kReportFields] as number | undefined;
+  const [rateLoad, gates, slowness] = fields.slice(at + kReportFields) as (number | null | undefined)[];
   return {
     inFlight,
     queued,
@@ -119,10 +144,16 @@
     inner,
     height,
     chargeMs,
-    ...(rateLoad === undefined ? {} : { rateLoad: rateLoad / kLoadScale }),
+    ...(typeof rateLoad === 'number' ? { rateLoad: rateLoad / kLoadScale } : {}),
+    ...(typeof gates === 'number' ? { gates: gates / kGatesScale } : {}),
+    ...(typeof slowness === 'number' ? { slowness } : {}),
   };
 }
 
+function scaled(value: number | undefined, scale: number): number | undefined {
+  return value === undefined ? undefined : Math.round(value * scale);
+}
+
 export function parseHeaders(field: unknown, names: NameReader): string[] {
   return (field as unknown[]).map((text) => names.read(text));
 }
@@ -147,12 +178,13 @@
     headers: parseHeaders(fields[15], names),
     body: fields[16] as Buffer,
     suspicion: (fields[17] ?? undefined) as Suspicion | undefined,
+    chain: parseChain(fields),
     workspace: parseWorkspace(fields, names),
   };
 }
 
 function parseWorkspace(fields: unknown[], names: NameReader): CallWorkspace | undefined {
-  if (fields.length <= kCallFields) {
+  if (fields.length <= kCallFieldsWithChain) {
     return undefined;
   }
   const [name, keyHash, version, validMs] = fields.slice(kCallFields);
--- a/packages/protocol/src/meshSettingsSchema.ts
+++ b/packages/protocol/src/meshSettingsSchema.ts
@@ -61,6 +61,31 @@
       slack: z.number().min(0).default(10),
     })
     .prefault({}),
+  /** Parts of the load control that are on; see docs/LOAD-CONTROL.md. */
+  load: z
+    .strictObject({
+      /** Whether calls wait only as long as their chain can bear, and requests that cannot end in time are refused. */
+      chainTime: z.boolean().default(false),
+      /** Whether calls of targets are matched to the runs that make them. */
+      callParents: z.boolean().default(false),
+      /** Whether the load that targets state is used. */
+      statedLoad: z.boolean().default(false),
+      /** Whether ingresses choose targets by their current speed, with a weighted draw among the nearly equal ones. */
+      speedChoice: z.boolean().default(false),
+      /** Whether the admitted share of requests follows losses of capacity at once. */
+      followRoom: z.boolean().default(false),
+      /** Whether capacity under overload is shared among workspaces by quota. */
+      fairShares: z.boolean().default(false),
+      /** Whether quotas are counted over sliding windows. */
+      windowQuotas: z.boolean().default(false),
+      /** Whether admission is reserved for refused requests that return when told. */
+      returnPlaces: z.boolean().default(false),
+      /** Whether calls that wait at a crowded gate are offered to other targets. */
+      queueTransfer: z.boolean().default(false),
+      /** Whether the repeat budget prefers urgent calls. */
+      rankedRepeats: z.boolean().default(false),
+    })
+    .prefault({}),
   /** Time between the signal for a graceful shutdown and the kill of the process, in seconds. */
   stopSeconds: z.number().positive().default(6),
   /** Memory limit of the process, in MiB. */
@@ -71,4 +96,5 @@
 
 export type RevocationSettings = z.infer<typeof meshSettingsSchema>['revocation'];
 export type QuotaSettings = z.infer<typeof meshSettingsSchema>['quotas'];
+export type LoadSettings = z.infer<typeof meshSettingsSchema>['load'];
 export type MeshSettings = z.infer<typeof meshSettingsSchema>;
