--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -29,6 +29,8 @@
 const kLevelFactorPerHop = 0.98;
 /** Largest chain length that is reported. */
 const kMaxChainLength = 64;
+/** Largest number of gates that is reported; it bounds the growth of the number in a loop caused by wrong call ratios. */
+const kMaxGates = 200;
 
 /** Report of a gate on a route, sent with each response. */
 export interface RouteReport {
@@ -50,6 +52,7 @@
 interface RouteState {
   inner: boolean | undefined;
   height: number;
+  gates: number | undefined;
   /** Levels by the host that reported them. */
   levels: Map<string, HostLevel>;
   /** Level as last computed, with its time. */
@@ -86,6 +89,7 @@
     const state = this._getOrCreateState(route);
     state.inner = report.inner ?? state.inner;
     state.height = report.height;
+    state.gates = isPlausibleGates(report.gates) ? report.gates : state.gates;
     const now = monotonicMs();
     // Levels are not smoothed here: gates integrate them over time already, and a mean would add 0.2 s a hop to the time in which a step of
     // the level shows at the gate, so that the level would oscillate.
@@ -118,11 +122,15 @@
   report(route: string, gateLevel: number): RouteReport {
     let level = gateLevel;
     let height = 0;
-    for (const call of this._ratios.callsOf(route).keys()) {
+    let gates = 1;
+    for (const [call, ratio] of this._ratios.callsOf(route)) {
       level = Math.max(level, this.level(call) * kLevelFactorPerHop);
-      height = Math.max(height, Math.min(kMaxChainLength, 1 + (this._routes.get(call)?.height ?? 0)));
+      const called = this._routes.get(call);
+      height = Math.max(height, Math.min(kMaxChainLength, 1 + (called?.height ?? 0)));
+      gates += ratio * (called?.gates ?? 1);
     }
-    return { level, inner: this._internalRoutes.isInternal(route), height };
+    const inner = this._internalRoutes.isInternal(route);
+    return { level, inner, height, gates: this.isEstimated(route) ? Math.min(kMaxGates, gates) : undefined };
   }
 
   /** Sums `valueOf` over the downstream calls of one run of a route. `valueOf` returns the value per call of a called route. */
@@ -196,9 +204,14 @@
   private _getOrCreateState(route: string): RouteState {
     let state = this._routes.get(route);
     if (!state) {
-      state = { inner: undefined, height: 0, levels: new Map(), cachedLevel: { level: 0, at: -Infinity } };
+      state = { inner: undefined, height: 0, gates: undefined, levels: new Map(), cachedLevel: { level: 0, at: -Infinity } };
       this._routes.set(route, state);
     }
     return state;
   }
 }
+
+/** Whether a reported number of gates is possible: a call passes at least its own gate. */
+function isPlausibleGates(gates: number | undefined): gates is number {
+  return gates !== undefined && gates >= 1 && gates <= kMaxGates;
+}
--- a/tests/admission/chainModel.spec.ts
+++ b/tests/admission/chainModel.spec.ts
@@ -194,7 +194,7 @@
     const roster = chains.report('roster', 0.1);
     t.true(Math.abs(roster.level - 0.4) < 0.02);
     t.is(roster.height, 1);
-    t.deepEqual(chains.report('hold', 0.1), { level: 0.1, inner: undefined, height: 0 });
+    t.deepEqual(chains.report('hold', 0.1), { level: 0.1, inner: undefined, height: 0, gates: 1 });
     time.runUntil(time.now + 60_000);
     t.is(chains.report('roster', 0.1).level, 0.1);
     time.restore();
@@ -258,4 +258,24 @@
     t.true(Math.abs(after.sumDownstream('roster', () => 1) - 2) < 0.2);
     time.restore();
   });
+
+  itSerial('should report the gates that a call passes, so that no gate grants the waits of the others, and bound them in a loop', (t) => {
+    const chains = new ChainModel();
+    const report = (route: string, gates: number | undefined): void => {
+      chains.recordReport(route, 'h1', { level: 0, inner: true, height: 0, gates });
+    };
+    t.is(chains.report('check', 0).gates, undefined);
+    chains.restore({ calls: { check: { status: 2, audit: 1 }, loop: { loop: 3 } }, inner: {} });
+    t.is(chains.report('check', 0).gates, 4);
+    report('status', 6);
+    t.is(chains.report('check', 0).gates, 14);
+    for (const implausible of [undefined, NaN, Infinity, -1, 0, 1_000]) {
+      report('status', implausible);
+      t.is(chains.report('check', 0).gates, 14);
+    }
+    for (let round = 0; round < 10; round++) {
+      report('loop', chains.report('loop', 0).gates);
+    }
+    t.is(chains.report('loop', 0).gates, 200);
+  });
 });
