--- a/packages/core/src/admission/notRunReason.ts
+++ b/packages/core/src/admission/notRunReason.ts
@@ -12,7 +12,7 @@
 
 /**
  * Whether the reason is a lack of capacity at the gate, which fewer arrivals would relieve. The others say nothing about capacity: another
- * gate was meant, it has no target, it may not repeat, or its target refuses by itself.
+ * gate was meant, it has no target, it may not repeat, its chain lost its time elsewhere, or its target refuses by itself.
  */
 export function isCapacityRefusal(reason: NotRunReason): boolean {
   switch (reason) {
@@ -25,6 +25,7 @@
     case 'unreachable':
     case 'repeat_budget':
     case 'target_refused':
+    case 'too_late':
     case 'wrong_instance':
     case 'key_not_valid':
     case 'suspected':
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -31,6 +31,8 @@
   | 'rate_limited'
   | 'repeat_budget'
   | 'wait_too_long'
+  /** The chain of the call cannot end in time any more, even if nothing waits. */
+  | 'too_late'
   | 'key_not_valid'
   /** Requests with its fingerprint are suspected of crashing targets, and no probe can run here now. */
   | 'suspected'
@@ -42,8 +44,10 @@
   id: number;
   /** Latest start on the monotonic clock, in milliseconds. Waiting calls start in this order. */
   waitUntil: number;
-  /** Rank of an external request, 0 for the most urgent; undefined for calls of targets, whose root request is unknown. */
+  /** Rank of the root request, 0 for the most urgent; undefined for calls of targets whose root request is unknown. */
   rank?: number | undefined;
+  /** Whether it is a call of a target; absent counts as false. */
+  inner?: boolean | undefined;
 }
 
 /** Callbacks for waiting calls. */
@@ -137,8 +141,9 @@
   }
 
   /**
-   * Queues an external request in place of the least urgent one ahead of it, if that one is less urgent and the request can then
-   * start in time. Calls of targets are never displaced, because the work of their callers would be lost, and displace no others.
+   * Queues a call of known rank in place of the least urgent one ahead of it, if that one is less urgent and the call can then start in
+   * time. Calls without a rank are never displaced, because the work of their callers, which may be urgent, would be lost, and displace no
+   * others.
    */
   private _displace(call: T, position: number, now: number): { kind: 'queued' } | { kind: 'refused'; reason: GateRefusal } {
     const startsAt = now + this._startDelayMs(position, now);
@@ -152,11 +157,15 @@
     return { kind: 'queued' };
   }
 
-  /** Finds the call with the largest rank above `rank` among the first `count` waiting calls. */
+  /**
+   * Finds the call with the largest rank above `rank` among the first `count` waiting calls. Among equal ranks, external requests come
+   * first, because no work of a caller is lost with them.
+   */
   private _findLeastUrgent(count: number, rank: number): T | undefined {
     let least: T | undefined;
     for (const waiting of this._queue.slice(0, count)) {
-      if (rank >= 0 && (waiting.rank ?? -1) > (least?.rank ?? rank)) {
+      const margin = (waiting.rank ?? -1) - (least?.rank ?? rank);
+      if (rank >= 0 && (margin > 0 || (margin === 0 && least?.inner === true && waiting.inner !== true))) {
         least = waiting;
       }
     }
--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -29,7 +29,7 @@
 const kMaxRateLimitedOffers = 2;
 
 /** Reasons that apply to every target. */
-const kFinalReasons: ReadonlySet<NotRunReason> = new Set(['cancelled', 'repeat_budget', 'key_not_valid', 'quarantined']);
+const kFinalReasons: ReadonlySet<NotRunReason> = new Set(['cancelled', 'repeat_budget', 'too_late', 'key_not_valid', 'quarantined']);
 /** Retry-after time of a quarantined request, in milliseconds. */
 const kQuarantinedRetryMs = 60_000;
 /** Retry-after time of a suspect that may not be sent to a target now, in milliseconds. */
--- a/tests/admission/refusalLevel.spec.ts
+++ b/tests/admission/refusalLevel.spec.ts
@@ -15,6 +15,7 @@
   not_accepting: false,
   unreachable: false,
   repeat_budget: false,
+  too_late: false,
   target_refused: false,
   wrong_instance: false,
   key_not_valid: false,
--- a/tests/admission/slotGate.spec.ts
+++ b/tests/admission/slotGate.spec.ts
@@ -116,4 +116,30 @@
       t.is(gate.limit, 95);
     });
   });
+
+  itSerial('should refuse the least urgent call of known rank for a more urgent one, or lower-priority chains run in its place', (t) => {
+    /** Offers a call to a full queue and returns the refused one, 9 for itself. */
+    const refusedOf = (waiting: Partial<GatedCall>[], call: Partial<GatedCall>): number | undefined => {
+      let victim: number | undefined;
+      withGate(({ time, gate, refused, offer }) => {
+        gate.open(2, 0);
+        offer(100);
+        gate.callEnded(100, 100);
+        offer(101);
+        const waitUntil = time.now + 100 * waiting.length;
+        waiting.forEach((other, id) => t.is(gate.offer({ id, waitUntil, ...other }).kind, 'queued'));
+        const { kind } = gate.offer({ id: 9, waitUntil, ...call });
+        victim = kind === 'refused' ? 9 : refused[0]?.[0];
+        t.is(gate.queued, waiting.length);
+      });
+      return victim;
+    };
+    const inner = true;
+    t.is(refusedOf([{ rank: 1, inner }, { rank: 3, inner }, { rank: 2 }, { inner }], { rank: 1, inner }), 1);
+    t.is(refusedOf([{ rank: 2, inner }, { inner }], { rank: 0 }), 0);
+    t.is(refusedOf([{ rank: 2, inner }, { rank: 2 }], { rank: 1, inner }), 1);
+    t.is(refusedOf([{ rank: 2, inner }, { rank: 2 }], { rank: 2, inner }), 9);
+    t.is(refusedOf([{ rank: 2, inner }, { rank: 2 }], { inner }), 9);
+    t.is(refusedOf([{ inner }, {}], { rank: 0, inner }), 9);
+  });
 });
--- a/tests/routing/routeRequest.spec.ts
+++ b/tests/routing/routeRequest.spec.ts
@@ -55,6 +55,13 @@
     t.is(result, limited);
   });
 
+  it('should offer a request to no other target when its chain cannot end in time, since none of them can help', (t) => {
+    const tooLate: CallResult = { kind: 'not_run', reason: 'too_late', retryAfterMs: 0 };
+    const { offers, result } = runRoute(true, 3, [tooLate, kAnswered]);
+    t.is(offers.length, 1);
+    t.is(result, tooLate);
+  });
+
   it('should try another target when the request provably did not run', (t) => {
     for (const first of [kRefused, kShed]) {
       t.is(runRoute(false, 3, [first, kAnswered]).result, kAnswered);
