--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -10,13 +10,10 @@
  * It does no I/O: `onStart` and `onRefuse` report the outcome of a waiting call.
  */
 
+import { RunDurations, type RunStart } from '../targetLoad/runDurations.js';
 import { monotonicMs } from '../util/clock.js';
 import { TargetRateLimiter } from './targetRateLimiter.js';
 
-/** Share of the slots that is used, because some targets slow down when they are nearly full. */
-const kUsedSlotShare = 0.95;
-/** Weight of the latest run in the mean duration. */
-const kMeanWeight = 0.05;
 /** Maximum queue length, as a multiple of the limit. */
 const kQueuePerSlot = 8;
 /** Shares of the slots that are used while a cold target has more than one second left to warm up, and in the last second. */
@@ -58,18 +55,24 @@
   readonly rateLimiter = new TargetRateLimiter();
   /** Waiting calls, sorted by their latest start. */
   private readonly _queue: T[] = [];
-  private readonly _running = new Set<number>();
+  private readonly _running = new Map<number, RunStart>();
+  private readonly _durations: RunDurations;
   private _slots = 0;
   /** Why the gate refuses all calls; undefined while it is open. */
   private _closedReason: GateRefusal | undefined = 'not_accepting';
-  private _meanMs = 0;
   private _warmFrom = 0;
 
-  /** @param _connections returns the number of connections that the target accepts; each running call uses one */
+  /**
+   * @param _connections returns the number of connections that the target accepts; each running call uses one
+   * @param slowness returns how long work takes at the target now, in percent of the usual time; undefined when it does not state it
+   */
   constructor(
     private readonly _events: SlotGateEvents<T>,
     private readonly _connections: () => number = () => Infinity,
-  ) {}
+    slowness: () => number | undefined = () => undefined,
+  ) {
+    this._durations = new RunDurations(slowness);
+  }
 
   /** Number of calls that run at the target. */
   get inFlight(): number {
@@ -82,12 +85,17 @@
 
   /** Number of calls that may run concurrently, limited by slots and connections. */
   get limit(): number {
-    return Math.max(1, Math.min(Math.floor(this._slots * kUsedSlotShare * this._coldShare()), this._connections()));
+    return Math.max(1, Math.min(Math.floor(this._slots * this._durations.usedSlotShare * this._coldShare()), this._connections()));
   }
 
   /** Mean duration of a run, in milliseconds; 0 before the first run ends. */
   get meanMs(): number {
-    return this._meanMs;
+    return this._durations.meanMs;
+  }
+
+  /** Expected duration of a run that starts now, in milliseconds: the mean duration, corrected by the slowness of the target. */
+  get expectedMs(): number {
+    return this._durations.expectedMs;
   }
 
   /** Expected wait of a call at the end of the queue, in milliseconds. */
@@ -124,7 +132,7 @@
     const now = monotonicMs();
     this.rateLimiter.recordArrival(now);
     if (this._queue.length === 0 && this._running.size < this.limit && this.rateLimiter.tryTake(now)) {
-      this._running.add(call.id);
+      this._addRunning(call);
       return { kind: 'started' };
     }
     const position = this._positionFor(call);
@@ -165,12 +173,14 @@
 
   /** Records that a started call ended. `ranMs` is its duration at the target; undefined leaves the mean duration as it is. */
   callEnded(id: number, ranMs?: number): void {
-    if (!this._running.delete(id)) {
+    const start = this._running.get(id);
+    if (!start) {
       return;
     }
     if (ranMs !== undefined) {
-      this._meanMs = this._meanMs === 0 ? ranMs : this._meanMs + (ranMs - this._meanMs) * kMeanWeight;
+      this._durations.ended(start, ranMs, this._running.size, this._slots);
     }
+    this._running.delete(id);
     this.startWaiting();
   }
 
@@ -201,9 +211,13 @@
     }
   }
 
+  private _addRunning(call: T): void {
+    this._running.set(call.id, this._durations.started(this._running.size + 1));
+  }
+
   /** Time until `count` more calls have started, in milliseconds. */
   private _startDelayMs(count: number, now: number): number {
-    return Math.max((count * this._meanMs) / this.limit, this.rateLimiter.msUntil(count, now));
+    return Math.max((count * this.expectedMs) / this.limit, this.rateLimiter.msUntil(count, now));
   }
 
   /** Names the rate limit as the reason of a refusal while the next call waits for it, rather than for a slot. */
@@ -242,7 +256,7 @@
     while (this._queue.length > 0 && this._running.size < this.limit && this.rateLimiter.tryTake(now)) {
       const call = this._queue.shift();
       if (call) {
-        this._running.add(call.id);
+        this._addRunning(call);
         this._events.onStart(call);
       }
     }
