--- a/packages/mesh/src/app/calls/gateLoad.ts
+++ b/packages/mesh/src/app/calls/gateLoad.ts
@@ -15,6 +15,7 @@
   type NotRunReason,
   type SlotGate,
 } from '@gentiandrum/core';
+import type { TargetLoadTracker } from '../load/targetLoadTracker.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 import type { OfferedCall } from './offeredCall.js';
 
@@ -36,13 +37,15 @@
   constructor(
     private readonly _gate: SlotGate<OfferedCall>,
     private readonly _deps: GateLoadDeps,
+    /** Load that the target states; undefined if it is not used. */
+    private readonly _targetLoad?: TargetLoadTracker,
   ) {}
 
   /** Load and admission level, for metrics. */
   get state(): MetricsView['gate'] {
     const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
     const rate = { rateLimit: rateLimiter.statedRate, rateTokens: rateLimiter.tokens(monotonicMs()) };
-    return { inFlight, queued, limit, meanMs, level: this.level.current, ...rate };
+    return { inFlight, queued, limit, meanMs, level: this.level.current, ...rate, targetLoad: this._targetLoad?.state };
   }
 
   /** Current load and chain report for the callers of a route. */
@@ -52,7 +55,11 @@
     const { level, inner, height } = chains.report(route, this.level.current);
     const charge = Math.round(chains.sumDownstream(route, (call) => this._deps.chargeMs(call)));
     const rateLoad = rateLimiter.loadAt(monotonicMs());
-    return { inFlight, queued, limit, meanMs, level, inner, height, chargeMs: charge, rateLoad };
+    const slowness = this._targetLoad?.reportedSlowness;
+    return {
+      ...{ inFlight, queued, limit, meanMs, level, inner, height, chargeMs: charge, rateLoad },
+      ...(slowness === undefined ? {} : { slowness }),
+    };
   }
 
   /** Updates the admission level for the elapsed time. */
@@ -66,7 +73,7 @@
     if (!isCapacityRefusal(reason)) {
       return;
     }
-    const workMs = this._gate.workMs(this._gate.meanMs);
+    const workMs = this._gate.workMs(this._gate.expectedMs);
     if (reason === 'rate_limited') {
       this.level.recordRateLimited(workMs);
     } else {
@@ -85,10 +92,10 @@
     if (reason === 'not_accepting') {
       return 0;
     }
-    const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
+    const { inFlight, queued, limit, expectedMs, rateLimiter } = this._gate;
     if (reason === 'rate_limited') {
       return rateLimiter.retryAfterMs(monotonicMs());
     }
-    return Math.min(kMaxRetryAfterMs, ((inFlight + queued) / limit) * meanMs);
+    return Math.min(kMaxRetryAfterMs, ((inFlight + queued) / limit) * expectedMs);
   }
 }
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -28,12 +28,14 @@
 import { type RunResult, TargetClient } from '../../client/targetClient.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
+import { TargetLoadTracker } from '../load/targetLoadTracker.js';
 import { ConditionTracker } from './conditionTracker.js';
 import { CrashRecorder } from './crashRecorder.js';
 import { GateLoad } from './gateLoad.js';
 import { createOfferedCall, type OfferDone, type OfferedCall, type OfferHandle } from './offeredCall.js';
 import { logSuspectRun } from './logSuspectEvent.js';
 import { identityOf } from './requestIdentity.js';
+import { statementEvents } from './statementEvents.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
 /** Interval between checks for calls that have waited too long, in milliseconds. */
@@ -87,6 +89,8 @@
   private _nextId = 1;
   private readonly _load: GateLoad;
   private readonly _condition: ConditionTracker;
+  /** Undefined if the load that the target states is not used. */
+  private readonly _targetLoad: TargetLoadTracker | undefined;
   /** Set only while calls wait, so that an idle daemon does not wake up. */
   private _expiryTimer: NodeJS.Timeout | undefined;
 
@@ -107,6 +111,7 @@
         logSuspectRun(_deps.events, call.requestId, run);
       },
     });
+    this._targetLoad = _deps.load.statedLoad ? new TargetLoadTracker(() => this._lifecycle.known.instance, _deps.events) : undefined;
     this._gate = new SlotGate<OfferedCall>(
       {
         onStart: (offered) => {
@@ -118,8 +123,9 @@
         },
       },
       this._connections,
+      () => this._targetLoad?.slowness,
     );
-    this._load = new GateLoad(this._gate, _deps);
+    this._load = new GateLoad(this._gate, _deps, this._targetLoad);
     this._condition = new ConditionTracker({
       limiter: this._gate.rateLimiter,
       incarnation: () => this._lifecycle.known,
@@ -166,6 +172,7 @@
       this._client = undefined;
       this._reachability = new TargetReachability();
       this._condition.reset();
+      this._targetLoad?.reset();
     }
     if (announcement.instance === instance && announcement.state === 'ready') {
       this._reachability.record('heartbeat', monotonicMs());
@@ -347,19 +354,10 @@
     }
     const reachability = this._reachability;
     this._client ??= new TargetClient(address, instance, this._connections, this._deps.names, {
+      ...statementEvents(() => reachability === this._reachability, this._condition, this._targetLoad),
       onReachability: (evidence) => {
         this._handleReachability(reachability, evidence);
       },
-      onCondition: (call, condition) => {
-        if (reachability === this._reachability) {
-          this._condition.record(condition, call.requestId);
-        }
-      },
-      onNoRateLimit: (call, sentAt) => {
-        if (reachability === this._reachability) {
-          this._condition.recordNoRateLimit(call.requestId, sentAt);
-        }
-      },
       onCrash: (calls) => {
         this._handleCrash(calls);
       },
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -7,6 +7,7 @@
 
 import type { GateRefusal } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
+import type { TargetLoadState } from './load/targetLoadTracker.js';
 import type { QuotaCounts } from './workspaces/quotaService.js';
 import { kLatencyBounds, LatencyMetric, type RequestTotals, type RequestOutcome } from './latencyMetric.js';
 
@@ -27,6 +28,8 @@
     /** Rate limit that the target states, in requests per second, and the requests that may be sent now; undefined without a limit. */
     rateLimit: number | undefined;
     rateTokens: number | undefined;
+    /** Load that the target states; undefined if it is not used. */
+    targetLoad: TargetLoadState | undefined;
   };
   /** Number of hosts by the state of their target. */
   hosts: ReadonlyMap<string, number>;
@@ -174,6 +177,7 @@
       ['gate_mean_ms', gate.meanMs],
       ...(gate.rateLimit === undefined ? [] : [['gate_rate_limit', gate.rateLimit] satisfies [string, number]]),
       ...(gate.rateTokens === undefined ? [] : [['gate_rate_tokens', gate.rateTokens] satisfies [string, number]]),
+      ...targetLoadValues(gate.targetLoad),
       ['links', links],
       ['config_version', configVersion],
       ['config_age_seconds', configAge],
@@ -228,6 +232,19 @@
   count: number;
 }
 
+function targetLoadValues(state: TargetLoadState | undefined): [string, number][] {
+  if (!state) {
+    return [];
+  }
+  const { slowness, slownessAgeSeconds, statements, invalid } = state;
+  return [
+    ...(slowness === undefined ? [] : [['gate_slowness', slowness] satisfies [string, number]]),
+    ...(slownessAgeSeconds === undefined ? [] : [['gate_slowness_age_seconds', slownessAgeSeconds] satisfies [string, number]]),
+    ['load_statements', statements],
+    ['load_statements_invalid', invalid],
+  ];
+}
+
 function sumBy<T extends { count: number }>(entries: Iterable<T>, keyOf: (entry: T) => string): Record<string, number> {
   const sums: Record<string, number> = {};
   for (const entry of entries) {
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -39,6 +39,8 @@
   onReachability(evidence: ReachabilityEvidence): void;
   /** The target stated its condition in the head of a response. */
   onCondition(call: PeerCall, condition: TargetCondition): void;
+  /** The target stated its load in the head of a response; `text` is the value of the header. */
+  onLoad(call: PeerCall, text: string): void;
   /** The target stated no rate limit in the complete response to a call that was sent at `sentAt`, on the monotonic clock. */
   onNoRateLimit(call: PeerCall, sentAt: number): void;
   /** The target crashed while these calls were in flight. Called before their results are reported. */
@@ -98,6 +100,9 @@
         if (headers.condition !== kNoCondition && isFromTarget(call, status, headers)) {
           this._events.onCondition(call, headers.condition);
         }
+        if (headers.load !== undefined && isFromTarget(call, status, headers)) {
+          this._events.onLoad(call, headers.load);
+        }
       },
       onDone: (outcome) => {
         this._runs.delete(run);
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -37,6 +37,8 @@
   sealed: boolean;
   /** Condition that the target states. */
   condition: TargetCondition;
+  /** Value of the header by which the target states its load, the first if it is repeated; undefined when it sends none. */
+  load: string | undefined;
   /** Time after which the target asks for a retry, in milliseconds; undefined when it sends none. */
   retryAfterMs: number | undefined;
   /** Keep-alive timeout of the target, in seconds; undefined when it sends none. */
@@ -150,6 +152,7 @@
       notRun: false,
       sealed: false,
       condition: kNoCondition,
+      load: undefined,
       retryAfterMs: undefined,
       keepAliveSeconds: undefined,
       forwarded: [],
@@ -169,6 +172,8 @@
           rateLimit = appendToList(rateLimit, value);
         } else if (lower === names.leaving) {
           leaving = appendToList(leaving, value);
+        } else if (lower === names.load) {
+          read.load ??= value;
         } else if (lower === 'retry-after') {
           read.retryAfterMs = parseRetryAfter(value);
         }
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -28,6 +28,8 @@
   rateLimit: string;
   /** Set to `1` on the responses of a target that is leaving. */
   leaving: string;
+  /** Load that the target states in its responses: runs, waiting requests, slots and, in newer targets, slowness. */
+  load: string;
 }
 
 /** HTTP conventions of the platform. */
