--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -26,6 +26,8 @@
   /** May include a query string. */
   path: string;
   presented: PresentedKey;
+  /** Time until the caller's deadline, in milliseconds; infinite when the caller sends none. */
+  remainingMs: number;
 }
 
 /** Lookup tables built from the configuration in force. */
@@ -57,7 +59,9 @@
   | { kind: 'stale_configuration'; route: Route }
   | { kind: 'over_quota'; route: Route; workspace: string; retryAfterMs: number }
   | { kind: 'quota_unknown'; route: Route; workspace: string; retryAfterMs: number }
-  | { kind: 'shed'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number };
+  | { kind: 'shed'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number }
+  /** Its chain takes longer than the time left. */
+  | { kind: 'too_late'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number };
 
 /** Functions of the daemon that the procedure uses. */
 export interface AdmitContext {
@@ -69,6 +73,8 @@
   takeToken(workspace: string, limits: QuotaLimits): Generator<TokenRequest, QuotaResult, TokenResponse>;
   /** Whether to shed a request because of the load on its chain. Rank 0 is the most urgent; `keyed` requests carry a workspace key. */
   shouldShed(route: Route, rank: number, keyed: boolean): boolean;
+  /** Whether a request with this time left can end in time. */
+  canEndInTime(route: Route, remainingMs: number, keyed: boolean): boolean;
 }
 
 /** Decides whether to admit one request. */
@@ -83,7 +89,7 @@
     return { kind: 'no_route' };
   }
   if (!workspaces.required || route.exempt) {
-    return decideByLoad(route, undefined, route.priority, tables, ctx);
+    return decideByLoad(req, { route, workspace: undefined, rank: route.priority }, tables, ctx);
   }
   const identified = identify(route, req.presented, tables, ctx);
   if (identified.kind !== 'identified') {
@@ -98,7 +104,8 @@
     }
     workspace.token = quota.share;
   }
-  return decideByLoad(route, workspace, priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority), tables, ctx);
+  const rank = priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority);
+  return decideByLoad(req, { route, workspace, rank }, tables, ctx);
 }
 
 type IdentifyResult =
@@ -133,15 +140,24 @@
   };
 }
 
+/** A request whose route, key and quota allow it to run. */
+interface RankedRequest {
+  route: Route;
+  workspace: RequestWorkspace | undefined;
+  rank: number;
+}
+
 function decideByLoad(
-  route: Route,
-  workspace: RequestWorkspace | undefined,
-  rank: number,
+  { remainingMs }: EntryRequest,
+  { route, workspace, rank }: RankedRequest,
   { routes }: RoutingTables,
   ctx: AdmitContext,
 ): EntryResult {
   if (ctx.shouldShed(route, rank, workspace !== undefined)) {
     return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
   }
+  if (!ctx.canEndInTime(route, Math.min(route.timeoutMs, remainingMs), workspace !== undefined)) {
+    return { kind: 'too_late', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
+  }
   return { kind: 'admitted', route, service: routes.nextService(route), rank, workspace };
 }
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -29,6 +29,7 @@
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
 import type { PeerCall } from '../../client/callCodec.js';
+import type { CallChain } from '../load/chainControl.js';
 import type { Deadlines, Expirable } from './deadlines.js';
 import { identityOf } from './requestIdentity.js';
 import type { OfferDone, OfferHandle } from './offeredCall.js';
@@ -77,6 +78,8 @@
   body: Buffer;
   /** Rank under overload, 0 the most urgent. */
   rank: number;
+  /** Chain of a call of the local target. */
+  chain: CallChain;
   /** Workspace of the request; `validUntil` is the monotonic time until which its key may be trusted. */
   workspace: Pick<RequestWorkspace, 'name' | 'keyHash' | 'version' | 'validUntil'> | undefined;
   /** Deadline of the request, on the monotonic clock. */
@@ -251,7 +254,8 @@
   }
 
   private _toPeerCall({ target, repeat, suspect }: Offer): PeerCall {
-    const { route, callerService, requestId, method, path, headers, body, rank, workspace } = this._req;
+    const { route, callerService, requestId, method, path, headers, body, rank, workspace, chain } = this._req;
+    const parent = chain.kind === 'known' ? chain : undefined;
     const remainingMs = Math.max(1, this._remainingMs());
     const internal = !workspace && this._deps.chains.isInternal(route.name) === true;
     return {
@@ -265,7 +269,8 @@
       repeat,
       inner: internal,
       idempotent: route.idempotent,
-      rank: internal ? undefined : rank,
+      rank: internal ? parent?.rank : rank,
+      chain: parent?.need,
       instance: target.instance,
       callerService,
       suspicion: suspect ? this._assessment?.suspicion : undefined,
@@ -296,6 +301,9 @@
   private _finish(): void {
     this._finished = true;
     this._deps.deadlines.delete(this);
+    if (this._req.chain.kind === 'known') {
+      this._req.chain.ended();
+    }
     this._procedure.return({ kind: 'lost', reason: 'ended early' });
   }
 }
--- a/packages/mesh/src/app/calls/gateLoad.ts
+++ b/packages/mesh/src/app/calls/gateLoad.ts
@@ -15,6 +15,7 @@
   type NotRunReason,
   type SlotGate,
 } from '@gentiandrum/core';
+import type { LoadSettings } from '@gentiandrum/protocol';
 import type { TargetLoadTracker } from '../load/targetLoadTracker.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 import type { OfferedCall } from './offeredCall.js';
@@ -26,6 +27,7 @@
 export interface GateLoadDeps {
   /** Mean charge of the calls on a route that this host sends, in milliseconds. */
   chargeMs(route: string): number;
+  load: LoadSettings;
   chains: ChainModel;
   metrics: MeshMetrics;
 }
@@ -52,12 +54,13 @@
   report(route: string): GateReport {
     const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
     const { chains } = this._deps;
-    const { level, inner, height } = chains.report(route, this.level.current);
+    const { level, inner, height, gates } = chains.report(route, this.level.current);
     const charge = Math.round(chains.sumDownstream(route, (call) => this._deps.chargeMs(call)));
     const rateLoad = rateLimiter.loadAt(monotonicMs());
     const slowness = this._targetLoad?.reportedSlowness;
     return {
       ...{ inFlight, queued, limit, meanMs, level, inner, height, chargeMs: charge, rateLoad },
+      ...(this._deps.load.chainTime ? { gates } : {}),
       ...(slowness === undefined ? {} : { slowness }),
     };
   }
--- a/packages/mesh/src/app/calls/offeredCall.ts
+++ b/packages/mesh/src/app/calls/offeredCall.ts
@@ -5,7 +5,7 @@
 
 /** A call that a daemon offers to the target on this host. */
 
-import type { CallResult, GatedCall, GateReport, SuspectCall } from '@gentiandrum/core';
+import type { CallResult, GatedCall, GateReport, SuspectCall, TrackedRun } from '@gentiandrum/core';
 import type { PeerCall } from '../../client/callCodec.js';
 import type { Run } from '../../client/targetClient.js';
 import { identityOf } from './requestIdentity.js';
@@ -24,7 +24,11 @@
   readonly call: PeerCall;
   /** Time until which the key of the workspace may be trusted, on the monotonic clock. */
   validUntil: number;
+  /** Longest time in the queue, in milliseconds. */
+  waitMs: number;
   run: Run | undefined;
+  /** Its run as the parent of calls of the target; undefined before it starts. */
+  parent: TrackedRun | undefined;
   startedAt: number;
   /** Whether a token of the repeat budget was spent on it. */
   repeatSpent: boolean;
@@ -37,13 +41,16 @@
     id,
     waitUntil: now + Math.min(call.waitMs, call.remainingMs),
     rank: call.rank,
+    inner: call.inner,
     call,
     identity: () => identityOf(call),
     route: call.route,
     suspicion: call.suspicion,
     expiresAt: now + call.remainingMs,
     validUntil: now + (call.workspace?.validMs ?? Infinity),
+    waitMs: call.waitMs,
     run: undefined,
+    parent: undefined,
     startedAt: 0,
     repeatSpent: false,
     done,
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -19,6 +19,7 @@
   type TokenRequest,
 } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
+import type { ChainControl } from '../load/chainControl.js';
 import type { QuotaService } from '../workspaces/quotaService.js';
 
 /** Daemon services that the request entry depends on. */
@@ -28,6 +29,7 @@
   validUntil(): number;
   quotas: QuotaService;
   chains: ChainModel;
+  chainControl: ChainControl;
 }
 
 /** A request whose admission is pending. */
@@ -48,6 +50,8 @@
       now: monotonicMs,
       takeToken: (workspace, limits) => _deps.quotas.take(workspace, limits),
       shouldShed: (route, rank, keyed) => this._shouldShed(route, rank, keyed),
+      canEndInTime: (route, remainingMs, keyed) =>
+        !this._isExternal(route, keyed) || _deps.chainControl.canEndInTime(route.name, remainingMs),
     };
   }
 
@@ -63,7 +67,7 @@
         return;
       }
       const result = step.value;
-      if (result.kind === 'shed' || (result.kind === 'admitted' && progress.cancelled)) {
+      if (result.kind === 'shed' || result.kind === 'too_late' || (result.kind === 'admitted' && progress.cancelled)) {
         this.returnToken(result.workspace);
       }
       if (!progress.cancelled) {
@@ -85,10 +89,13 @@
     }
   }
 
+  private _isExternal(route: Route, keyed: boolean): boolean {
+    return keyed || this._deps.chains.isInternal(route.name) === false;
+  }
+
   /** Sheds external requests only. */
   private _shouldShed(route: Route, rank: number, keyed: boolean): boolean {
     const { chains } = this._deps;
-    const external = keyed || chains.isInternal(route.name) === false;
-    return external && !this._admission.admits(rank, chains.level(route.name), Math.random(), monotonicMs());
+    return this._isExternal(route, keyed) && !this._admission.admits(rank, chains.level(route.name), Math.random(), monotonicMs());
   }
 }
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -36,6 +36,7 @@
 import { logSuspectRun } from './logSuspectEvent.js';
 import { identityOf } from './requestIdentity.js';
 import { statementEvents } from './statementEvents.js';
+import type { ChainControl } from '../load/chainControl.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
 /** Interval between checks for calls that have waited too long, in milliseconds. */
@@ -64,6 +65,7 @@
   /** Called after each change of the advertised state. */
   onChange(): void;
   chains: ChainModel;
+  chainControl: ChainControl;
   suspects: Suspects;
   metrics: MeshMetrics;
   events: EventLog;
@@ -237,7 +239,7 @@
     const now = monotonicMs();
     const offered = createOfferedCall(this._nextId++, call, now, done);
     this._deps.chains.recordArrival(call.route, call.callerService, call.workspace !== undefined);
-    const refusal = this._immediateRefusal(offered) ?? this._offerToSuspectGate(offered);
+    const refusal = this._immediateRefusal(offered) ?? this._limitWait(offered, now) ?? this._offerToSuspectGate(offered);
     if (refusal) {
       this._refuse(offered, refusal);
       return { cancel: () => undefined };
@@ -264,9 +266,20 @@
     }
   }
 
+  /** Limits the wait of a call to what its chain can bear; refuses it if the chain cannot end in time. */
+  private _limitWait(offered: OfferedCall, now: number): GateRefusal | undefined {
+    const time = this._deps.chainControl.timeOf(offered.call);
+    if (time.kind === 'too_late') {
+      return time.kind;
+    }
+    offered.waitMs = time.waitMs;
+    offered.waitUntil = now + Math.min(time.waitMs, offered.call.remainingMs);
+    return undefined;
+  }
+
   /** Starts a call, queues it for a slot, or refuses it. */
   private _offerToSlotGate(offered: OfferedCall): void {
-    this._load.level.recordArrival(offered.call.waitMs);
+    this._load.level.recordArrival(offered.waitMs);
     const decision = this._gate.offer(offered);
     switch (decision.kind) {
       case 'started':
@@ -421,6 +434,7 @@
     }
     this._deps.chains.recordRun(offered.call.route);
     this._running.set(offered.call, offered);
+    offered.parent = this._deps.chainControl.runStarted(offered, remaining);
     offered.run = client.run(offered.call, remaining, (result) => {
       this._handleResult(offered, result);
     });
@@ -434,6 +448,7 @@
     }
     const ran = responded && result.kind === 'answered' && result.answer.status < 400;
     const tookMs = monotonicMs() - offered.startedAt;
+    this._deps.chainControl.runEnded(offered.parent, ran);
     if (result.kind === 'not_run' && isCapacityRefusal(result.reason)) {
       this._load.recordRefusal(result.reason);
     } else {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -30,6 +30,7 @@
 import type { EventLog } from './eventLog.js';
 import { HostRecords, type HostRecordsDeps } from './records/hostRecords.js';
 import { LogFollower, type LogFollowerDeps } from './log/logFollower.js';
+import { ChainControl } from './load/chainControl.js';
 import { type TargetLocality, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
@@ -74,6 +75,7 @@
   private readonly _sync = new RecordSync(this._directory);
   private readonly _placement: Placement;
   private readonly _chains = new ChainModel();
+  private readonly _chainControl: ChainControl;
   private readonly _configs: ConfigHolder;
   private readonly _records: HostRecords;
   private readonly _follower: LogFollower;
@@ -100,6 +102,7 @@
   ) {
     const { dialect } = _platform;
     this._placement = new Placement(_settings.id, _settings.zone, Math.random);
+    this._chainControl = new ChainControl({ load: _settings.load, chains: this._chains });
     this._metrics = new MeshMetrics(_settings.zone, () => this._view());
     this._metricsServer = new HostServer(async (req) => serveSuspects(req, this._suspects) ?? (await this._serveMetrics()));
     this._configs = new ConfigHolder((cfg) => {
@@ -142,6 +145,7 @@
         this._records.updateOwn();
       },
       chains: this._chains,
+      chainControl: this._chainControl,
       suspects: this._suspects,
       metrics: this._metrics,
       events: _events,
@@ -396,7 +400,9 @@
         validUntil: () => this._workspaces.proofs.validUntil(),
         quotas: this._workspaces.quotas,
         chains: this._chains,
+        chainControl: this._chainControl,
       }),
+      chainControl: this._chainControl,
       keysRequired: () => this._workspaces.required,
       stopping: () => this._stopping,
       chains: this._chains,
@@ -517,6 +523,7 @@
       proofAge: this._workspaces.proofs.ageSeconds,
       suspensions: this._suspensions.count,
       suspects: this._suspects.counts,
+      chainCounts: this._chainControl.counts,
       quotas: { ...this._workspaces.quotas.counts, buckets: this._workspaces.quotas.buckets },
     };
   }
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -17,6 +17,15 @@
 /** Location of a call's target relative to its ingress. */
 export type TargetLocality = 'own_host' | 'own_zone' | 'other_zone';
 
+/** Calls by what is known about their chains, and calls and requests refused because their chains cannot end in time. */
+export interface ChainCounts {
+  known: number;
+  unknown: number;
+  ended: number;
+  tooLateAtGate: number;
+  tooLateAtEntry: number;
+}
+
 /** Values that are read for each metrics request. */
 export interface MetricsView {
   gate: {
@@ -51,6 +60,7 @@
   suspensions: number;
   /** Number of suspected request fingerprints, and how many of them are quarantined. */
   suspects: { suspected: number; held: number };
+  chainCounts: ChainCounts;
   /** Number of quota buckets of this daemon, and token counts since the start. */
   quotas: QuotaCounts & { buckets: number };
 }
@@ -168,6 +178,7 @@
       suspensions,
       suspects,
       quotas,
+      chainCounts,
     } = this._view();
     const values: [string, number][] = [
       ['gate_in_flight', gate.inFlight],
@@ -193,6 +204,11 @@
       ['quota_tokens_denied', quotas.denied],
       ['quota_tokens_given_back', quotas.returned],
       ['quota_owners_unanswered', quotas.unanswered],
+      ['call_parents_known', chainCounts.known],
+      ['call_parents_unknown', chainCounts.unknown],
+      ['call_parents_ended', chainCounts.ended],
+      ['chains_too_late_at_gate', chainCounts.tooLateAtGate],
+      ['chains_too_late_at_entry', chainCounts.tooLateAtEntry],
       ...[...logCalls].map(([kind, count]): [string, number] => [`log_calls_${kind}`, count]),
       ...[...hosts].map(([state, count]): [string, number] => [`hosts_${state}`, count]),
     ];
--- a/packages/mesh/src/client/callCodec.ts
+++ b/packages/mesh/src/client/callCodec.ts
@@ -101,12 +101,12 @@
   return [Math.round(afterMs), Math.round(gatesAfter * kGatesScale)];
 }
 
-function parseChain(fields: unknown[]): ChainNeed | undefined {
+function parseChain(fields: unknown[]): { chain?: ChainNeed } {
   if (fields.length !== kCallFieldsWithChain) {
-    return undefined;
+    return {};
   }
   const [afterMs = 0, gatesAfter = 0] = fields[kCallFields] as number[];
-  return { afterMs, gatesAfter: gatesAfter / kGatesScale };
+  return { chain: { afterMs, gatesAfter: gatesAfter / kGatesScale } };
 }
 
 function encodeWorkspace(workspace: CallWorkspace | undefined, names: NameWriter): unknown[] {
@@ -178,8 +178,8 @@
     headers: parseHeaders(fields[15], names),
     body: fields[16] as Buffer,
     suspicion: (fields[17] ?? undefined) as Suspicion | undefined,
-    chain: parseChain(fields),
     workspace: parseWorkspace(fields, names),
+    ...parseChain(fields),
   };
 }
 
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -14,6 +14,7 @@
 import type { RequestOutcome } from '../app/latencyMetric.js';
 import type { MeshMetrics } from '../app/meshMetrics.js';
 import type { RequestEntry } from '../app/calls/requestEntry.js';
+import type { CallChain, ChainControl } from '../app/load/chainControl.js';
 import { HeaderReader, kCredentialsHeader } from '../http/headerReader.js';
 import type { HeaderNames } from '../ports.js';
 import { BodyMemory } from './bodyMemory.js';
@@ -42,6 +43,7 @@
   service: string;
   memoryMb: number;
   entry: RequestEntry;
+  chainControl: ChainControl;
   /** Whether requests need keys. If so, keys are not forwarded to targets. */
   keysRequired(): boolean;
   stopping(): boolean;
@@ -49,6 +51,9 @@
   events: EventLog;
 }
 
+/** A request that was admitted at the entry. */
+type AdmittedEntry = Extract<EntryResult, { kind: 'admitted' }>;
+
 export class CallServer implements ConnectionOwner {
   readonly headers: HeaderReader;
   readonly memory: BodyMemory;
@@ -112,9 +117,12 @@
   onRequest(req: CallerRequest): void {
     this._inFlight++;
     const { host, credentials } = req.headers;
-    const entering = this._deps.entry.enter({ host, path: req.target, presented: readCredentials(credentials) }, (result) => {
-      this._handleEntry(req, result);
-    });
+    const entering = this._deps.entry.enter(
+      { host, path: req.target, presented: readCredentials(credentials), remainingMs: req.remainingMs },
+      (result) => {
+        this._handleEntry(req, result);
+      },
+    );
     if (!req.entryDecided) {
       req.onDisconnect = () => {
         this._inFlight--;
@@ -138,7 +146,12 @@
     req.entryDecided = true;
     if (result.kind === 'admitted') {
       this._deps.chains.recordEntry(result.route.name);
-      this._startExchange(req, result);
+      const chain = this._deps.chainControl.chainOf(result.route.name, req.remainingMs);
+      if (chain.kind === 'ended') {
+        this._refuseOrphan(req, result);
+      } else {
+        this._startExchange(req, result, chain);
+      }
     } else {
       this._refuseEntry(req, result);
     }
@@ -160,8 +173,20 @@
     this._refuse(req, status, detail, retryAfterMs, headers);
   }
 
-  private _startExchange(req: CallerRequest, { route, service, rank, workspace }: Extract<EntryResult, { kind: 'admitted' }>): void {
+  /** Refuses a call of the local target whose run has ended, so that nobody waits for its response. */
+  private _refuseOrphan(req: CallerRequest, { route, service, workspace }: AdmittedEntry): void {
+    this._deps.metrics.requestEnded(service, 'not_run', 'parent_ended', 0);
+    this._deps.events.infoLowPriority('calls', 'Call refused: the run that made it has ended.', () => ({
+      req: req.headers.requestId,
+      route: route.name,
+    }));
+    this._deps.entry.returnToken(workspace);
+    this._refuse(req, 503, 'not run: the run that made the call has ended');
+  }
+
+  private _startExchange(req: CallerRequest, { route, service, rank, workspace }: AdmittedEntry, chain: CallChain): void {
     const { requestId, remainingMs } = req.headers;
+    const external = chain.kind === 'unknown' && this._deps.chains.isInternal(route.name) === false;
     const exchange = new CallExchange(
       {
         route,
@@ -173,12 +198,16 @@
         headers: this._forwardedHeaders(req),
         body: req.body,
         rank,
+        chain,
         workspace,
         deadline: req.receivedAt + Math.min(route.timeoutMs, remainingMs),
       },
       this._deps,
       (result) => {
         const { outcome, reason } = outcomeOf(result);
+        if (external && outcome === 'answered') {
+          this._deps.chainControl.recordSuccess(route.name, exchange.ageMs);
+        }
         this._deps.metrics.requestEnded(service, outcome, reason, exchange.ageMs / 1_000);
         this._logResult(exchange, route.name, result, requestId);
         this._recordWorkspaceOutcome(workspace, result, outcome);
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -77,6 +77,11 @@
     readonly headers: RequestHeaders,
   ) {}
 
+  /** Time until the caller's deadline, in milliseconds; infinite when the caller sends none. */
+  get remainingMs(): number {
+    return this.receivedAt + this.headers.remainingMs - monotonicMs();
+  }
+
   /** Sends the final response. Ignored after the first one and once the connection is closed. */
   respond(status: number, headers: string[], body: Buffer): void {
     this._connection.respond(this, status, headers, body);
--- a/packages/mesh/src/server/entryRefusals.ts
+++ b/packages/mesh/src/server/entryRefusals.ts
@@ -76,14 +76,28 @@
         logText: 'Request refused: the owners of the workspace quota did not respond.',
       };
     case 'shed':
-      return {
+    case 'too_late':
+      return overloadRefusalOf(result);
+  }
+}
+
+function overloadRefusalOf({ kind, retryAfterMs }: Extract<RefusedEntry, { kind: 'shed' | 'too_late' }>): EntryRefusal {
+  return kind === 'shed'
+    ? {
         status: 503,
         detail: 'not run: overloaded',
-        outcome: result.kind,
-        retryAfterMs: result.retryAfterMs,
+        outcome: kind,
+        retryAfterMs,
         logText: 'Request shed at entry: its call chain is overloaded.',
+      }
+    : {
+        status: 503,
+        detail: 'not run: its call chain takes longer than the time left',
+        outcome: kind,
+        retryAfterMs,
+        logText: 'Request refused at entry: its call chain takes longer than the time left.',
+        lowPriority: true,
       };
-  }
 }
 
 /** Returns the log fields of a refusal. Of a key, only a short hash is logged. */
@@ -101,6 +115,7 @@
     case 'quota_unknown':
       return { route: result.route.name, workspace: result.workspace, retryAfterMs: Math.round(result.retryAfterMs) };
     case 'shed':
+    case 'too_late':
       return { route: result.route.name, workspace: refusedWorkspace(result) };
   }
 }
@@ -112,6 +127,7 @@
     case 'quota_unknown':
       return result.workspace;
     case 'shed':
+    case 'too_late':
       return result.workspace?.name;
     case 'no_configuration':
     case 'no_route':
--- a/tests/mesh/callExchange.spec.ts
+++ b/tests/mesh/callExchange.spec.ts
@@ -55,6 +55,7 @@
     headers: [],
     body: Buffer.alloc(0),
     rank: 0,
+    chain: { kind: 'unknown' },
     workspace: undefined,
     deadline: performance.now() + 1_000,
   };
--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -56,13 +56,17 @@
       recorded.ranks.push(rank);
       return false;
     },
+    canEndInTime: () => true,
     ...changed,
   };
 }
 
 function enter(req: Partial<EntryRequest>, changed?: Partial<AdmitContext>): { result: EntryResult; recorded: Recorded } {
   const recorded: Recorded = { taken: [], ranks: [] };
-  const procedure = admitRequest({ host: 'app', path: '/read/1', presented: { kind: 'none' }, ...req }, createContext(recorded, changed));
+  const procedure = admitRequest(
+    { host: 'app', path: '/read/1', presented: { kind: 'none' }, remainingMs: Infinity, ...req },
+    createContext(recorded, changed),
+  );
   const step = procedure.next();
   if (step.done !== true) {
     throw new Error('expected no token request');
