--- a/packages/core/src/routing/hostStats.ts
+++ b/packages/core/src/routing/hostStats.ts
@@ -9,12 +9,13 @@
 import { RateLoad } from '../admission/rateLoad.js';
 import type { TargetRecord } from '../membership/targetRecord.js';
 import { DecayingAverages } from './decayingAverages.js';
+import type { SpeedStats } from './speedStats.js';
 
 /**
  * Half-life of a host's deviation from the mean time of its route, in milliseconds. Without the decay, a host that was slow once would
  * receive no more calls, and its mean time could never recover.
  */
-const kMeanHalfLifeMs = 2_000;
+export const kMeanHalfLifeMs = 2_000;
 /** Half-life of a load report, in milliseconds. */
 const kReportHalfLifeMs = 500;
 /** Half-life of a mean charge, in milliseconds. */
@@ -77,6 +78,9 @@
   private _unreachableUntil = 0;
   private _backoffMs = 0;
 
+  /** @param _speed slowness of the target; undefined where the choice does not use it */
+  constructor(private readonly _speed?: SpeedStats) {}
+
   /** Routes that have a mean call duration. */
   get routes(): string[] {
     return this._meanMs.names;
@@ -100,6 +104,8 @@
       this._recordReport(route, result.load, now);
     }
     if (result.tookMs !== undefined) {
+      // The part of the mean that has decayed is replaced by the result, as it is no evidence of a misstatement.
+      this._speed?.recordDuration(route, result.tookMs, this.meanMs(route, result.tookMs, now), now);
       this._meanMs.update(route, result.tookMs, now, usualMs, result.tookMs);
     }
   }
@@ -128,6 +134,21 @@
     return this._meanMs.valueAt(route, now, usualMs);
   }
 
+  /** Mean duration of a call, adjusted to the slowness that the target states now, in milliseconds. */
+  expectedMs(route: string, usualMs: number, now: number): number {
+    return this.meanMs(route, usualMs, now) * (this._speed?.factor(route, now) ?? 1);
+  }
+
+  /** Slowness that the target states, in percent, aged to the present; undefined where it is unknown or not used. */
+  slowness(now: number): number | undefined {
+    return this._speed?.slowness(now);
+  }
+
+  /** Number of calls that the target runs concurrently. */
+  limit({ slots }: TargetRecord): number {
+    return this._load.limit > 0 ? this._load.limit : Math.max(1, slots);
+  }
+
   /** Mean charge for the downstream calls of a route, in milliseconds. */
   chargeMs(route: string, now: number): number {
     return this._chargeMs.valueAt(route, now);
@@ -138,14 +159,20 @@
     return this._failureRate * 0.5 ** ((now - this._failureRateAt) / kFailureHalfLifeMs);
   }
 
+  /** Failure rate above a tolerated one, or 0. As the rate only decays between results, a rate within the tolerated one needs no decay. */
+  failureRateAbove(tolerated: number, now: number): number {
+    return this._failureRate <= tolerated ? 0 : Math.max(0, this.failureRate(now) - tolerated);
+  }
+
   /**
    * Calls at the target and in transit to it, the next one included, divided by the number that it runs concurrently; or its arrivals relative
-   * to its rate limit, if that is more.
+   * to its rate limit, if that is more. An old report gives way to `usualLoad`; with 0, a target without calls soon appears to be free.
    */
-  load({ slots }: TargetRecord, now: number): number {
-    const limit = this._load.limit > 0 ? this._load.limit : Math.max(1, slots);
+  load(target: TargetRecord, now: number, usualLoad = 0): number {
+    const limit = this.limit(target);
     const decay = 0.5 ** ((now - this._reportedAt) / kReportHalfLifeMs);
-    const otherCalls = Math.max(0, this._load.inFlight + this._load.queued - this._outstandingAtReport) * decay;
+    const otherCalls =
+      Math.max(0, this._load.inFlight + this._load.queued - this._outstandingAtReport) * decay + usualLoad * limit * (1 - decay);
     return Math.max((otherCalls + this._outstanding + 1) / limit, this._rateLoad.valueAt(now));
   }
 
@@ -154,6 +181,9 @@
     this._reportedAt = now;
     this._outstandingAtReport = this._outstanding;
     this._backoffMs = 0;
+    if (load.slowness !== undefined) {
+      this._speed?.recordStatement(load.slowness, now);
+    }
     this._rateLoad.set(load.rateLoad ?? 0, now);
     this._chargeMs.update(route, Math.min(kMaxChainChargeMs, load.chargeMs ?? 0), now);
   }
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -13,9 +13,13 @@
 import { monotonicMs } from '../util/clock.js';
 import { RendezvousRank } from '../util/rendezvousRank.js';
 import { DecayingAverages } from './decayingAverages.js';
-import { HostStats, kChargeHalfLifeMs, kMaxChainChargeMs, type PlacedCallResult } from './hostStats.js';
+import { HostStats, kChargeHalfLifeMs, kMaxChainChargeMs, kMeanHalfLifeMs, type PlacedCallResult } from './hostStats.js';
 import { MovingAverages } from './movingAverages.js';
+import { drawLike, lowestScore, scoreBySpeed } from './speedChoice.js';
+import { SpeedStats } from './speedStats.js';
+import { type ComparisonContext, kBusyLoad, type PlacedRoute, scoreByMean, type ScoredTarget } from './targetScore.js';
 import { subsetFor, type TargetSubset } from './targetSubset.js';
+import { explainUnchosen, kUnchosenComparisons, type UnchosenTarget } from './unchosenTarget.js';
 
 /**
  * Charge for traffic between zones, in milliseconds for each KiB of a request and its response, and its upper bound as a share of the
@@ -27,84 +31,25 @@
 /** Assumed size of a call before the first result, and the size of the metadata of each call, in KiB. */
 const kAssumedKib = 1;
 const kHeaderKib = 0.16;
-/**
- * Loads between which the charge for a busy target grows linearly, and its maximum as a multiple of the charge for another zone. A full
- * target loses to one with free capacity, but not to one that is nearly as full.
- */
-const kBusyLoad = 0.85;
-const kFullLoad = 1.15;
-const kFullLoadChargeFactor = 1.5;
-/** Weight of the charge for downstream calls in another zone: a call chain moves there only if it costs clearly less. */
-const kOtherZoneChainWeight = 2;
 /** Assumed round-trip time between zones, in milliseconds; of the order that deployments report. */
 const kZoneRoundTripMs = 3;
-/**
- * Failure rate that is not charged, as calls also fail because of downstream targets, and the charge for the rate above it, as a multiple
- * of the mean call duration.
- */
-const kToleratedFailureRate = 0.1;
-const kFailureChargeFactor = 20;
 /** Assumed duration of a call before the first result, in milliseconds. */
 const kAssumedCallMs = 20;
-/** Share of the mean call duration that is charged for a load of one, so that the less loaded of two equal targets wins. */
-const kLoadTieBreakFactor = 0.5;
 /**
  * Fallback targets that are compared when the primary ones are full or unreachable. They are sampled for each call, so that ingresses with
  * full primary targets do not all switch to the same one.
  */
 const kFallbackSampleSize = 6;
-/** Charge for an unreachable target, in milliseconds; larger than any other charge. */
-const kUnreachableChargeMs = 1e6;
-/**
- * Consecutive comparisons without being chosen after which a target of the local zone is reported. Of some eight primary targets an
- * ordinary one is chosen once in eight, so only targets with a disadvantage are reported.
- */
-const kUnchosenComparisons = 100;
-
-/** A target of the local zone that is compared repeatedly but never chosen, with the values that decide its score. */
-export interface UnchosenTarget {
-  host: string;
-  comparisons: number;
-  /** Mean call durations by route, in milliseconds, of this host and over all hosts. */
-  meanMs: Record<string, number>;
-  usualMs: Record<string, number>;
-  /** Failure rate of its calls. */
-  failures: number;
-  /** Remaining time for which it is deprioritized as unreachable, in milliseconds. */
-  avoidedMs: number;
-  /** Calls at the target and in transit to it, divided by the number that it runs concurrently. */
-  load: number;
-}
-
-/** The route data that a choice needs. */
-export interface PlacedRoute {
-  name: string;
-  latencyTargetMs: number;
-}
-
-/** Inputs that are the same for all candidates of one choice. */
-interface ComparisonContext {
-  route: PlacedRoute;
-  excluded: ReadonlySet<string>;
-  now: number;
-  zoneChargeMs: number;
-  chainWeight: number;
-}
-
-/** A candidate and its score; the lowest score wins. */
-interface ScoredTarget {
-  target: TargetRecord;
-  score: number;
-  chargeMs: number;
-  load: number;
-  unreachable: boolean;
-}
+/** How a target is chosen: the best by mean duration, or the better of two random ones by present speed. */
+export type ChoiceStrategy = 'mean' | 'speed';
 
 /** Chooses targets and keeps statistics about them. Durations are kept by route, as those of different routes are not comparable. */
 export class Placement {
   private readonly _stats = new Map<string, HostStats>();
   /** Mean call duration by route over all hosts, in milliseconds; assumed for a host without results. */
   private readonly _routeMeanMs = new MovingAverages();
+  /** Mean load that targets report, by route; assumed for a host without a recent report. */
+  private readonly _routeLoad = new MovingAverages();
   private readonly _routeKib = new MovingAverages();
   /** Mean charge of the chosen targets, by route, in milliseconds. */
   private readonly _routeChargeMs = new DecayingAverages(kChargeHalfLifeMs);
@@ -116,13 +61,14 @@
     private readonly _host: string,
     private readonly _zone: string,
     private readonly _random: () => number,
+    private readonly _strategy: ChoiceStrategy = 'mean',
   ) {
     this._rank = new RendezvousRank(_host);
   }
 
   /**
-   * Returns the best candidate that is not excluded, among the primary ones and, when those are full or unreachable, a sample of the
-   * fallback ones. The cost does not grow with the number of candidates: 4 to 5 microseconds with 10, 100 or 500, where comparing all takes
+   * Returns a good candidate that is not excluded, among the primary ones and, when those are full or unreachable, a sample of the
+   * fallback ones. The cost does not grow with the number of candidates: by mean 4 to 5 microseconds with 10, 100 or 500, where comparing all takes
    * 6, 53 and 248.
    */
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined {
@@ -134,12 +80,13 @@
       zoneChargeMs: this._zoneChargeMs(route),
       // A random weight for each choice moves calls to another zone gradually rather than all at once.
       chainWeight: 2 * this._random(),
+      zone: this._zone,
+      usualMs: this._usualMs(route.name),
+      usualLoad: this._routeLoad.get(route.name) ?? 0,
+      random: this._random,
     };
-    const { primary, fallback } = this._subsetOf(candidates);
-    let best = this._lowestScore(primary, context, undefined);
-    if (fallback.length > 0 && (best === undefined || best.load > kBusyLoad || best.unreachable)) {
-      best = this._lowestScore(this._sampleFallback(fallback), context, best);
-    }
+    const subset = this._subsetOf(candidates);
+    const best = this._strategy === 'speed' ? this._chooseBySpeed(subset, context) : this._chooseByMean(subset, context);
     if (!best) {
       return undefined;
     }
@@ -158,7 +105,9 @@
     const now = monotonicMs();
     return candidates.flatMap((target) => {
       const stats = this._stats.get(target.host);
-      return stats && stats.comparisonsSinceChosen >= kUnchosenComparisons ? [this._explainUnchosen(target, stats, now)] : [];
+      return stats && stats.comparisonsSinceChosen >= kUnchosenComparisons
+        ? [explainUnchosen(target, stats, (route) => this._usualMs(route), now)]
+        : [];
     });
   }
 
@@ -171,6 +120,9 @@
     if (result.bytes !== undefined) {
       this._routeKib.update(route, result.bytes / 1_024 + kHeaderKib);
     }
+    if (this._strategy === 'speed' && result.load !== undefined && result.load.limit > 0) {
+      this._routeLoad.update(route, (result.load.inFlight + result.load.queued) / result.load.limit);
+    }
     this._statsOf(host).recordResult(route, result, this._usualMs(route), monotonicMs());
     if (result.tookMs !== undefined) {
       this._routeMeanMs.update(route, result.tookMs);
@@ -192,19 +144,6 @@
     this._stats.delete(host);
   }
 
-  private _explainUnchosen(target: TargetRecord, stats: HostStats, now: number): UnchosenTarget {
-    const { routes } = stats;
-    return {
-      host: target.host,
-      comparisons: stats.comparisonsSinceChosen,
-      meanMs: Object.fromEntries(routes.map((route) => [route, Math.round(stats.meanMs(route, this._usualMs(route), now))])),
-      usualMs: Object.fromEntries(routes.map((route) => [route, Math.round(this._usualMs(route))])),
-      failures: stats.failureRate(now),
-      avoidedMs: Math.round(stats.remainingBackoffMs(now)),
-      load: stats.load(target, now),
-    };
-  }
-
   private _zoneChargeMs({ name, latencyTargetMs }: PlacedRoute): number {
     return Math.min(kMaxZoneChargeShare * latencyTargetMs, this._kibOf(name) * kZoneChargePerKib) + kZoneRoundTripMs;
   }
@@ -238,6 +177,31 @@
     return Array.from({ length: count }, (_, i) => list[from + ((start + i) % (to - from))]).filter((target) => target !== undefined);
   }
 
+  private _chooseByMean({ primary, fallback }: TargetSubset, context: ComparisonContext): ScoredTarget | undefined {
+    const best = this._lowestScore(primary, context, undefined);
+    return needsFallback(fallback, best) ? this._lowestScore(this._sampleFallback(fallback), context, best) : best;
+  }
+
+  private _chooseBySpeed({ primary, fallback }: TargetSubset, context: ComparisonContext): ScoredTarget | undefined {
+    const scored = this._scoreAll(primary, context);
+    let best = lowestScore(scored);
+    if (needsFallback(fallback, best)) {
+      scored.push(...this._scoreAll(this._sampleFallback(fallback), context));
+      best = lowestScore(scored);
+    }
+    return best && drawLike(best, scored, this._zone, this._random);
+  }
+
+  private _scoreAll(targets: readonly TargetRecord[], context: ComparisonContext): ScoredTarget[] {
+    const scored: ScoredTarget[] = [];
+    for (const target of targets) {
+      if (!context.excluded.has(target.host)) {
+        scored.push(this._score(target, context));
+      }
+    }
+    return scored;
+  }
+
   private _lowestScore(
     targets: readonly TargetRecord[],
     context: ComparisonContext,
@@ -253,18 +217,10 @@
     return best;
   }
 
-  private _score(target: TargetRecord, { route, now, zoneChargeMs, chainWeight }: ComparisonContext): ScoredTarget {
+  private _score(target: TargetRecord, context: ComparisonContext): ScoredTarget {
     const stats = this._statsOf(target.host);
-    const load = stats.load(target, now);
-    const chainMs = stats.chargeMs(route.name, now);
-    const inOtherZone = target.zone !== this._zone;
-    stats.comparisonsSinceChosen += inOtherZone ? 0 : 1;
-    const directChargeMs = (inOtherZone ? zoneChargeMs : 0) + congestionOf(load) * kFullLoadChargeFactor * zoneChargeMs;
-    const chainChargeMs = chainMs * chainWeight * (inOtherZone ? kOtherZoneChainWeight : 1);
-    const unreachable = stats.remainingBackoffMs(now) > 0;
-    const score =
-      this._timeScore(stats, route, load, now) + directChargeMs + chainChargeMs + (unreachable ? kUnreachableChargeMs : 0) + this._random();
-    return { target, score, chargeMs: directChargeMs + chainMs, load, unreachable };
+    stats.comparisonsSinceChosen += target.zone === this._zone ? 1 : 0;
+    return this._strategy === 'speed' ? scoreBySpeed(target, stats, context) : scoreByMean(target, stats, context);
   }
 
   private _kibOf(route: string): number {
@@ -276,25 +232,17 @@
     return this._routeMeanMs.get(route) ?? kAssumedCallMs;
   }
 
-  /** Mean call duration, weighted by its share of the latency target, plus charges for load and failures. */
-  private _timeScore(stats: HostStats, { name: route, latencyTargetMs }: PlacedRoute, load: number, now: number): number {
-    const mean = stats.meanMs(route, this._usualMs(route), now);
-    const weightedMean = mean * Math.min(1, mean / latencyTargetMs);
-    const failures = Math.max(0, stats.failureRate(now) - kToleratedFailureRate);
-    return weightedMean + mean * (load * kLoadTieBreakFactor + failures * kFailureChargeFactor);
-  }
-
   private _statsOf(host: string): HostStats {
     let stats = this._stats.get(host);
     if (!stats) {
-      stats = new HostStats();
+      stats = new HostStats(this._strategy === 'speed' ? new SpeedStats(kMeanHalfLifeMs) : undefined);
       this._stats.set(host, stats);
     }
     return stats;
   }
 }
 
-/** Maps a load to a value from 0 (up to kBusyLoad) to 1 (from kFullLoad). */
-function congestionOf(load: number): number {
-  return Math.min(1, Math.max(0, (load - kBusyLoad) / (kFullLoad - kBusyLoad)));
+/** Whether fallback targets are compared too, because the best primary one is missing, full or unreachable. */
+function needsFallback(fallback: readonly TargetRecord[], best: ScoredTarget | undefined): boolean {
+  return fallback.length > 0 && (best === undefined || best.load > kBusyLoad || best.unreachable);
 }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -99,7 +99,7 @@
     private readonly _events: EventLog,
   ) {
     const { dialect } = _platform;
-    this._placement = new Placement(_settings.id, _settings.zone, Math.random);
+    this._placement = new Placement(_settings.id, _settings.zone, Math.random, _settings.load.speedChoice ? 'speed' : 'mean');
     this._metrics = new MeshMetrics(_settings.zone, () => this._view());
     this._metricsServer = new HostServer(async (req) => serveSuspects(req, this._suspects) ?? (await this._serveMetrics()));
     this._configs = new ConfigHolder((cfg) => {
