--- a/bench/choice/main.ts
+++ b/bench/choice/main.ts
@@ -5,9 +5,10 @@
 
 /** Measures the time to choose a target and to look up the level of a route, by the number of targets; uses no network. */
 
-import { ChainModel, monotonicMs, Placement, seededRandom, type TargetRecord } from '@gentiandrum/core';
+import { type ChoiceStrategy, ChainModel, monotonicMs, Placement, seededRandom, type TargetRecord } from '@gentiandrum/core';
 
 const kTargetCounts = [10, 100, 500];
+const kStrategies: ChoiceStrategy[] = ['mean', 'speed'];
 /** Runs per measurement, just after the start and warmed up. */
 const kColdChoices = 200;
 const kWarmChoices = 50_000;
@@ -40,16 +41,17 @@
   return Number((((monotonicMs() - startedAt) / runs) * kUsPerMs).toFixed(2));
 }
 
-const rows = kTargetCounts.map((targetCount) => {
+const cases = kTargetCounts.flatMap((targetCount) => kStrategies.map((strategy) => ({ targetCount, strategy })));
+const rows = cases.map(({ targetCount, strategy }) => {
   const targets = makeTargets(targetCount);
-  const placement = new Placement('host-0', 'zone-0', seededRandom(kSeed));
+  const placement = new Placement('host-0', 'zone-0', seededRandom(kSeed), strategy);
   const chainModel = new ChainModel();
   const choose = (): void => {
     const target = placement.choose(targets, kNoExcludedHosts, kRoute);
     if (target) {
       placement.recordSent(target.host);
       placement.recordResult(target.host, kRoute.name, {
-        load: { inFlight: 3, queued: 0, limit: 30, meanMs: 40 },
+        load: { inFlight: 3, queued: 0, limit: 30, meanMs: 40, slowness: 110 },
         tookMs: 40,
         failed: false,
       });
@@ -60,6 +62,7 @@
   });
   return {
     targets: targetCount,
+    strategy,
     'first choice, us': meanUs(1, choose),
     'next 200, us': meanUs(kColdChoices, choose),
     'warm, us': meanUs(kWarmChoices, choose),
