--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -80,6 +80,7 @@
 export * from './util/suspensionDetector.js';
 export * from './util/tokenBucket.js';
 export * from './workspaces/credentials.js';
+export * from './workspaces/fairShares.js';
 export * from './workspaces/freshness.js';
 export * from './workspaces/quotaClient.js';
 export * from './workspaces/quotaOwner.js';
--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -11,6 +11,7 @@
 import type { Route } from '@gentiandrum/protocol';
 import type { RouteTable } from '../routing/routeTable.js';
 import type { PresentedKey } from '../workspaces/credentials.js';
+import type { WorkspaceRate } from '../workspaces/fairShares.js';
 import type { QuotaResult, TokenResponse, TokenRequest } from '../workspaces/quotaClient.js';
 import type { QuotaLimits, QuotaShare } from '../workspaces/quotaShares.js';
 import { keyHash, type WorkspaceTable } from '../workspaces/workspaceTable.js';
@@ -67,8 +68,8 @@
   /** Current time on the monotonic clock, in milliseconds. */
   now(): number;
   takeToken(workspace: string, limits: QuotaLimits): Generator<TokenRequest, QuotaResult, TokenResponse>;
-  /** Whether to shed a request because of the load on its chain. Rank 0 is the most urgent; `keyed` requests carry a workspace key. */
-  shouldShed(route: Route, rank: number, keyed: boolean): boolean;
+  /** Whether to shed a request because of the load on its chain. Rank 0 is the most urgent; requests with a key have a workspace. */
+  shouldShed(route: Route, rank: number, workspace: WorkspaceRate | undefined): boolean;
 }
 
 /** Decides whether to admit one request. */
@@ -83,7 +84,7 @@
     return { kind: 'no_route' };
   }
   if (!workspaces.required || route.exempt) {
-    return decideByLoad(route, undefined, route.priority, tables, ctx);
+    return decideByLoad({ route, workspace: undefined, rate: undefined, rank: route.priority }, tables, ctx);
   }
   const identified = identify(route, req.presented, tables, ctx);
   if (identified.kind !== 'identified') {
@@ -98,13 +99,14 @@
     }
     workspace.token = quota.share;
   }
-  return decideByLoad(route, workspace, priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority), tables, ctx);
+  const rank = priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority);
+  return decideByLoad({ route, workspace, rate: identified.entry, rank }, tables, ctx);
 }
 
 type IdentifyResult =
   | {
       kind: 'identified';
-      entry: { name: string; ratePerSecond?: number | undefined; burst: number; priority: number };
+      entry: WorkspaceRate & { burst: number; priority: number };
       workspace: RequestWorkspace;
     }
   | Extract<EntryResult, { kind: 'no_key' | 'unknown_key' | 'stale_configuration' }>;
@@ -133,14 +135,15 @@
   };
 }
 
-function decideByLoad(
-  route: Route,
-  workspace: RequestWorkspace | undefined,
-  rank: number,
-  { routes }: RoutingTables,
-  ctx: AdmitContext,
-): EntryResult {
-  if (ctx.shouldShed(route, rank, workspace !== undefined)) {
+interface RankedRequest {
+  route: Route;
+  workspace: RequestWorkspace | undefined;
+  rate: WorkspaceRate | undefined;
+  rank: number;
+}
+
+function decideByLoad({ route, workspace, rate, rank }: RankedRequest, { routes }: RoutingTables, ctx: AdmitContext): EntryResult {
+  if (ctx.shouldShed(route, rank, rate)) {
     return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
   }
   return { kind: 'admitted', route, service: routes.nextService(route), rank, workspace };
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -11,14 +11,17 @@
   type EntryRequest,
   type ChainModel,
   type EntryResult,
+  FairShares,
   monotonicMs,
   type RequestWorkspace,
   RootAdmission,
   type RoutingTables,
   type TokenResponse,
   type TokenRequest,
+  type WorkspaceRate,
 } from '@gentiandrum/core';
-import type { Route } from '@gentiandrum/protocol';
+import type { LoadSettings, Route } from '@gentiandrum/protocol';
+import type { MeshMetrics } from '../meshMetrics.js';
 import type { QuotaService } from '../workspaces/quotaService.js';
 
 /** Daemon services that the request entry depends on. */
@@ -28,6 +31,8 @@
   validUntil(): number;
   quotas: QuotaService;
   chains: ChainModel;
+  load: Pick<LoadSettings, 'fairShares'>;
+  metrics: Pick<MeshMetrics, 'fairShareShed'>;
 }
 
 /** A request whose admission is pending. */
@@ -39,15 +44,18 @@
 /** Request admission of one daemon. */
 export class RequestEntry {
   private readonly _admission = new RootAdmission();
+  /** Undefined where the shares are not enabled. */
+  private readonly _fairShares: FairShares | undefined;
   private readonly _environment: AdmitContext;
 
   constructor(private readonly _deps: RequestEntryDeps) {
+    this._fairShares = _deps.load.fairShares ? new FairShares() : undefined;
     this._environment = {
       tables: () => _deps.tables(),
       validUntil: () => _deps.validUntil(),
       now: monotonicMs,
       takeToken: (workspace, limits) => _deps.quotas.take(workspace, limits),
-      shouldShed: (route, rank, keyed) => this._shouldShed(route, rank, keyed),
+      shouldShed: (route, rank, workspace) => this._shouldShed(route, rank, workspace),
     };
   }
 
@@ -86,9 +94,22 @@
   }
 
   /** Sheds external requests only. */
-  private _shouldShed(route: Route, rank: number, keyed: boolean): boolean {
+  private _shouldShed(route: Route, rank: number, workspace: WorkspaceRate | undefined): boolean {
     const { chains } = this._deps;
-    const external = keyed || chains.isInternal(route.name) === false;
-    return external && !this._admission.admits(rank, chains.level(route.name), Math.random(), monotonicMs());
+    const external = workspace !== undefined || chains.isInternal(route.name) === false;
+    if (!external) {
+      return false;
+    }
+    const level = chains.level(route.name);
+    const now = monotonicMs();
+    if (!this._fairShares || !workspace || level <= 0) {
+      return !this._admission.admits(rank, level, Math.random(), now);
+    }
+    const { position, overShare } = this._fairShares.place(workspace, rank, Math.random(), now);
+    const admitted = this._admission.admits(rank, level, position, now);
+    if (!admitted) {
+      this._deps.metrics.fairShareShed(overShare);
+    }
+    return !admitted;
   }
 }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -396,6 +396,8 @@
         validUntil: () => this._workspaces.proofs.validUntil(),
         quotas: this._workspaces.quotas,
         chains: this._chains,
+        load: this._settings.load,
+        metrics: this._metrics,
       }),
       keysRequired: () => this._workspaces.required,
       stopping: () => this._stopping,
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -64,6 +64,9 @@
   ]);
   private readonly _repeats = this._counter('gate_repeats_total', 'Repeats that the gate of this host let in', []);
   private readonly _crashes = this._counter('target_crashes_total', 'Ends of this host’s target while requests ran on it', []);
+  private readonly _fairShareSheds = this._counter('fair_share_shed_total', 'Requests that fair shares shed at this ingress', [
+    'over_share',
+  ]);
   /** Totals by label values; copied to the counters on each read, because the library hashes the labels on every increment. */
   private readonly _requestTotals = new Map<string, RequestTotals>();
   private readonly _placementTotals = new Map<string, PlacementTotals>();
@@ -117,6 +120,11 @@
     this._refusals.inc({ reason });
   }
 
+  /** Counts a request shed at the entry by fair shares, by whether its workspace sent more than its part of the traffic. */
+  fairShareShed(overShare: boolean): void {
+    this._fairShareSheds.inc({ over_share: String(overShare) });
+  }
+
   /** Counts an offer to a target; `afterRefusal` when an earlier offer of the same request was unsuccessful. */
   placed(service: string, place: TargetLocality, afterRefusal: boolean): void {
     const key = `${service} ${place} ${afterRefusal}`;
--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -110,6 +110,20 @@
   });
 });
 
+describe('the load check at admission', () => {
+  it('should receive the workspace and the rate of its quota, as fair shares need both', (t) => {
+    const seen: unknown[] = [];
+    const shouldShed: AdmitContext['shouldShed'] = (_route, _rank, workspace) => {
+      seen.push(workspace && [workspace.name, workspace.ratePerSecond]);
+      return false;
+    };
+    enter(kCrew, { shouldShed });
+    enter({ presented: { kind: 'key', key: 'k-free' } }, { shouldShed });
+    enter({ path: '/open/1' }, { shouldShed });
+    t.deepEqual(seen, [['crew', 10], ['free', undefined], undefined]);
+  });
+});
+
 describe('a workspace at eight times its usual load, while a third of all load is excess', () => {
   const kUsual = 20;
   const kSeconds = 60;
