--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -11,6 +11,7 @@
 import type { Route } from '@gentiandrum/protocol';
 import type { RouteTable } from '../routing/routeTable.js';
 import type { PresentedKey } from '../workspaces/credentials.js';
+import type { WorkspaceRate } from '../workspaces/fairShares.js';
 import type { QuotaResult, TokenResponse, TokenRequest } from '../workspaces/quotaClient.js';
 import type { QuotaLimits, QuotaShare } from '../workspaces/quotaShares.js';
 import { keyHash, type WorkspaceTable } from '../workspaces/workspaceTable.js';
@@ -47,6 +48,8 @@
   validUntil: number;
   /** Quota share that the token was taken from; undefined when the workspace has no limit. */
   token: QuotaShare | undefined;
+  /** Monotonic time before the token was requested, in milliseconds; 0 without a token. */
+  tokenAt?: number;
 }
 
 /** Result of admission at the entry. */
@@ -71,8 +74,8 @@
   /** Current time on the monotonic clock, in milliseconds. */
   now(): number;
   takeToken(workspace: string, limits: QuotaLimits): Generator<TokenRequest, QuotaResult, TokenResponse>;
-  /** Whether to shed a request because of the load on its chain. Rank 0 is the most urgent; `keyed` requests carry a workspace key. */
-  shouldShed(route: Route, rank: number, keyed: boolean): boolean;
+  /** Whether to shed a request because of the load on its chain. Rank 0 is the most urgent; requests with a key have a workspace. */
+  shouldShed(route: Route, rank: number, workspace: WorkspaceRate | undefined): boolean;
   /** Whether a request with this time left can end in time. */
   canEndInTime(route: Route, remainingMs: number, keyed: boolean): boolean;
 }
@@ -89,7 +92,7 @@
     return { kind: 'no_route' };
   }
   if (!workspaces.required || route.exempt) {
-    return decideByLoad(req, { route, workspace: undefined, rank: route.priority }, tables, ctx);
+    return decideByLoad(req, { route, workspace: undefined, rate: undefined, rank: route.priority }, tables, ctx);
   }
   const identified = identify(route, req.presented, tables, ctx);
   if (identified.kind !== 'identified') {
@@ -98,20 +101,22 @@
   const { workspace } = identified;
   const { name, ratePerSecond, burst, priority } = identified.entry;
   if (ratePerSecond !== undefined) {
+    const tokenAt = ctx.now();
     const quota = yield* ctx.takeToken(name, { ratePerSecond, burst });
     if (quota.kind !== 'granted') {
       return { kind: quota.kind, route, workspace: name, retryAfterMs: quota.retryAfterMs };
     }
     workspace.token = quota.share;
+    workspace.tokenAt = tokenAt;
   }
   const rank = priority * kRanksPerWorkspace + Math.min(kRanksPerWorkspace - 1, route.priority);
-  return decideByLoad(req, { route, workspace, rank }, tables, ctx);
+  return decideByLoad(req, { route, workspace, rate: identified.entry, rank }, tables, ctx);
 }
 
 type IdentifyResult =
   | {
       kind: 'identified';
-      entry: { name: string; ratePerSecond?: number | undefined; burst: number; priority: number };
+      entry: WorkspaceRate & { burst: number; priority: number };
       workspace: RequestWorkspace;
     }
   | Extract<EntryResult, { kind: 'no_key' | 'unknown_key' | 'stale_configuration' }>;
@@ -144,16 +149,17 @@
 interface RankedRequest {
   route: Route;
   workspace: RequestWorkspace | undefined;
+  rate: WorkspaceRate | undefined;
   rank: number;
 }
 
 function decideByLoad(
   { remainingMs }: EntryRequest,
-  { route, workspace, rank }: RankedRequest,
+  { route, workspace, rate, rank }: RankedRequest,
   { routes }: RoutingTables,
   ctx: AdmitContext,
 ): EntryResult {
-  if (ctx.shouldShed(route, rank, workspace !== undefined)) {
+  if (ctx.shouldShed(route, rank, rate)) {
     return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
   }
   if (!ctx.canEndInTime(route, Math.min(route.timeoutMs, remainingMs), workspace !== undefined)) {
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -11,15 +11,18 @@
   type EntryRequest,
   type ChainModel,
   type EntryResult,
+  FairShares,
   monotonicMs,
   type RequestWorkspace,
   RootAdmission,
   type RoutingTables,
   type TokenResponse,
   type TokenRequest,
+  type WorkspaceRate,
 } from '@gentiandrum/core';
-import type { Route } from '@gentiandrum/protocol';
+import type { LoadSettings, Route } from '@gentiandrum/protocol';
 import type { ChainControl } from '../load/chainControl.js';
+import type { MeshMetrics } from '../meshMetrics.js';
 import type { QuotaService } from '../workspaces/quotaService.js';
 
 /** Daemon services that the request entry depends on. */
@@ -30,6 +33,8 @@
   quotas: QuotaService;
   chains: ChainModel;
   chainControl: ChainControl;
+  load: Pick<LoadSettings, 'fairShares'>;
+  metrics: Pick<MeshMetrics, 'fairShareShed'>;
 }
 
 /** A request whose admission is pending. */
@@ -41,15 +46,18 @@
 /** Request admission of one daemon. */
 export class RequestEntry {
   private readonly _admission = new RootAdmission();
+  /** Undefined where the shares are not enabled. */
+  private readonly _fairShares: FairShares | undefined;
   private readonly _environment: AdmitContext;
 
   constructor(private readonly _deps: RequestEntryDeps) {
+    this._fairShares = _deps.load.fairShares ? new FairShares() : undefined;
     this._environment = {
       tables: () => _deps.tables(),
       validUntil: () => _deps.validUntil(),
       now: monotonicMs,
       takeToken: (workspace, limits) => _deps.quotas.take(workspace, limits),
-      shouldShed: (route, rank, keyed) => this._shouldShed(route, rank, keyed),
+      shouldShed: (route, rank, workspace) => this._shouldShed(route, rank, workspace),
       canEndInTime: (route, remainingMs, keyed) =>
         !this._isExternal(route, keyed) || _deps.chainControl.canEndInTime(route.name, remainingMs),
     };
@@ -85,7 +93,7 @@
   /** Returns the quota token of a request that has not run. */
   returnToken(workspace: RequestWorkspace | undefined): void {
     if (workspace?.token) {
-      this._deps.quotas.returnToken(workspace.name, workspace.token.host);
+      this._deps.quotas.returnToken(workspace.name, workspace.token.host, workspace.tokenAt ?? 0);
     }
   }
 
@@ -94,8 +102,21 @@
   }
 
   /** Sheds external requests only. */
-  private _shouldShed(route: Route, rank: number, keyed: boolean): boolean {
+  private _shouldShed(route: Route, rank: number, workspace: WorkspaceRate | undefined): boolean {
     const { chains } = this._deps;
-    return this._isExternal(route, keyed) && !this._admission.admits(rank, chains.level(route.name), Math.random(), monotonicMs());
+    if (!this._isExternal(route, workspace !== undefined)) {
+      return false;
+    }
+    const level = chains.level(route.name);
+    const now = monotonicMs();
+    if (!this._fairShares || !workspace || level <= 0) {
+      return !this._admission.admits(rank, level, Math.random(), now);
+    }
+    const { position, overShare } = this._fairShares.place(workspace, rank, Math.random(), now);
+    const admitted = this._admission.admits(rank, level, position, now);
+    if (!admitted) {
+      this._deps.metrics.fairShareShed(overShare);
+    }
+    return !admitted;
   }
 }
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -401,6 +401,8 @@
         quotas: this._workspaces.quotas,
         chains: this._chains,
         chainControl: this._chainControl,
+        load: this._settings.load,
+        metrics: this._metrics,
       }),
       chainControl: this._chainControl,
       keysRequired: () => this._workspaces.required,
