--- a/packages/core/src/admission/chainModel.ts
+++ b/packages/core/src/admission/chainModel.ts
@@ -93,6 +93,18 @@
     state.cachedLevel.level = Math.min(state.cachedLevel.level, report.level);
   }
 
+  /**
+   * Removes the levels that a host reported, because it can't be reached. As the lowest fresh level counts, they would otherwise hide a higher
+   * level of the remaining hosts for a second. The level of the only known host stays and ages.
+   */
+  forgetHost(host: string): void {
+    for (const state of this._routes.values()) {
+      if (state.levels.size > 1 && state.levels.delete(host)) {
+        state.cachedLevel.at = -Infinity;
+      }
+    }
+  }
+
   /**
    * Share of the external requests on a route to reject now: the lowest fresh level of the hosts, because calls are routed
    * to hosts with capacity.
--- a/packages/core/src/admission/gateLevel.ts
+++ b/packages/core/src/admission/gateLevel.ts
@@ -46,6 +46,15 @@
 /** Calls that a rate limit allows between two updates of the level, and the longest interval, in milliseconds. */
 const kCallsPerStep = 2;
 const kMaxStepMs = 1_000;
+/** Time constant of the mean of the offered load, and the time in which the load shows a change of the service's capacity, in milliseconds. */
+const kLoadMeanMs = 1_000;
+/** Time constant of the usual demand, in milliseconds: several times as long as a lost host may go unnoticed. */
+const kUsualDemandMs = 10_000;
+/**
+ * Smallest factor of the capacity that is followed within {@link kLoadMeanMs}. A gate that is cut off from most of its service would
+ * otherwise reject nearly everything, although its own load may not grow. The controller follows a larger loss as the load shows it.
+ */
+const kMinRoomFactor = 0.5;
 /** Weight of the latest call in the mean time that calls may wait. */
 const kAllowedWaitWeight = 0.02;
 
@@ -60,6 +69,15 @@
   private _refused = 0;
   private _sinceStepMs = 0;
   private _intervalMs = 0;
+  private _meanOfferedLoad = 0;
+  /** Load that the gate would receive at level 0: its recent and its usual mean, and the time for which it was recorded. */
+  private _recentDemand = 0;
+  private _usualDemand = 0;
+  private _observedMs = 0;
+  /** Product of the recently followed factors of the service's capacity, which returns to 1 with the time constant of the mean load. */
+  private _recentRoomFactor = 1;
+  /** Product of the factors that were not followed, at most 1. Growth first makes up for it, so that a flap leaves the level as it was. */
+  private _skippedRoomFactor = 1;
 
   /** Level after the last step. */
   get current(): number {
@@ -114,8 +132,73 @@
     this._intervalMs = intervalMs;
   }
 
+  /**
+   * Adapts the level to a change of the service's capacity by `factor`, as this gate receives 1/`factor` of its work at the same level. The
+   * admitted share falls only as far as the expected load exceeds 1, and rises by the factor as far as the load leaves capacity.
+   */
+  followRoom(factor: number): void {
+    if (!(factor > 0 && Number.isFinite(factor))) {
+      return;
+    }
+    const bounded = factor < 1 ? this._boundLoss(factor) : this._boundGrowth(factor);
+    const followed = bounded < 1 ? Math.min(1, bounded * this._visibleGrowth()) : bounded;
+    this._skippedRoomFactor = Math.min(1, (this._skippedRoomFactor * bounded) / followed);
+    // A load above 1 may already show the lost capacity; dividing by both would reject that part twice.
+    const offered = this._meanOfferedLoad + this._excessQueueLoad();
+    const load = followed < 1 ? Math.min(1, offered) : offered;
+    const ratio = followed < 1 ? Math.min(1, followed / Math.max(load, followed)) : Math.max(1, followed / Math.max(1, load));
+    const admittedShare = Math.min(1, (1 - this._level) * ratio);
+    const admittedRatio = this._level < 1 ? admittedShare / (1 - this._level) : 1;
+    this._level = 1 - admittedShare;
+    this._meanOfferedLoad = (Math.min(this._meanOfferedLoad, load) * admittedRatio) / followed;
+    this._recentDemand /= followed;
+    this._usualDemand /= factor;
+  }
+
+  /**
+   * Factor by which the demand has grown. If it grew before the loss was noticed, the controller has followed it already: a level that followed
+   * a loss twice, noticed 2 s late, cost a fifth of the goodput of some intervals of 250 ms.
+   */
+  private _visibleGrowth(): number {
+    return this._usualDemand > 0 ? Math.max(1, this._recentDemand / this._usualDemand) : 1;
+  }
+
+  private _boundLoss(factor: number): number {
+    const followed = Math.min(1, Math.max(factor, kMinRoomFactor / this._recentRoomFactor));
+    this._skippedRoomFactor *= factor / followed;
+    this._recentRoomFactor *= followed;
+    return followed;
+  }
+
+  private _boundGrowth(factor: number): number {
+    const madeUp = Math.min(factor, 1 / this._skippedRoomFactor);
+    this._skippedRoomFactor = Math.min(1, this._skippedRoomFactor * madeUp);
+    const followed = factor / madeUp;
+    this._recentRoomFactor = Math.min(1, this._recentRoomFactor * followed);
+    return followed;
+  }
+
+  /** Load that running the queue above the desired wait within {@link kLoadMeanMs} adds. */
+  private _excessQueueLoad(): number {
+    return Math.max(0, this._lastWaitMs - this._meanAllowedWaitMs * kDesiredWaitShare) / kLoadMeanMs;
+  }
+
+  private _recordOfferedLoad(offeredLoad: number, elapsedMs: number): void {
+    const weight = 1 - Math.exp(-elapsedMs / kLoadMeanMs);
+    this._meanOfferedLoad += (Math.max(0, offeredLoad) - this._meanOfferedLoad) * weight;
+    this._recentRoomFactor += (1 - this._recentRoomFactor) * weight;
+    const demand = Math.max(0, offeredLoad) / Math.max(kMinAdmittedShare, 1 - this._level);
+    this._observedMs += elapsedMs;
+    const usualWeight = Math.max(1 - Math.exp(-elapsedMs / kUsualDemandMs), elapsedMs / this._observedMs);
+    this._recentDemand += (demand - this._recentDemand) * weight;
+    this._usualDemand += (demand - this._usualDemand) * usualWeight;
+  }
+
   private _update(waitMs: number, elapsedMs: number): void {
     const offeredLoad = (this._workMs + waitMs - this._lastWaitMs) / elapsedMs;
+    if (elapsedMs > 0) {
+      this._recordOfferedLoad(offeredLoad, elapsedMs);
+    }
     const desiredWaitMs = this._meanAllowedWaitMs * kDesiredWaitShare;
     const waitRatio = desiredWaitMs > 0 ? Math.min(kMaxWaitRatio, waitMs / desiredWaitMs) : 0;
     const excess = offeredLoad - 1 + kWaitWeight * (waitRatio - 1);
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -22,6 +22,14 @@
 /** Shares of the slots that are used while a cold target has more than one second left to warm up, and in the last second. */
 const kColdSlotShares = [0.5, 0.75] as const;
 
+/** Share of the slots that is used of a target that is warm in `coldMs` milliseconds. */
+export function coldSlotShare(coldMs: number): number {
+  if (coldMs <= 0) {
+    return 1;
+  }
+  return coldMs > 1_000 ? kColdSlotShares[0] : kColdSlotShares[1];
+}
+
 /** Why a gate refuses a call. A refused call has not run. */
 export type GateRefusal =
   | 'not_accepting'
@@ -90,6 +98,11 @@
     return this._meanMs;
   }
 
+  /** Time until the target is warm, in milliseconds; at most 0 when it is. */
+  get coldMs(): number {
+    return this._warmFrom - monotonicMs();
+  }
+
   /** Expected wait of a call at the end of the queue, in milliseconds. */
   get queueWaitMs(): number {
     return this._startDelayMs(this._queue.length, monotonicMs());
@@ -228,11 +241,7 @@
   }
 
   private _coldShare(): number {
-    const coldMs = this._warmFrom - monotonicMs();
-    if (coldMs <= 0) {
-      return 1;
-    }
-    return coldMs > 1_000 ? kColdSlotShares[0] : kColdSlotShares[1];
+    return coldSlotShare(this.coldMs);
   }
 
   /** Starts the waiting calls that slots and the rate limit allow, and refuses those whose latest start has passed. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -65,6 +65,7 @@
 export * from './quarantine/suspicion.js';
 export * from './quarantine/probeTarget.js';
 export * from './retries/repeatBudget.js';
+export * from './room/serviceRoom.js';
 export * from './routing/classifier.js';
 export * from './routing/hostStats.js';
 export * from './routing/placement.js';
--- a/packages/mesh/src/app/calls/gateLoad.ts
+++ b/packages/mesh/src/app/calls/gateLoad.ts
@@ -15,6 +15,7 @@
   type NotRunReason,
   type SlotGate,
 } from '@gentiandrum/core';
+import type { RoomFollower } from '../load/roomFollower.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 import type { OfferedCall } from './offeredCall.js';
 
@@ -27,6 +28,8 @@
   chargeMs(route: string): number;
   chains: ChainModel;
   metrics: MeshMetrics;
+  /** Adapts the level to the capacity of the service; undefined when this is off. */
+  room?: RoomFollower | undefined;
 }
 
 /** Load of one gate. */
@@ -42,7 +45,7 @@
   get state(): MetricsView['gate'] {
     const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
     const rate = { rateLimit: rateLimiter.statedRate, rateTokens: rateLimiter.tokens(monotonicMs()) };
-    return { inFlight, queued, limit, meanMs, level: this.level.current, ...rate };
+    return { inFlight, queued, limit, meanMs, level: this.level.current, ...rate, room: this._deps.room?.state };
   }
 
   /** Current load and chain report for the callers of a route. */
@@ -59,6 +62,7 @@
   step(elapsedMs: number): void {
     const { queueWaitMs, rateLimiter } = this._gate;
     this.level.step(queueWaitMs, elapsedMs, rateLimiter.intervalMs(monotonicMs()));
+    this._deps.room?.check(this.level, this._gate.coldMs);
   }
 
   /** Counts a call that was refused because there is no capacity as excess load. */
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -8,7 +8,6 @@
 import {
   type Announcement,
   type GateRefusal,
-  type ChainModel,
   monotonicMs,
   type CallResult,
   type ReachabilityEvidence,
@@ -30,16 +29,16 @@
 import type { EventLog } from '../eventLog.js';
 import { ConditionTracker } from './conditionTracker.js';
 import { CrashRecorder } from './crashRecorder.js';
-import { GateLoad } from './gateLoad.js';
+import { GateLoad, type GateLoadDeps } from './gateLoad.js';
 import { createOfferedCall, type OfferDone, type OfferedCall, type OfferHandle } from './offeredCall.js';
 import { logSuspectRun } from './logSuspectEvent.js';
 import { identityOf } from './requestIdentity.js';
-import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
+import type { MetricsView } from '../meshMetrics.js';
 
 /** Interval between checks for calls that have waited too long, in milliseconds. */
 const kExpiryIntervalMs = 10;
 /** Daemon services that the gate depends on. */
-export interface TargetGateDeps {
+export interface TargetGateDeps extends GateLoadDeps {
   names: HeaderNames;
   bound: RepeatBound;
   /** Parts of the load control that are on. */
@@ -55,15 +54,11 @@
   isProbeTarget(fingerprint: string, service: string): boolean;
   /** Whether the target of a host is ready to run calls of a service. */
   isReady(host: string, service: string): boolean;
-  /** Mean charge of the calls on a route that this host sends, in milliseconds. */
-  chargeMs(route: string): number;
   /** Whether a key still belongs to its workspace in the configuration of this daemon. */
   isKeyValid(workspace: CallWorkspace): boolean;
   /** Called after each change of the advertised state. */
   onChange(): void;
-  chains: ChainModel;
   suspects: Suspects;
-  metrics: MeshMetrics;
   events: EventLog;
 }
 
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -31,11 +31,14 @@
 import { HostRecords, type HostRecordsDeps } from './records/hostRecords.js';
 import { LogFollower, type LogFollowerDeps } from './log/logFollower.js';
 import { type TargetLocality, MeshMetrics, type MetricsView } from './meshMetrics.js';
+import { RoomFollower } from './load/roomFollower.js';
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
 import { logSuspectEvent } from './calls/logSuspectEvent.js';
+import { logExcludedTargets } from './logExcludedTargets.js';
 import type { OfferDone, OfferHandle } from './calls/offeredCall.js';
 import { TargetGate } from './calls/targetGate.js';
+import { waitUntil } from './waitUntil.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
 /** Maximum time that the response to a draining target waits for the state to become durable, in milliseconds. */
@@ -59,8 +62,6 @@
 const kLearnedCheckMs = 10_000;
 /** Interval between log lines with totals, in milliseconds. */
 const kTotalsIntervalMs = 10_000;
-/** Maximum number of targets listed in the log line about targets that receive no calls. */
-const kMaxLoggedTargets = 5;
 /** Number of daemons that each daemon notifies of a new version. */
 const kVersionFanout = 4;
 /** Connection limit of a target until the configuration provides one. */
@@ -82,6 +83,7 @@
   private readonly _suspensions = new SuspensionDetector();
   private readonly _workspaces: Workspaces;
   private readonly _network: PeerNetwork;
+  private readonly _room: RoomFollower | undefined;
   private readonly _calls: CallServer;
   private readonly _metrics: MeshMetrics;
   private readonly _metricsServer: HostServer;
@@ -125,7 +127,9 @@
       },
     });
     this._records = new HostRecords(this._recordsDeps());
+    this._room = this._createRoom();
     this._gate = new TargetGate({
+      room: this._room,
       names: dialect.headers,
       bound: _settings.retries,
       load: _settings.load,
@@ -270,6 +274,16 @@
     this._calls.check();
   }
 
+  private _createRoom(): RoomFollower | undefined {
+    return RoomFollower.create({
+      settings: this._settings,
+      directory: this._directory,
+      chains: this._chains,
+      allHostsKnown: () => this._sync.complete,
+      events: this._events,
+    });
+  }
+
   private _workspacesDeps(): WorkspacesDeps {
     return {
       settings: this._settings,
@@ -378,7 +392,7 @@
         record: this._records.own,
         digests: this._directory.digests,
       }),
-      wantsLink: (record) => this._follower.wantsLink(record),
+      wantsLink: (record) => this._follower.wantsLink(record) || this._room?.wantsLink(record) === true,
       config: () => this._configs.config,
       onWorkspaceMessage: (message, link) => {
         this._workspaces.receive(message, link);
@@ -484,19 +498,7 @@
       logCalls: Object.fromEntries(this._platform.logCalls()),
       reads: this._follower.readsLog,
     });
-    this._logExcludedTargets();
-  }
-
-  /** Logs the ready targets that receive no calls from this daemon, with their routing statistics. */
-  private _logExcludedTargets(): void {
-    const ready = [...this._directory.values()].filter(({ state }) => state === 'ready');
-    const targets = this._placement.unchosenTargets(ready);
-    if (targets.length > 0) {
-      this._events.info('calls', 'Ready targets receive no calls from this daemon.', {
-        count: targets.length,
-        targets: targets.slice(0, kMaxLoggedTargets),
-      });
-    }
+    logExcludedTargets(this._directory, this._placement, this._events);
   }
 
   private _view(): MetricsView {
@@ -532,6 +534,7 @@
   private _setReachable(host: string, reached: boolean): void {
     this._follower.setReachable(host, reached);
     this._workspaces.quotas.setReachable(host, reached);
+    this._room?.setReachable(host, reached);
     if (reached) {
       this._placement.markReachable(host);
     } else {
@@ -539,10 +542,3 @@
     }
   }
 }
-
-/** Waits until a condition holds: at least until `earliest`, and at most until `latest`, on the monotonic clock. */
-async function waitUntil(earliest: number, latest: number, holds: () => boolean): Promise<void> {
-  while (monotonicMs() < latest && (monotonicMs() < earliest || !holds())) {
-    await pause(kStopPollMs);
-  }
-}
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -27,6 +27,8 @@
     /** Rate limit that the target states, in requests per second, and the requests that may be sent now; undefined without a limit. */
     rateLimit: number | undefined;
     rateTokens: number | undefined;
+    /** Capacity of the target's service in slots, and the factor of its last change; undefined when the level does not follow it. */
+    room?: { capacity: number; change: number } | undefined;
   };
   /** Number of hosts by the state of their target. */
   hosts: ReadonlyMap<string, number>;
@@ -174,6 +176,7 @@
       ['gate_mean_ms', gate.meanMs],
       ...(gate.rateLimit === undefined ? [] : [['gate_rate_limit', gate.rateLimit] satisfies [string, number]]),
       ...(gate.rateTokens === undefined ? [] : [['gate_rate_tokens', gate.rateTokens] satisfies [string, number]]),
+      ...(gate.room === undefined ? [] : roomValues(gate.room)),
       ['links', links],
       ['config_version', configVersion],
       ['config_age_seconds', configAge],
@@ -228,6 +231,13 @@
   count: number;
 }
 
+function roomValues({ capacity, change }: { capacity: number; change: number }): [string, number][] {
+  return [
+    ['service_room', capacity],
+    ['service_room_change', change],
+  ];
+}
+
 function sumBy<T extends { count: number }>(entries: Iterable<T>, keyOf: (entry: T) => string): Record<string, number> {
   const sums: Record<string, number> = {};
   for (const entry of entries) {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -9,6 +9,7 @@
 export * from './app/calls/conditionTracker.js';
 export * from './app/calls/deadlines.js';
 export * from './app/eventLog.js';
+export * from './app/load/roomFollower.js';
 export * from './app/log/logFollower.js';
 export * from './app/meshDaemon.js';
 export * from './app/records/hostRecords.js';
