--- a/tests/room/serviceRoom.spec.ts
+++ b/tests/room/serviceRoom.spec.ts
@@ -33,9 +33,10 @@
   constructor(
     private readonly _clock: Clock,
     hosts: number,
+    firstCheckMs = 6_000,
   ) {
     Array.from({ length: hosts }, (_, i) => this.directory.merge(recordOf(`h${i}`)));
-    this.checkAfter(6_000);
+    this.checkAfter(firstCheckMs);
   }
 
   /** Returns the capacity at a check after some time. */
@@ -97,6 +98,15 @@
     });
   });
 
+  itSerial('should not take hosts that become known within 5 s of the start for growth', (t) => {
+    withFakeClock((clock) => {
+      const fixture = new Fixture(clock, 2, 1_000);
+      fixture.directory.merge(recordOf('h2'));
+      t.is(fixture.checkAfter(100), 30);
+      t.is(fixture.changes.length, 0);
+    });
+  });
+
   itSerial('should let the level of an unreachable host no longer hide a higher one', (t) => {
     withFakeClock((clock) => {
       const fixture = new Fixture(clock, 2);
