--- a/packages/mesh/src/app/calls/gateLoad.ts
+++ b/packages/mesh/src/app/calls/gateLoad.ts
@@ -16,6 +16,7 @@
   type SlotGate,
 } from '@gentiandrum/core';
 import type { LoadSettings } from '@gentiandrum/protocol';
+import type { RoomFollower } from '../load/roomFollower.js';
 import type { TargetLoadTracker } from '../load/targetLoadTracker.js';
 import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 import type { OfferedCall } from './offeredCall.js';
@@ -30,6 +31,8 @@
   load: LoadSettings;
   chains: ChainModel;
   metrics: MeshMetrics;
+  /** Adapts the level to the capacity of the service; undefined when this is off. */
+  room?: RoomFollower | undefined;
 }
 
 /** Load of one gate. */
@@ -47,7 +50,8 @@
   get state(): MetricsView['gate'] {
     const { inFlight, queued, limit, meanMs, rateLimiter } = this._gate;
     const rate = { rateLimit: rateLimiter.statedRate, rateTokens: rateLimiter.tokens(monotonicMs()) };
-    return { inFlight, queued, limit, meanMs, level: this.level.current, ...rate, targetLoad: this._targetLoad?.state };
+    const measured = { inFlight, queued, limit, meanMs, level: this.level.current };
+    return { ...measured, ...rate, targetLoad: this._targetLoad?.state, room: this._deps.room?.state };
   }
 
   /** Current load and chain report for the callers of a route. */
@@ -69,6 +73,7 @@
   step(elapsedMs: number): void {
     const { queueWaitMs, rateLimiter } = this._gate;
     this.level.step(queueWaitMs, elapsedMs, rateLimiter.intervalMs(monotonicMs()));
+    this._deps.room?.check(this.level, this._gate.coldMs);
   }
 
   /** Counts a call that was refused because there is no capacity as excess load. */
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -11,7 +11,7 @@
   ChainModel,
   monotonicMs,
   Placement,
-  Suspects,
+  type Suspects,
   SuspensionDetector,
   TargetDirectory,
   type TargetRecord,
@@ -32,11 +32,14 @@
 import { LogFollower, type LogFollowerDeps } from './log/logFollower.js';
 import { ChainControl } from './load/chainControl.js';
 import { type TargetLocality, MeshMetrics, type MetricsView } from './meshMetrics.js';
+import { RoomFollower } from './load/roomFollower.js';
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
-import { logSuspectEvent } from './calls/logSuspectEvent.js';
+import { createSuspects } from './calls/createSuspects.js';
+import { logExcludedTargets } from './logExcludedTargets.js';
 import type { OfferDone, OfferHandle } from './calls/offeredCall.js';
 import { TargetGate } from './calls/targetGate.js';
+import { waitUntil } from './waitUntil.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
 /** Maximum time that the response to a draining target waits for the state to become durable, in milliseconds. */
@@ -60,8 +63,6 @@
 const kLearnedCheckMs = 10_000;
 /** Interval between log lines with totals, in milliseconds. */
 const kTotalsIntervalMs = 10_000;
-/** Maximum number of targets listed in the log line about targets that receive no calls. */
-const kMaxLoggedTargets = 5;
 /** Number of daemons that each daemon notifies of a new version. */
 const kVersionFanout = 4;
 /** Connection limit of a target until the configuration provides one. */
@@ -84,6 +85,7 @@
   private readonly _suspensions = new SuspensionDetector();
   private readonly _workspaces: Workspaces;
   private readonly _network: PeerNetwork;
+  private readonly _room: RoomFollower | undefined;
   private readonly _calls: CallServer;
   private readonly _metrics: MeshMetrics;
   private readonly _metricsServer: HostServer;
@@ -112,23 +114,17 @@
     }, _events);
     this._follower = new LogFollower(this._followerDeps());
     this._workspaces = new Workspaces(this._workspacesDeps());
-    this._suspects = new Suspects({
-      broadcast: (suspects) => {
-        this._network.broadcast({ type: 'suspects', suspects });
-      },
-      sendSome: (count, suspects) => {
-        this._network.sendSome(count, { type: 'suspects', suspects });
-      },
-      onEvent: (event) => {
-        logSuspectEvent(_events, event);
-        // Deferred until the current update of the suspects is complete.
-        setImmediate(() => {
-          this._records.updateSuspects();
-        });
+    this._suspects = createSuspects({
+      network: () => this._network,
+      onChange: () => {
+        this._records.updateSuspects();
       },
+      events: _events,
     });
     this._records = new HostRecords(this._recordsDeps());
+    this._room = this._createRoom();
     this._gate = new TargetGate({
+      room: this._room,
       names: dialect.headers,
       bound: _settings.retries,
       load: _settings.load,
@@ -274,6 +270,16 @@
     this._calls.check();
   }
 
+  private _createRoom(): RoomFollower | undefined {
+    return RoomFollower.create({
+      settings: this._settings,
+      directory: this._directory,
+      chains: this._chains,
+      allHostsKnown: () => this._sync.complete,
+      events: this._events,
+    });
+  }
+
   private _workspacesDeps(): WorkspacesDeps {
     return {
       settings: this._settings,
@@ -382,7 +388,7 @@
         record: this._records.own,
         digests: this._directory.digests,
       }),
-      wantsLink: (record) => this._follower.wantsLink(record),
+      wantsLink: (record) => this._follower.wantsLink(record) || this._room?.wantsLink(record) === true,
       config: () => this._configs.config,
       onWorkspaceMessage: (message, link) => {
         this._workspaces.receive(message, link);
@@ -492,19 +498,7 @@
       logCalls: Object.fromEntries(this._platform.logCalls()),
       reads: this._follower.readsLog,
     });
-    this._logExcludedTargets();
-  }
-
-  /** Logs the ready targets that receive no calls from this daemon, with their routing statistics. */
-  private _logExcludedTargets(): void {
-    const ready = [...this._directory.values()].filter(({ state }) => state === 'ready');
-    const targets = this._placement.unchosenTargets(ready);
-    if (targets.length > 0) {
-      this._events.info('calls', 'Ready targets receive no calls from this daemon.', {
-        count: targets.length,
-        targets: targets.slice(0, kMaxLoggedTargets),
-      });
-    }
+    logExcludedTargets(this._directory, this._placement, this._events);
   }
 
   private _view(): MetricsView {
@@ -541,6 +535,7 @@
   private _setReachable(host: string, reached: boolean): void {
     this._follower.setReachable(host, reached);
     this._workspaces.quotas.setReachable(host, reached);
+    this._room?.setReachable(host, reached);
     if (reached) {
       this._placement.markReachable(host);
     } else {
@@ -548,10 +543,3 @@
     }
   }
 }
-
-/** Waits until a condition holds: at least until `earliest`, and at most until `latest`, on the monotonic clock. */
-async function waitUntil(earliest: number, latest: number, holds: () => boolean): Promise<void> {
-  while (monotonicMs() < latest && (monotonicMs() < earliest || !holds())) {
-    await pause(kStopPollMs);
-  }
-}
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -39,6 +39,8 @@
     rateTokens: number | undefined;
     /** Load that the target states; undefined if it is not used. */
     targetLoad: TargetLoadState | undefined;
+    /** Capacity of the target's service in slots, and the factor of its last change; undefined when the level does not follow it. */
+    room?: { capacity: number; change: number } | undefined;
   };
   /** Number of hosts by the state of their target. */
   hosts: ReadonlyMap<string, number>;
@@ -197,6 +199,7 @@
       ...(gate.rateLimit === undefined ? [] : [['gate_rate_limit', gate.rateLimit] satisfies [string, number]]),
       ...(gate.rateTokens === undefined ? [] : [['gate_rate_tokens', gate.rateTokens] satisfies [string, number]]),
       ...targetLoadValues(gate.targetLoad),
+      ...(gate.room === undefined ? [] : roomValues(gate.room)),
       ['links', links],
       ['config_version', configVersion],
       ['config_age_seconds', configAge],
@@ -269,6 +272,13 @@
   ];
 }
 
+function roomValues({ capacity, change }: { capacity: number; change: number }): [string, number][] {
+  return [
+    ['service_room', capacity],
+    ['service_room_change', change],
+  ];
+}
+
 function sumBy<T extends { count: number }>(entries: Iterable<T>, keyOf: (entry: T) => string): Record<string, number> {
   const sums: Record<string, number> = {};
   for (const entry of entries) {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -12,6 +12,7 @@
 export * from './app/calls/statementEvents.js';
 export * from './app/eventLog.js';
 export * from './app/load/chainControl.js';
+export * from './app/load/roomFollower.js';
 export * from './app/load/targetLoadTracker.js';
 export * from './app/log/logFollower.js';
 export * from './app/meshDaemon.js';
