--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,6 +72,8 @@
 export * from './quarantine/suspectTable.js';
 export * from './quarantine/suspicion.js';
 export * from './quarantine/probeTarget.js';
+export * from './retries/rankedDemand.js';
+export * from './retries/rankedRepeatBudget.js';
 export * from './retries/repeatBudget.js';
 export * from './room/serviceRoom.js';
 export * from './routing/classifier.js';
