--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -11,8 +11,6 @@
   monotonicMs,
   type CallResult,
   type ReachabilityEvidence,
-  type RepeatBound,
-  RepeatBudget,
   SlotGate,
   TargetLifecycle,
   TargetReachability,
@@ -31,6 +29,7 @@
 import { ConditionTracker } from './conditionTracker.js';
 import { CrashRecorder } from './crashRecorder.js';
 import { GateLoad, type GateLoadDeps } from './gateLoad.js';
+import { GateRepeats, type GateRepeatsDeps } from './gateRepeats.js';
 import { createOfferedCall, type OfferDone, type OfferedCall, type OfferHandle } from './offeredCall.js';
 import { logSuspectRun } from './logSuspectEvent.js';
 import { identityOf } from './requestIdentity.js';
@@ -41,9 +40,8 @@
 /** Interval between checks for calls that have waited too long, in milliseconds. */
 const kExpiryIntervalMs = 10;
 /** Daemon services that the gate depends on. */
-export interface TargetGateDeps extends GateLoadDeps {
+export interface TargetGateDeps extends GateLoadDeps, GateRepeatsDeps {
   names: HeaderNames;
-  bound: RepeatBound;
   /** Parts of the load control that are on. */
   load: LoadSettings;
   /** Id of this host. */
@@ -51,8 +49,6 @@
   /** Address of the target in the settings. */
   address: string;
   maxConnections(service: string): number;
-  /** Number of targets of the service, including this one. */
-  targets(service: string): number;
   /** Whether this host's target runs the probes of a fingerprint for a service. */
   isProbeTarget(fingerprint: string, service: string): boolean;
   /** Whether the target of a host is ready to run calls of a service. */
@@ -69,7 +65,7 @@
 /** Gate of the target on this host. */
 export class TargetGate {
   private readonly _gate: SlotGate<OfferedCall>;
-  private readonly _budget: RepeatBudget;
+  private readonly _repeats: GateRepeats;
   private readonly _suspects: SuspectGate<OfferedCall>;
   private readonly _crashes: CrashRecorder;
   private readonly _running = new Map<PeerCall, OfferedCall>();
@@ -93,7 +89,7 @@
 
   constructor(private readonly _deps: TargetGateDeps) {
     this._lifecycle = new TargetLifecycle(_deps.address);
-    this._budget = new RepeatBudget(_deps.bound);
+    this._repeats = new GateRepeats(_deps);
     this._crashes = new CrashRecorder(_deps.metrics, _deps.events);
     this._suspects = new SuspectGate<OfferedCall>(() => _deps.host, _deps.suspects, {
       onPass: (offered) => {
@@ -150,7 +146,7 @@
 
   /** Load and admission level, for metrics. */
   get state(): MetricsView['gate'] {
-    return this._load.state;
+    return { ...this._load.state, repeats: this._repeats.counts };
   }
 
   /** Number of running and waiting calls. */
@@ -292,7 +288,7 @@
 
   private _refuse(offered: OfferedCall, reason: GateRefusal): void {
     const { call, done } = offered;
-    this._refundRepeat(offered);
+    this._repeats.refund(offered);
     done(this._load.refusal(reason), this._load.report(call.route));
     this._suspects.leave(offered);
   }
@@ -315,11 +311,6 @@
     }, kExpiryIntervalMs);
   }
 
-  private _longestChainOf(route: string): number | undefined {
-    const { chains } = this._deps;
-    return chains.isEstimated(route) ? chains.report(route, 0).height : undefined;
-  }
-
   private _immediateRefusal(offered: OfferedCall): GateRefusal | undefined {
     const { call } = offered;
     const { service, instance } = this._lifecycle.known;
@@ -329,24 +320,7 @@
     if (call.workspace && !this._deps.isKeyValid(call.workspace)) {
       return 'key_not_valid';
     }
-    if (!call.repeat) {
-      this._budget.earn(this._longestChainOf(call.route));
-      return undefined;
-    }
-    if (!this._budget.spend(this._deps.targets(service), call.inner)) {
-      return 'repeat_budget';
-    }
-    offered.repeatSpent = true;
-    this._deps.metrics.repeated();
-    return undefined;
-  }
-
-  /** A repeat that did not reach the target costs nothing. */
-  private _refundRepeat(offered: OfferedCall): void {
-    if (offered.repeatSpent) {
-      offered.repeatSpent = false;
-      this._budget.refund();
-    }
+    return this._repeats.admit(offered) ? undefined : 'repeat_budget';
   }
 
   private _applyState(): void {
@@ -451,7 +425,7 @@
     }
     if (wasNotSent(result)) {
       this._gate.callNotSent(offered.id);
-      this._refundRepeat(offered);
+      this._repeats.refund(offered);
     } else {
       this._gate.callEnded(offered.id, ran ? tookMs : undefined);
     }
@@ -461,7 +435,7 @@
 
   private _cancel(offered: OfferedCall): void {
     if (this._gate.withdraw(offered) || this._suspects.withdraw(offered)) {
-      this._refundRepeat(offered);
+      this._repeats.refund(offered);
       offered.done({ kind: 'not_run', reason: 'cancelled', retryAfterMs: 0 }, this._load.report(offered.call.route));
       this._suspects.leave(offered);
     } else if (offered.call.idempotent) {
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -5,7 +5,7 @@
 
 /** Prometheus metrics of a routing daemon. The number of label values is bounded for any input of callers. */
 
-import type { GateRefusal } from '@gentiandrum/core';
+import type { GateRefusal, RankedRepeatCounts } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
 import type { TargetLoadState } from './load/targetLoadTracker.js';
 import type { QuotaCounts } from './workspaces/quotaService.js';
@@ -41,6 +41,8 @@
     targetLoad: TargetLoadState | undefined;
     /** Capacity of the target's service in slots, and the factor of its last change; undefined when the level does not follow it. */
     room?: { capacity: number; change: number } | undefined;
+    /** Repeats admitted and refused by urgency; undefined when they are not ranked. */
+    repeats?: RankedRepeatCounts | undefined;
   };
   /** Number of hosts by the state of their target. */
   hosts: ReadonlyMap<string, number>;
@@ -200,6 +202,7 @@
       ...(gate.rateTokens === undefined ? [] : [['gate_rate_tokens', gate.rateTokens] satisfies [string, number]]),
       ...targetLoadValues(gate.targetLoad),
       ...(gate.room === undefined ? [] : roomValues(gate.room)),
+      ...(gate.repeats === undefined ? [] : repeatValues(gate.repeats)),
       ['links', links],
       ['config_version', configVersion],
       ['config_age_seconds', configAge],
@@ -279,6 +282,11 @@
   ];
 }
 
+function repeatValues({ urgent, other, refusedUrgent, refusedOther }: RankedRepeatCounts): [string, number][] {
+  const counts = { urgent, other, refused_urgent: refusedUrgent, refused_other: refusedOther };
+  return Object.entries(counts).map(([name, count]) => [`repeats_${name}`, count]);
+}
+
 function sumBy<T extends { count: number }>(entries: Iterable<T>, keyOf: (entry: T) => string): Record<string, number> {
   const sums: Record<string, number> = {};
   for (const entry of entries) {
