--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -73,6 +73,8 @@
 export * from './quarantine/suspicion.js';
 export * from './quarantine/probeTarget.js';
 export * from './retries/repeatBudget.js';
+export * from './returns/admittedRate.js';
+export * from './returns/returnPlaces.js';
 export * from './room/serviceRoom.js';
 export * from './routing/classifier.js';
 export * from './routing/hostStats.js';
