--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -512,7 +512,7 @@
       links: this._network.reachable,
       configVersion: this._configs.version,
       configAge: this._configs.ageSeconds,
-      inFlight: this._calls.inFlight,
+      ...this._calls.state,
       omittedLines: this._events.omitted,
       logCalls: this._platform.logCalls(),
       readsLog: this._follower.readsLog,
--- a/packages/mesh/src/server/entryRefusals.ts
+++ b/packages/mesh/src/server/entryRefusals.ts
@@ -19,6 +19,8 @@
   outcome: RequestOutcome;
   /** Retry-After value, in milliseconds; undefined when a retry is useless. */
   retryAfterMs?: number;
+  /** Whether Retry-After must not be spread. */
+  retryAfterExact?: boolean;
   headers?: string[];
   /** Text of the log line; undefined for frequent mistakes of callers, which are not logged. */
   logText?: string;
@@ -81,13 +83,15 @@
   }
 }
 
-function overloadRefusalOf({ kind, retryAfterMs }: Extract<RefusedEntry, { kind: 'shed' | 'too_late' }>): EntryRefusal {
-  return kind === 'shed'
+function overloadRefusalOf(result: Extract<RefusedEntry, { kind: 'shed' | 'too_late' }>): EntryRefusal {
+  const { kind, retryAfterMs } = result;
+  return result.kind === 'shed'
     ? {
         status: 503,
         detail: 'not run: overloaded',
         outcome: kind,
         retryAfterMs,
+        retryAfterExact: result.retryAfterExact === true,
         logText: 'Request shed at entry: its call chain is overloaded.',
       }
     : {
@@ -115,6 +119,11 @@
     case 'quota_unknown':
       return { route: result.route.name, workspace: result.workspace, retryAfterMs: Math.round(result.retryAfterMs) };
     case 'shed':
+      return {
+        route: result.route.name,
+        workspace: refusedWorkspace(result),
+        ...(result.retryAfterExact === undefined ? {} : { retryAfterMs: Math.round(result.retryAfterMs), place: result.retryAfterExact }),
+      };
     case 'too_late':
       return { route: result.route.name, workspace: refusedWorkspace(result) };
   }
