--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -17,7 +17,7 @@
 import { MovingAverages } from './movingAverages.js';
 import { drawLike, lowestScore, scoreBySpeed } from './speedChoice.js';
 import { SpeedStats } from './speedStats.js';
-import { type ComparisonContext, kBusyLoad, type PlacedRoute, scoreByMean, type ScoredTarget } from './targetScore.js';
+import { type ComparisonContext, kBusyLoad, type PlacedRoute, scoreByMean, type ScoredTarget, desiredMs } from './targetScore.js';
 import { subsetFor, type TargetSubset } from './targetSubset.js';
 import { explainUnchosen, kUnchosenComparisons, type UnchosenTarget } from './unchosenTarget.js';
 
@@ -73,15 +73,17 @@
    */
   choose(candidates: readonly TargetRecord[], excluded: ReadonlySet<string>, route: PlacedRoute): TargetRecord | undefined {
     const now = monotonicMs();
+    const usualMs = this._usualMs(route.name);
+    const placed = route.chain ? { name: route.name, latencyTargetMs: desiredMs(route, usualMs) } : route;
     const context: ComparisonContext = {
-      route,
+      route: placed,
       excluded,
       now,
-      zoneChargeMs: this._zoneChargeMs(route),
+      zoneChargeMs: this._zoneChargeMs(placed),
       // A random weight for each choice moves calls to another zone gradually rather than all at once.
       chainWeight: 2 * this._random(),
       zone: this._zone,
-      usualMs: this._usualMs(route.name),
+      usualMs,
       usualLoad: this._routeLoad.get(route.name) ?? 0,
       random: this._random,
     };
--- a/packages/core/src/routing/targetScore.ts
+++ b/packages/core/src/routing/targetScore.ts
@@ -32,6 +32,29 @@
 export interface PlacedRoute {
   name: string;
   latencyTargetMs: number;
+  /** Time that the chain above leaves to the call; undefined when it is unknown. */
+  chain?: ChainTimeLeft | undefined;
+}
+
+/** Time that a chain leaves to one of its calls. */
+export interface ChainTimeLeft {
+  /** Time until the deadline of the call, less what the runs above need after it, in milliseconds. */
+  budgetMs: number;
+  /** Expected number of gates that the chain passes after the call. */
+  gatesAfter: number;
+}
+
+/**
+ * Time within which a call should end, in milliseconds: the latency target of its route, or less if its chain leaves less. A chain of eight
+ * calls with a latency target of 300 ms each under a limit of 800 ms fails long before one of them misses its target, so that the charge
+ * for another zone, which is a share of the target, would keep calls at crowded targets of their own zone.
+ */
+export function desiredMs({ latencyTargetMs, chain }: PlacedRoute, usualMs: number): number {
+  if (!chain) {
+    return latencyTargetMs;
+  }
+  const slackMs = Math.max(0, chain.budgetMs - usualMs) / (1 + chain.gatesAfter);
+  return Math.min(latencyTargetMs, usualMs + slackMs);
 }
 
 /** Inputs that are the same for all candidates of one choice. */
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -174,11 +174,21 @@
 
   /** All daemons send suspects with the same fingerprint to the same target, so that one gate serializes them. */
   private _choose(excluded: ReadonlySet<string>): TargetRecord | undefined {
-    const { route, service } = this._req;
+    const { service } = this._req;
     if (this._assessment && this._assessment.verdict !== 'clear') {
       return chooseProbeTarget(this._assessment.suspicion.fingerprint, this._targetsForSuspect(), excluded);
     }
-    return this._deps.choose(this._deps.candidates(service), excluded, route);
+    return this._deps.choose(this._deps.candidates(service), excluded, this._placedRoute());
+  }
+
+  private _placedRoute(): PlacedRoute {
+    const { route, chain } = this._req;
+    if (chain.kind !== 'known' || !chain.need) {
+      return route;
+    }
+    const { afterMs, gatesAfter } = chain.need;
+    const { name, latencyTargetMs } = route;
+    return { name, latencyTargetMs, chain: { budgetMs: this._remainingMs() - afterMs, gatesAfter } };
   }
 
   private _targetsForSuspect(): readonly TargetRecord[] {
