--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -35,12 +35,13 @@
 import { identityOf } from './requestIdentity.js';
 import { statementEvents } from './statementEvents.js';
 import type { ChainControl } from '../load/chainControl.js';
-import type { MetricsView } from '../meshMetrics.js';
+import type { MeshMetrics, MetricsView } from '../meshMetrics.js';
 
 /** Interval between checks for calls that have waited too long, in milliseconds. */
 const kExpiryIntervalMs = 10;
 /** Daemon services that the gate depends on. */
 export interface TargetGateDeps extends GateLoadDeps, GateRepeatsDeps {
+  metrics: MeshMetrics;
   names: HeaderNames;
   /** Parts of the load control that are on. */
   load: LoadSettings;
@@ -265,6 +266,7 @@
     }
     offered.waitMs = time.waitMs;
     offered.waitUntil = now + Math.min(time.waitMs, offered.call.remainingMs);
+    offered.chainUntil = time.slackMs === undefined ? undefined : now + time.slackMs;
     return undefined;
   }
 
