--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -9,8 +9,6 @@
  */
 
 import type { Route } from '@gentiandrum/protocol';
-import type { RequestIdentity } from '../quarantine/requestFingerprint.js';
-import type { ReturnTime } from '../returns/returnPlaces.js';
 import type { RouteTable } from '../routing/routeTable.js';
 import type { PresentedKey } from '../workspaces/credentials.js';
 import type { WorkspaceRate } from '../workspaces/fairShares.js';
@@ -31,17 +29,6 @@
   presented: PresentedKey;
   /** Time until the caller's deadline, in milliseconds; infinite when the caller sends none. */
   remainingMs: number;
-  /** Parts that the fingerprint covers; called only where a place for a return is given, or may be used. */
-  identity: () => RequestIdentity;
-}
-
-/** A request whose route, key and quota allow it to run. */
-export interface RankedRequest {
-  route: Route;
-  workspace: RequestWorkspace | undefined;
-  rate: WorkspaceRate | undefined;
-  /** 0 is the most urgent. */
-  rank: number;
 }
 
 /** Lookup tables built from the configuration in force. */
@@ -75,20 +62,10 @@
   | { kind: 'stale_configuration'; route: Route }
   | { kind: 'over_quota'; route: Route; workspace: string; retryAfterMs: number }
   | { kind: 'quota_unknown'; route: Route; workspace: string; retryAfterMs: number }
-  /** `retryAfterExact`: a place is kept for the return at this time, so that the time must not be spread. */
-  | { kind: 'shed'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number; retryAfterExact?: boolean }
+  | { kind: 'shed'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number }
   /** Its chain takes longer than the time left. */
   | { kind: 'too_late'; route: Route; workspace: RequestWorkspace | undefined; retryAfterMs: number };
 
-/** Places for the returns of shed requests. */
-export interface ReturnsContext {
-  /** Whether a request has a place, which is then used up: it is admitted in spite of the level. */
-  takePlace(req: EntryRequest, ranked: RankedRequest): boolean;
-  /** Time for the return of a request that is shed; undefined where there is none better than the default. */
-  returnTime(req: EntryRequest, ranked: RankedRequest): ReturnTime | undefined;
-  recordAdmitted(ranked: RankedRequest): void;
-}
-
 /** Functions of the daemon that the procedure uses. */
 export interface AdmitContext {
   tables(): RoutingTables | undefined;
@@ -101,8 +78,6 @@
   shouldShed(route: Route, rank: number, workspace: WorkspaceRate | undefined): boolean;
   /** Whether a request with this time left can end in time. */
   canEndInTime(route: Route, remainingMs: number, keyed: boolean): boolean;
-  /** Undefined where no places are kept. */
-  returns?: ReturnsContext | undefined;
 }
 
 /** Decides whether to admit one request. */
@@ -170,19 +145,25 @@
   };
 }
 
-function decideByLoad(req: EntryRequest, ranked: RankedRequest, { routes }: RoutingTables, ctx: AdmitContext): EntryResult {
-  const { route, workspace, rate, rank } = ranked;
-  const retryAfterMs = route.latencyTargetMs * kShedRetryAfterRatio;
-  const hasPlace = ctx.returns?.takePlace(req, ranked) === true;
-  if (!hasPlace && ctx.shouldShed(route, rank, rate)) {
-    const time = ctx.returns?.returnTime(req, ranked);
-    return time
-      ? { kind: 'shed', route, workspace, retryAfterMs: time.retryAfterMs, retryAfterExact: time.kept }
-      : { kind: 'shed', route, workspace, retryAfterMs };
+/** A request whose route, key and quota allow it to run. */
+interface RankedRequest {
+  route: Route;
+  workspace: RequestWorkspace | undefined;
+  rate: WorkspaceRate | undefined;
+  rank: number;
+}
+
+function decideByLoad(
+  { remainingMs }: EntryRequest,
+  { route, workspace, rate, rank }: RankedRequest,
+  { routes }: RoutingTables,
+  ctx: AdmitContext,
+): EntryResult {
+  if (ctx.shouldShed(route, rank, rate)) {
+    return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
   }
-  if (!ctx.canEndInTime(route, Math.min(route.timeoutMs, req.remainingMs), workspace !== undefined)) {
-    return { kind: 'too_late', route, workspace, retryAfterMs };
+  if (!ctx.canEndInTime(route, Math.min(route.timeoutMs, remainingMs), workspace !== undefined)) {
+    return { kind: 'too_late', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
   }
-  ctx.returns?.recordAdmitted(ranked);
   return { kind: 'admitted', route, service: routes.nextService(route), rank, workspace };
 }
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -13,12 +13,7 @@
   type EntryResult,
   FairShares,
   monotonicMs,
-  type RankedRequest,
   type RequestWorkspace,
-  type ReturnCounts,
-  ReturnPlaces,
-  type ReturnsContext,
-  type ReturnTime,
   RootAdmission,
   type RoutingTables,
   type TokenResponse,
@@ -35,16 +30,13 @@
   tables(): RoutingTables | undefined;
   /** Time until which keys may be checked against the current configuration, on the monotonic clock. */
   validUntil(): number;
-  quotas: Pick<QuotaService, 'take' | 'request' | 'returnToken'>;
+  quotas: QuotaService;
   chains: ChainModel;
   chainControl: ChainControl;
-  load: Pick<LoadSettings, 'fairShares' | 'returnPlaces'>;
+  load: Pick<LoadSettings, 'fairShares'>;
   metrics: Pick<MeshMetrics, 'fairShareShed'>;
 }
 
-/** Share of its time left that a caller still has when it returns as late as it would. */
-const kLeftOnReturn = 2 / 3;
-
 /** A request whose admission is pending. */
 export interface PendingEntry {
   /** Discards the decision, because the caller has disconnected. */
@@ -56,13 +48,10 @@
   private readonly _admission = new RootAdmission();
   /** Undefined where the shares are not enabled. */
   private readonly _fairShares: FairShares | undefined;
-  /** Undefined where no places are kept. */
-  private readonly _places: ReturnPlaces | undefined;
   private readonly _environment: AdmitContext;
 
   constructor(private readonly _deps: RequestEntryDeps) {
     this._fairShares = _deps.load.fairShares ? new FairShares() : undefined;
-    this._places = _deps.load.returnPlaces ? new ReturnPlaces() : undefined;
     this._environment = {
       tables: () => _deps.tables(),
       validUntil: () => _deps.validUntil(),
@@ -71,15 +60,9 @@
       shouldShed: (route, rank, workspace) => this._shouldShed(route, rank, workspace),
       canEndInTime: (route, remainingMs, keyed) =>
         !this._isExternal(route, keyed) || _deps.chainControl.canEndInTime(route.name, remainingMs),
-      returns: this._places && this._returnsContext(this._places),
     };
   }
 
-  /** Counts of places for returns; undefined where no places are kept. */
-  get returnCounts(): ReturnCounts | undefined {
-    return this._places?.counts;
-  }
-
   /** Decides whether to admit a request. `done` may be called before this returns, and is not called after cancellation. */
   enter(req: EntryRequest, done: (result: EntryResult) => void): PendingEntry {
     const procedure = admitRequest(req, this._environment);
@@ -114,48 +97,6 @@
     }
   }
 
-  private _returnsContext(places: ReturnPlaces): ReturnsContext {
-    return {
-      takePlace: (req, ranked) => this._takePlace(places, req, ranked),
-      returnTime: (req, ranked) => this._returnTime(places, req, ranked),
-      recordAdmitted: ({ route, workspace }) => {
-        if (this._isExternal(route, workspace !== undefined)) {
-          places.admitted(route.name, monotonicMs());
-        }
-      },
-    };
-  }
-
-  private _takePlace(places: ReturnPlaces, req: EntryRequest, { route, workspace, rate, rank }: RankedRequest): boolean {
-    const now = monotonicMs();
-    if (!this._isExternal(route, workspace !== undefined) || !places.returns({ workspace: workspace?.name, identity: req.identity }, now)) {
-      return false;
-    }
-    const level = this._deps.chains.level(route.name);
-    this._admission.recordReserved(level, now);
-    if (level > 0) {
-      this._fairShares?.place(rate, rank, Math.random(), now);
-    }
-    return true;
-  }
-
-  private _returnTime(places: ReturnPlaces, req: EntryRequest, { route, workspace, rank }: RankedRequest): ReturnTime | undefined {
-    const level = this._deps.chains.level(route.name);
-    const leftMs = Math.min(route.timeoutMs, req.remainingMs * kLeftOnReturn);
-    return places.refused(
-      { workspace: workspace?.name, identity: req.identity },
-      {
-        route: route.name,
-        level,
-        remainingMs: req.remainingMs,
-        latencyTargetMs: route.latencyTargetMs,
-        preferred: this._admission.admitsSome(rank, level),
-        canEndLater: this._deps.chainControl.canEndLater(route.name, leftMs),
-      },
-      monotonicMs(),
-    );
-  }
-
   private _isExternal(route: Route, keyed: boolean): boolean {
     return keyed || this._deps.chains.isInternal(route.name) === false;
   }
--- a/packages/mesh/src/app/load/chainControl.ts
+++ b/packages/mesh/src/app/load/chainControl.ts
@@ -109,16 +109,11 @@
 
   /** Whether an external request can end in time according to earlier requests on its route. */
   canEndInTime(route: string, remainingMs: number): boolean {
-    const fits = this.canEndLater(route, remainingMs);
+    const fits = !this._deps.load.chainTime || this._entryTime.canEndInTime(route, remainingMs);
     this.counts.tooLateAtEntry += fits ? 0 : 1;
     return fits;
   }
 
-  /** Whether an external request could end in time if it returned with this time left; not counted as a refusal. */
-  canEndLater(route: string, remainingMs: number): boolean {
-    return !this._deps.load.chainTime || this._entryTime.canEndInTime(route, remainingMs);
-  }
-
   /** Records the duration of a successful external request that entered at this host. */
   recordSuccess(route: string, ms: number): void {
     if (this._deps.load.chainTime) {
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -512,7 +512,7 @@
       links: this._network.reachable,
       configVersion: this._configs.version,
       configAge: this._configs.ageSeconds,
-      ...this._calls.state,
+      inFlight: this._calls.inFlight,
       omittedLines: this._events.omitted,
       logCalls: this._platform.logCalls(),
       readsLog: this._follower.readsLog,
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -5,7 +5,7 @@
 
 /** Prometheus metrics of a routing daemon. The number of label values is bounded for any input of callers. */
 
-import type { GateRefusal, RankedRepeatCounts, ReturnCounts } from '@gentiandrum/core';
+import type { GateRefusal, RankedRepeatCounts } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
 import type { TargetLoadState } from './load/targetLoadTracker.js';
 import type { QuotaCounts } from './workspaces/quotaService.js';
@@ -52,8 +52,6 @@
   configAge: number;
   /** Number of requests in flight at this ingress. */
   inFlight: number;
-  /** Counts of places for returns; undefined where none are kept. */
-  returnPlaces?: ReturnCounts | undefined;
   /** Number of calls to the platform's log, by kind. */
   logCalls: ReadonlyMap<string, number>;
   /** Whether this daemon follows the log for its zone. */
@@ -185,7 +183,6 @@
       configVersion,
       configAge,
       inFlight,
-      returnPlaces,
       omittedLines,
       logCalls,
       readsLog,
@@ -210,7 +207,6 @@
       ['config_version', configVersion],
       ['config_age_seconds', configAge],
       ['requests_in_flight', inFlight],
-      ...Object.entries<number>({ ...returnPlaces }).map(([name, count]): [string, number] => [`return_places_${name}`, count]),
       ['log_lines_omitted', omittedLines],
       ['reads_log', readsLog ? 1 : 0],
       ['proof_age_seconds', proofAge],
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -10,7 +10,6 @@
 export * from './app/calls/deadlines.js';
 export * from './app/calls/gateLoad.js';
 export * from './app/calls/offeredCall.js';
-export * from './app/calls/requestEntry.js';
 export * from './app/calls/statementEvents.js';
 export * from './app/eventLog.js';
 export * from './app/load/chainControl.js';
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -6,24 +6,22 @@
 /** HTTP/1.1 server for the callers on this host: admits each request, forwards it to a target, and sends the final response. */
 
 import { createServer, type Server } from 'node:net';
-import { type EntryResult, monotonicMs, type RequestWorkspace } from '@gentiandrum/core';
+import { type EntryResult, monotonicMs, readCredentials, type RequestWorkspace } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeResult } from '../app/calls/callExchange.js';
 import type { EventFields, EventLog } from '../app/eventLog.js';
 import type { RequestOutcome } from '../app/latencyMetric.js';
-import type { MeshMetrics, MetricsView } from '../app/meshMetrics.js';
+import type { MeshMetrics } from '../app/meshMetrics.js';
 import type { RequestEntry } from '../app/calls/requestEntry.js';
 import type { CallChain, ChainControl } from '../app/load/chainControl.js';
 import { HeaderReader, kCredentialsHeader } from '../http/headerReader.js';
 import type { HeaderNames } from '../ports.js';
 import { BodyMemory } from './bodyMemory.js';
 import { CallerConnection, type CallerLimits, type CallerRequest, type ConnectionOwner, type ReadFault } from './callerConnection.js';
-import { entryRequestOf } from './entryRequest.js';
 import { type RefusedEntry, refusalFields, refusalOf, refusedService, refusedWorkspace } from './entryRefusals.js';
 import { outcomeOf } from './exchangeOutcome.js';
 import { faultStatus, faultDetail } from './readFaults.js';
-import { type RetryAfter, retryAfterValue } from './retryAfter.js';
 
 /** Limits until the first configuration is received. */
 const kInitialLimits: CallerLimits = {
@@ -34,6 +32,8 @@
 };
 /** Retry-After value when no better one is known, in milliseconds. */
 const kDefaultRetryAfterMs = 200;
+/** Largest random increase of Retry-After, as a factor; spreads the retries of callers. */
+const kRetrySpread = 1.0;
 /** Share of the process's memory for the bodies of requests in flight. */
 const kBodyMemoryShare = 0.3;
 const kBytesPerMb = 2 ** 20;
@@ -79,11 +79,6 @@
     return this._inFlight + unsent;
   }
 
-  /** State for the metrics. */
-  get state(): Pick<MetricsView, 'inFlight' | 'returnPlaces'> {
-    return { inFlight: this.inFlight, returnPlaces: this._deps.entry.returnCounts };
-  }
-
   get limits(): CallerLimits {
     return this._limits;
   }
@@ -121,9 +116,13 @@
   /** @internal Called by connections, as are the next two methods. */
   onRequest(req: CallerRequest): void {
     this._inFlight++;
-    const entering = this._deps.entry.enter(entryRequestOf(req), (result) => {
-      this._handleEntry(req, result);
-    });
+    const { host, credentials } = req.headers;
+    const entering = this._deps.entry.enter(
+      { host, path: req.target, presented: readCredentials(credentials), remainingMs: req.remainingMs },
+      (result) => {
+        this._handleEntry(req, result);
+      },
+    );
     if (!req.entryDecided) {
       req.onDisconnect = () => {
         this._inFlight--;
@@ -135,7 +134,7 @@
   /** @internal */
   onFault(req: CallerRequest, fault: ReadFault): void {
     this._inFlight++;
-    this._refuse(req, faultStatus(fault), faultDetail(fault), { ms: kDefaultRetryAfterMs });
+    this._refuse(req, faultStatus(fault), faultDetail(fault), kDefaultRetryAfterMs);
   }
 
   /** @internal */
@@ -159,7 +158,7 @@
   }
 
   private _refuseEntry(req: CallerRequest, result: RefusedEntry): void {
-    const { status, detail, outcome, retryAfterMs: ms, retryAfterExact: exact, headers, logText, lowPriority } = refusalOf(result);
+    const { status, detail, outcome, retryAfterMs, headers, logText, lowPriority } = refusalOf(result);
     this._deps.metrics.requestEnded(refusedService(result), outcome, result.kind === 'shed' ? 'level' : 'none', 0);
     const workspace = refusedWorkspace(result);
     if (workspace !== undefined) {
@@ -171,7 +170,7 @@
     } else if (logText !== undefined) {
       this._deps.events.info('calls', logText, fields());
     }
-    this._refuse(req, status, detail, ms === undefined ? undefined : { ms, exact }, headers);
+    this._refuse(req, status, detail, retryAfterMs, headers);
   }
 
   /** Refuses a call of the local target whose run has ended, so that nobody waits for its response. */
@@ -245,7 +244,7 @@
         this._send(req, result.answer.status, this._withRequestId(result.answer.headers, req.headers.requestId), result.answer.body);
         return;
       case 'not_run':
-        this._refuse(req, 503, `not run: ${result.reason}`, { ms: Math.max(kDefaultRetryAfterMs, result.retryAfterMs) });
+        this._refuse(req, 503, `not run: ${result.reason}`, Math.max(kDefaultRetryAfterMs, result.retryAfterMs));
         return;
       case 'lost':
         this._refuse(req, 502, `may have run: ${result.reason}`);
@@ -281,10 +280,10 @@
     }
   }
 
-  private _refuse(req: CallerRequest, status: number, detail: string, retryAfter?: RetryAfter, extraHeaders: readonly string[] = []): void {
+  private _refuse(req: CallerRequest, status: number, detail: string, retryAfterMs?: number, extraHeaders: readonly string[] = []): void {
     const headers = ['content-type', 'application/problem+json', ...extraHeaders];
-    if (retryAfter) {
-      headers.push('retry-after', retryAfterValue(retryAfter));
+    if (retryAfterMs !== undefined) {
+      headers.push('retry-after', ((retryAfterMs * (1 + Math.random() * kRetrySpread)) / 1_000).toFixed(3));
     }
     this._send(req, status, headers, Buffer.from(JSON.stringify({ status, detail })));
   }
--- a/packages/mesh/src/server/entryRefusals.ts
+++ b/packages/mesh/src/server/entryRefusals.ts
@@ -19,8 +19,6 @@
   outcome: RequestOutcome;
   /** Retry-After value, in milliseconds; undefined when a retry is useless. */
   retryAfterMs?: number;
-  /** Whether Retry-After must not be spread. */
-  retryAfterExact?: boolean;
   headers?: string[];
   /** Text of the log line; undefined for frequent mistakes of callers, which are not logged. */
   logText?: string;
@@ -83,15 +81,13 @@
   }
 }
 
-function overloadRefusalOf(result: Extract<RefusedEntry, { kind: 'shed' | 'too_late' }>): EntryRefusal {
-  const { kind, retryAfterMs } = result;
-  return result.kind === 'shed'
+function overloadRefusalOf({ kind, retryAfterMs }: Extract<RefusedEntry, { kind: 'shed' | 'too_late' }>): EntryRefusal {
+  return kind === 'shed'
     ? {
         status: 503,
         detail: 'not run: overloaded',
         outcome: kind,
         retryAfterMs,
-        retryAfterExact: result.retryAfterExact === true,
         logText: 'Request shed at entry: its call chain is overloaded.',
       }
     : {
@@ -119,11 +115,6 @@
     case 'quota_unknown':
       return { route: result.route.name, workspace: result.workspace, retryAfterMs: Math.round(result.retryAfterMs) };
     case 'shed':
-      return {
-        route: result.route.name,
-        workspace: refusedWorkspace(result),
-        ...(result.retryAfterExact === undefined ? {} : { retryAfterMs: Math.round(result.retryAfterMs), place: result.retryAfterExact }),
-      };
     case 'too_late':
       return { route: result.route.name, workspace: refusedWorkspace(result) };
   }
--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -63,9 +63,8 @@
 
 function enter(req: Partial<EntryRequest>, changed?: Partial<AdmitContext>): { result: EntryResult; recorded: Recorded } {
   const recorded: Recorded = { taken: [], ranks: [] };
-  const identity: EntryRequest['identity'] = () => ({ method: 'GET', host: 'app', path: '/read/1', body: new Uint8Array() });
   const procedure = admitRequest(
-    { host: 'app', path: '/read/1', presented: { kind: 'none' }, remainingMs: Infinity, identity, ...req },
+    { host: 'app', path: '/read/1', presented: { kind: 'none' }, remainingMs: Infinity, ...req },
     createContext(recorded, changed),
   );
   const step = procedure.next();
