--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -75,8 +75,6 @@
 export * from './retries/rankedDemand.js';
 export * from './retries/rankedRepeatBudget.js';
 export * from './retries/repeatBudget.js';
-export * from './returns/admittedRate.js';
-export * from './returns/returnPlaces.js';
 export * from './room/serviceRoom.js';
 export * from './routing/classifier.js';
 export * from './routing/hostStats.js';
