--- a/packages/protocol/src/meshSettingsSchema.ts
+++ b/packages/protocol/src/meshSettingsSchema.ts
@@ -78,10 +78,6 @@
       fairShares: z.boolean().default(false),
       /** Whether quotas are counted over sliding windows. */
       windowQuotas: z.boolean().default(false),
-      /** Whether admission is reserved for refused requests that return when told. */
-      returnPlaces: z.boolean().default(false),
-      /** Whether calls that wait at a crowded gate are offered to other targets. */
-      queueTransfer: z.boolean().default(false),
       /** Whether the repeat budget prefers urgent calls. */
       rankedRepeats: z.boolean().default(false),
     })
