--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -56,6 +56,7 @@
       recorded.ranks.push(rank);
       return false;
     },
+    retryFactor: () => 1,
     canEndInTime: () => true,
     ...changed,
   };
@@ -112,6 +113,26 @@
     const { result } = enter(kCrew, { shouldShed: () => true });
     t.is(result.kind === 'shed' ? result.workspace?.token?.host : undefined, 'h');
   });
+
+  it('should ask a shed request to wait longer under more overload, so that it does not return only to be refused again', (t) => {
+    const delayMs = (factor: number): number => {
+      const { result } = enter(kCrew, { shouldShed: () => true, retryFactor: () => factor });
+      return result.kind === 'shed' ? result.retryAfterMs : 0;
+    };
+    t.is(delayMs(4), delayMs(1) * 4);
+  });
+
+  it('should refuse a request whose chain takes longer than the time left, or than the limit of its route, and return its token', (t) => {
+    const seen: number[] = [];
+    const canEndInTime: AdmitContext['canEndInTime'] = (_route, remainingMs) => {
+      seen.push(remainingMs);
+      return false;
+    };
+    const { result } = enter({ ...kCrew, remainingMs: 7 }, { canEndInTime });
+    enter(kCrew, { canEndInTime });
+    t.is(result.kind === 'too_late' ? result.workspace?.token?.host : undefined, 'h');
+    t.deepEqual(seen, [7, kRoute.timeoutMs]);
+  });
 });
 
 describe('the load check at admission', () => {
