--- a/packages/core/src/admission/rootAdmission.ts
+++ b/packages/core/src/admission/rootAdmission.ts
@@ -15,9 +15,6 @@
 /** Half-life of a request's weight in the mix of priorities, in milliseconds. */
 const kHalfLifeMs = 3_000;
 
-/** Longest retry delay of a shed request, as a multiple of the one without overload. */
-const kMaxRetryFactor = 10;
-
 /** Admission of external requests at one daemon. */
 export class RootAdmission {
   /** Exponentially decaying count of the requests that had a level above 0, by priority. */
@@ -30,29 +27,14 @@
       return true;
     }
     this._record(priority, now);
-    const { before, own, total } = this._mixAround(priority);
-    return (before + draw * own) / total < 1 - level;
-  }
-
-  /**
-   * Factor by which the retry delay of a shed request grows: the inverse of the share of its priority that is admitted, up to 10. With the
-   * same delay at any level, requests of a priority that is shed almost entirely return only to be refused again.
-   */
-  retryFactor(priority: number, level: number): number {
-    const { before, own, total } = this._mixAround(priority);
-    const admittedShare = own > 0 ? ((1 - level) * total - before) / own : 1;
-    return 1 / Math.min(1, Math.max(1 / kMaxRetryFactor, admittedShare));
-  }
-
-  /** Weights of the more urgent requests, of those of this priority, and of all. */
-  private _mixAround(priority: number): { before: number; own: number; total: number } {
     let total = 0;
     let before = 0;
     for (const [other, weight] of this._weights) {
       total += weight;
       before += other < priority ? weight : 0;
     }
-    return { before, own: this._weights.get(priority) ?? 0, total };
+    const quantile = (before + draw * (this._weights.get(priority) ?? 0)) / total;
+    return quantile < 1 - level;
   }
 
   private _record(priority: number, now: number): void {
--- a/packages/core/src/procedures/admitRequest.ts
+++ b/packages/core/src/procedures/admitRequest.ts
@@ -76,8 +76,6 @@
   takeToken(workspace: string, limits: QuotaLimits): Generator<TokenRequest, QuotaResult, TokenResponse>;
   /** Whether to shed a request because of the load on its chain. Rank 0 is the most urgent; requests with a key have a workspace. */
   shouldShed(route: Route, rank: number, workspace: WorkspaceRate | undefined): boolean;
-  /** Factor by which the retry delay of a shed request grows with the overload. */
-  retryFactor(route: Route, rank: number): number;
   /** Whether a request with this time left can end in time. */
   canEndInTime(route: Route, remainingMs: number, keyed: boolean): boolean;
 }
@@ -162,8 +160,7 @@
   ctx: AdmitContext,
 ): EntryResult {
   if (ctx.shouldShed(route, rank, rate)) {
-    const retryAfterMs = route.latencyTargetMs * kShedRetryAfterRatio * ctx.retryFactor(route, rank);
-    return { kind: 'shed', route, workspace, retryAfterMs };
+    return { kind: 'shed', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
   }
   if (!ctx.canEndInTime(route, Math.min(route.timeoutMs, remainingMs), workspace !== undefined)) {
     return { kind: 'too_late', route, workspace, retryAfterMs: route.latencyTargetMs * kShedRetryAfterRatio };
--- a/packages/mesh/src/app/calls/requestEntry.ts
+++ b/packages/mesh/src/app/calls/requestEntry.ts
@@ -33,7 +33,7 @@
   quotas: QuotaService;
   chains: ChainModel;
   chainControl: ChainControl;
-  load: Pick<LoadSettings, 'fairShares' | 'retryAfterByLevel'>;
+  load: Pick<LoadSettings, 'fairShares'>;
   metrics: Pick<MeshMetrics, 'fairShareShed'>;
 }
 
@@ -58,7 +58,6 @@
       now: monotonicMs,
       takeToken: (workspace, limits) => _deps.quotas.take(workspace, limits),
       shouldShed: (route, rank, workspace) => this._shouldShed(route, rank, workspace),
-      retryFactor: (route, rank) => (_deps.load.retryAfterByLevel ? this._admission.retryFactor(rank, _deps.chains.level(route.name)) : 1),
       canEndInTime: (route, remainingMs, keyed) =>
         !this._isExternal(route, keyed) || _deps.chainControl.canEndInTime(route.name, remainingMs),
     };
--- a/packages/protocol/src/meshSettingsSchema.ts
+++ b/packages/protocol/src/meshSettingsSchema.ts
@@ -78,8 +78,6 @@
       fairShares: z.boolean().default(false),
       /** Whether quotas are counted over sliding windows. */
       windowQuotas: z.boolean().default(false),
-      /** Whether shed requests are told longer retry delays the smaller the share of their priority is that is admitted. */
-      retryAfterByLevel: z.boolean().default(false),
       /** Whether the repeat budget prefers urgent calls. */
       rankedRepeats: z.boolean().default(false),
     })
--- a/tests/workspaces/admitRequest.spec.ts
+++ b/tests/workspaces/admitRequest.spec.ts
@@ -56,7 +56,6 @@
       recorded.ranks.push(rank);
       return false;
     },
-    retryFactor: () => 1,
     canEndInTime: () => true,
     ...changed,
   };
@@ -114,14 +113,6 @@
     t.is(result.kind === 'shed' ? result.workspace?.token?.host : undefined, 'h');
   });
 
-  it('should ask a shed request to wait longer under more overload, so that it does not return only to be refused again', (t) => {
-    const delayMs = (factor: number): number => {
-      const { result } = enter(kCrew, { shouldShed: () => true, retryFactor: () => factor });
-      return result.kind === 'shed' ? result.retryAfterMs : 0;
-    };
-    t.is(delayMs(4), delayMs(1) * 4);
-  });
-
   it('should refuse a request whose chain takes longer than the time left, or than the limit of its route, and return its token', (t) => {
     const seen: number[] = [];
     const canEndInTime: AdmitContext['canEndInTime'] = (_route, remainingMs) => {
