--- a/packages/core/src/admission/notRunReason.ts
+++ b/packages/core/src/admission/notRunReason.ts
@@ -5,7 +5,7 @@
 
 /** Reasons for which a call did not run, shared by gates, links and targets. */
 
-import type { GateRefusal } from './slotGate.js';
+import type { GateRefusal } from './gatedCall.js';
 
 /** Why a call certainly did not run. */
 export type NotRunReason = GateRefusal | 'no_connection' | 'target_refused' | 'wrong_instance' | 'cancelled';
--- a/packages/core/src/admission/slotGate.ts
+++ b/packages/core/src/admission/slotGate.ts
@@ -12,6 +12,7 @@
 
 import { RunDurations, type RunStart } from '../targetLoad/runDurations.js';
 import { monotonicMs } from '../util/clock.js';
+import type { GatedCall, GateRefusal, SlotGateEvents } from './gatedCall.js';
 import { TargetRateLimiter } from './targetRateLimiter.js';
 
 /** Maximum queue length, as a multiple of the limit. */
@@ -27,46 +28,6 @@
   return coldMs > 1_000 ? kColdSlotShares[0] : kColdSlotShares[1];
 }
 
-/** Why a gate refuses a call. A refused call has not run. */
-export type GateRefusal =
-  | 'not_accepting'
-  | 'unreachable'
-  | 'overloaded'
-  /** The target states a rate limit, which leaves no room for the call. */
-  | 'rate_limited'
-  | 'repeat_budget'
-  | 'wait_too_long'
-  /** The chain of the call cannot end in time any more, even if nothing waits. */
-  | 'too_late'
-  | 'key_not_valid'
-  /** Requests with its fingerprint are suspected of crashing targets, and no probe can run here now. */
-  | 'suspected'
-  /** Requests with its fingerprint have crashed targets and are quarantined. */
-  | 'quarantined';
-
-/** A call offered to a gate. */
-export interface GatedCall {
-  id: number;
-  /** Latest start on the monotonic clock, in milliseconds. Waiting calls start in this order, unless `chainUntil` is set. */
-  waitUntil: number;
-  /**
-   * Latest start at which the chain of the call can still end in time, if nothing else delays it; replaces `waitUntil` in the order of the
-   * queue. With the share of one gate as the order, calls near the end of a chain started last, because the unused shares of the earlier gates
-   * had been added to theirs, and lost the most work when they failed.
-   */
-  chainUntil?: number | undefined;
-  /** Rank of the root request, 0 for the most urgent; undefined for calls of targets whose root request is unknown. */
-  rank?: number | undefined;
-  /** Whether it is a call of a target; absent counts as false. */
-  inner?: boolean | undefined;
-}
-
-/** Callbacks for waiting calls. */
-export interface SlotGateEvents<T extends GatedCall> {
-  onStart(call: T): void;
-  onRefuse(call: T, reason: GateRefusal): void;
-}
-
 /** Place of a call in the order of the queue. */
 function orderOf({ waitUntil, chainUntil }: GatedCall): number {
   return chainUntil ?? waitUntil;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './admission/internalRouteDetector.js';
 export * from './admission/chainModel.js';
 export * from './admission/gate.js';
+export * from './admission/gatedCall.js';
 export * from './admission/gateLevel.js';
 export * from './admission/notRunReason.js';
 export * from './admission/learnedChains.js';
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -17,7 +17,6 @@
   type PlacedCallResult,
   type PlacedRoute,
   type CallResult,
-  type RequestWorkspace,
   type RouteResult,
   foundNoTarget,
   routeRequest,
@@ -27,11 +26,10 @@
   targetsForSuspect,
   type Verdict,
 } from '@gentiandrum/core';
-import type { Route } from '@gentiandrum/protocol';
 import type { PeerCall } from '../../client/callCodec.js';
-import type { CallChain } from '../load/chainControl.js';
 import type { Deadlines, Expirable } from './deadlines.js';
 import { identityOf } from './requestIdentity.js';
+import type { FailedOffer, RoutedRequest } from './routedRequest.js';
 import type { OfferDone, OfferHandle } from './offeredCall.js';
 
 /** Minimum time left before the deadline to make an offer, in milliseconds; covers the transfer of the response. */
@@ -66,36 +64,6 @@
   deprioritize(host: string): void;
 }
 
-/** A request as received from the server. */
-export interface RoutedRequest {
-  route: Route;
-  service: string;
-  callerService: string;
-  requestId: string;
-  method: string;
-  path: string;
-  headers: string[];
-  body: Buffer;
-  /** Rank under overload, 0 the most urgent. */
-  rank: number;
-  /** Chain of a call of the local target. */
-  chain: CallChain;
-  /** Workspace of the request; `validUntil` is the monotonic time until which its key may be trusted. */
-  workspace: Pick<RequestWorkspace, 'name' | 'keyHash' | 'version' | 'validUntil'> | undefined;
-  /** Deadline of the request, on the monotonic clock. */
-  deadline: number;
-}
-
-/** An unsuccessful offer: its host, its result, and the load that the gate reported with the result. */
-export interface FailedOffer {
-  host: string;
-  end: string;
-  ms: number;
-  inFlight: number;
-  queued: number;
-  limit: number;
-}
-
 /** Result of the routing procedure, or `timed_out` when the deadline passed before there was one. */
 export type ExchangeResult = RouteResult | { kind: 'timed_out' };
 
--- a/packages/mesh/src/app/load/chainControl.ts
+++ b/packages/mesh/src/app/load/chainControl.ts
@@ -24,6 +24,7 @@
 import type { PeerCall } from '../../client/callCodec.js';
 import type { OfferedCall } from '../calls/offeredCall.js';
 import type { ChainCounts } from '../meshMetrics.js';
+import { ChainShapes } from './chainShapes.js';
 
 /** Services that the control depends on. */
 export interface ChainControlDeps {
@@ -67,7 +68,11 @@
   private readonly _timings = new RunTimings();
   private readonly _entryTime = new EntryTime();
 
-  constructor(private readonly _deps: ChainControlDeps) {}
+  private readonly _shapes: ChainShapes;
+
+  constructor(private readonly _deps: ChainControlDeps) {
+    this._shapes = new ChainShapes(_deps.chains);
+  }
 
   /** Matches a call of the local target to the run that made it; `remainingMs` is the time until its deadline. */
   chainOf(route: string, remainingMs: number): CallChain {
@@ -95,7 +100,7 @@
     }
     const runMs = this._timings.needMs(call.route);
     const after = call.chain ?? kNoChainNeed;
-    const budget = waitBudget({ remainingMs: call.remainingMs, runMs, gates: this._gatesOf(call.route), after });
+    const budget = waitBudget({ remainingMs: call.remainingMs, runMs, gates: this._shapes.of(call.route).gates, after });
     if (budget.kind === 'too_late') {
       this.counts.tooLateAtGate++;
       return budget;
@@ -173,20 +178,14 @@
    * deadline leaves the time between the two to the run.
    */
   private _needAfter({ route, need, deadline: runDeadline }: TrackedRun, ordinal: number, deadline: number): ChainNeed | undefined {
-    const { chains } = this._deps;
-    const afterMs = this._timings.afterMs(route, ordinal) ?? (chains.isEstimated(route) ? 0 : undefined);
+    const { calls, gates, estimated } = this._shapes.of(route);
+    const afterMs = this._timings.afterMs(route, ordinal) ?? (estimated ? 0 : undefined);
     if (afterMs === undefined) {
       return undefined;
     }
-    const calls = chains.callsPerRun(route);
-    const gatesBelow = Math.max(0, this._gatesOf(route) - 1);
     const remainingShare = calls > 0 ? Math.max(0, calls - ordinal) / calls : 0;
     const neededMs = afterMs + need.afterMs - Math.max(0, runDeadline - deadline);
-    return { afterMs: Math.max(0, neededMs), gatesAfter: gatesBelow * remainingShare + need.gatesAfter };
-  }
-
-  private _gatesOf(route: string): number {
-    return this._deps.chains.report(route, 0).gates ?? 1;
+    return { afterMs: Math.max(0, neededMs), gatesAfter: (gates - 1) * remainingShare + need.gatesAfter };
   }
 }
 
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -45,13 +45,8 @@
   /** Requests a token from the owner of a share of a workspace's quota. */
   | { type: 'token_wanted'; id: number; workspace: string }
   | { type: 'token'; id: number; workspace: string; result: GrantResult }
-  /** Returns the tokens of requests that have not run, by workspace. */
-  | {
-      type: 'tokens_back';
-      tokens: Readonly<Record<string, number>>;
-      /** Time since the earliest request of these tokens; only where quotas are counted by window. */
-      ageMs?: number;
-    }
+  /** Returns the tokens of requests that have not run, by workspace; `ageMs` is the age of the earliest, only with quotas by window. */
+  | { type: 'tokens_back'; tokens: Readonly<Record<string, number>>; ageMs?: number }
   /** Request fingerprints that are suspected of crashing targets. */
   | { type: 'suspects'; suspects: Suspicion[] }
   /** Last message on a link: the sender shuts down, and has not accepted calls with ids above `taken`. */
@@ -296,10 +291,6 @@
     case 'token':
       return { type, id, workspace: names.read(fields[2]), result: parseGrant(fields[3]) };
     case 'tokens_back':
-      return {
-        type,
-        tokens: fields[1] as Record<string, number>,
-        ...(typeof fields[2] === 'number' ? { ageMs: fields[2] } : {}),
-      };
+      return { type, tokens: fields[1] as Record<string, number>, ...(typeof fields[2] === 'number' ? { ageMs: fields[2] } : {}) };
   }
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -10,6 +10,7 @@
 export * from './app/calls/deadlines.js';
 export * from './app/calls/gateLoad.js';
 export * from './app/calls/offeredCall.js';
+export * from './app/calls/routedRequest.js';
 export * from './app/calls/statementEvents.js';
 export * from './app/eventLog.js';
 export * from './app/load/chainControl.js';
