Review case 3: a pipelined request is lost in a planned stop

In a planned stop, the answer of a request is marked as the last one of its connection when it is made. Behind an older answer that is still missing, the connection goes on to take requests and to pass them on; it is closed after the marked answer, and those requests get none (LOST).

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
