Log and count requests whose connection closes before their response

Change: one line for each such request with its id and who closed the connection first; a warning if it was the daemon, of low priority if it was the caller; counter unanswered_requests_total{closed_by}.

--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -84,6 +84,9 @@
   private readonly _fairShareSheds = this._counter('fair_share_shed_total', 'Requests that fair shares shed at this ingress', [
     'over_share',
   ]);
+  private readonly _unanswered = this._counter('unanswered_requests_total', 'Requests whose connection closed before their response', [
+    'closed_by',
+  ]);
   /** Totals by label values; copied to the counters on each read, because the library hashes the labels on every increment. */
   private readonly _requestTotals = new Map<string, RequestTotals>();
   private readonly _placementTotals = new Map<string, PlacementTotals>();
@@ -142,6 +145,11 @@
     this._fairShareSheds.inc({ over_share: String(overShare) });
   }
 
+  /** Counts a request whose connection was closed before its response was sent, by who closed it. */
+  unanswered(closedBy: 'caller' | 'daemon'): void {
+    this._unanswered.inc({ closed_by: closedBy });
+  }
+
   /** Counts an offer to a target; `afterRefusal` when an earlier offer of the same request was unsuccessful. */
   placed(service: string, place: TargetLocality, afterRefusal: boolean): void {
     const key = `${service} ${place} ${afterRefusal}`;
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -18,7 +18,14 @@
 import { HeaderReader, kCredentialsHeader } from '../http/headerReader.js';
 import type { HeaderNames } from '../ports.js';
 import { BodyMemory } from './bodyMemory.js';
-import { CallerConnection, type CallerLimits, type CallerRequest, type ConnectionOwner, type ReadFault } from './callerConnection.js';
+import {
+  CallerConnection,
+  type CallerLimits,
+  type CallerRequest,
+  type ConnectionEnd,
+  type ConnectionOwner,
+  type ReadFault,
+} from './callerConnection.js';
 import { type RefusedEntry, refusalFields, refusalOf, refusedService, refusedWorkspace } from './entryRefusals.js';
 import { outcomeOf } from './exchangeOutcome.js';
 import { faultStatus, faultDetail } from './readFaults.js';
@@ -113,7 +120,7 @@
     }
   }
 
-  /** @internal Called by connections, as are the next two methods. */
+  /** @internal Called by connections, as are the next three methods. */
   onRequest(req: CallerRequest): void {
     this._inFlight++;
     const { host, credentials } = req.headers;
@@ -137,6 +144,21 @@
     this._refuse(req, faultStatus(fault), faultDetail(fault), kDefaultRetryAfterMs);
   }
 
+  /** @internal */
+  onUnanswered(req: CallerRequest, closedBy: ConnectionEnd): void {
+    this._deps.metrics.unanswered(closedBy);
+    const text = `Connection closed by the ${closedBy} before the response to a request was sent.`;
+    const fields = (): EventFields => ({ req: req.headers.requestId, ms: Math.round(monotonicMs() - req.receivedAt) });
+    switch (closedBy) {
+      case 'caller':
+        this._deps.events.infoLowPriority('calls', text, fields);
+        return;
+      case 'daemon':
+        this._deps.events.warn('calls', text, fields());
+        return;
+    }
+  }
+
   /** @internal */
   onClose(connection: CallerConnection): void {
     this._connections.delete(connection);
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -51,9 +51,14 @@
   onRequest(req: CallerRequest): void;
   /** A request cannot be read; the connection closes after its response. */
   onFault(req: CallerRequest, fault: ReadFault): void;
+  /** The connection was closed before the response to a request was sent. */
+  onUnanswered(req: CallerRequest, closedBy: ConnectionEnd): void;
   onClose(connection: CallerConnection): void;
 }
 
+/** Who closed a connection first. */
+export type ConnectionEnd = 'caller' | 'daemon';
+
 /** One request of a caller. */
 export class CallerRequest {
   body: Buffer = kNoBody;
@@ -103,6 +108,9 @@
   private _headStartedAt: number | undefined;
   /** The connection closes after the last pending response, and received bytes are discarded. */
   private _ending = false;
+  /** This daemon has closed its end of the connection. */
+  private _ended = false;
+  private _disconnected = false;
   private _closed = false;
 
   constructor(
@@ -199,6 +207,7 @@
 
   private _endConnection(): void {
     this._ending = true;
+    this._ended = true;
     this._idleSince = monotonicMs();
     this._socket.end();
     this._socket.resume();
@@ -337,10 +346,15 @@
 
   /** The caller has closed its end of the connection. */
   private _handleDisconnect(): void {
+    if (this._disconnected) {
+      return;
+    }
+    this._disconnected = true;
     this._stopBodyTimer();
     this._parts = [];
     this._readRequests.length = 0;
     for (const req of this._pending) {
+      this._owner.onUnanswered(req, this._ended ? 'daemon' : 'caller');
       this._releaseBody(req);
       req.onDisconnect?.();
       req.onDisconnect = undefined;
--- a/tests/mesh/callers.spec.ts
+++ b/tests/mesh/callers.spec.ts
@@ -137,6 +137,22 @@
     }),
   );
 
+  itSerial('should be counted when they disconnect before the response', (t) =>
+    withFleet(async (fleet) => {
+      const host = await startHost(fleet);
+      host.target.workMs = 400;
+      const caller = await RawCaller.open(host.calls);
+      caller.write(requestText('/a/1', 'd1') + requestText('/a/2', 'd2'));
+      await fleet.until('the target to work', () => host.target.running === 2);
+      caller.disconnect();
+      await fleet.until('both requests to be counted', async () => {
+        const [, count] = /unanswered_requests_total\{closed_by="caller"[^}]*\} (\d+)/.exec(await fleet.metrics(host)) ?? [];
+        return count === '2';
+      });
+      t.notRegex(await fleet.metrics(host), /closed_by="daemon"/);
+    }),
+  );
+
   itSerial('should receive all responses to pipelined requests when the last one requests to close the connection', (t) =>
     withFleet(async (fleet) => {
       const host = await startHost(fleet);
