Choose the last request of a caller's connection when its response is written

Cause: CallerConnection decided with the making of a response whether it closes the connection. A response that was ready behind an older one carried the close, while the connection went on to accept and pass on requests behind it. With requests always arriving, no response was the newest one, the connection was in use for the whole stop, and what ran at its end got a 502 of the daemon. Change: ResponseSequence in packages/core, a state machine without I/O (open, last chosen, ended): the last request is chosen when its response is written and none stands behind it; after the notice of 2.3 s, it is the newest that has been started, and a new connection takes one. No request is accepted behind it. Why it works: a response carries the close only in the step that also ends the acceptance of requests, so none can come in between.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './claims/answerResponseQuery.js';
 export * from './config/configFold.js';
 export * from './config/mergePatch.js';
+export * from './connections/responseSequence.js';
 export * from './errors/errorKind.js';
 export * from './membership/livenessCheck.js';
 export * from './membership/memberView.js';
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -219,11 +219,14 @@
       return;
     }
     this._stopping = true;
+    this._calls.drain();
     const startedAt = monotonicMs();
     this._events.info('stop', 'Graceful shutdown started.', { calls: this._calls.inFlight, atGate: this._gate.pending });
     const latest = startedAt + this._settings.stopSeconds * 1_000 - kStopMarginMs;
     // The gate stays open meanwhile, because closing it at once would leave the target idle until callers switch to other daemons.
     await pause(kDrainNoticeMs);
+    // Callers that never wait for their responses would otherwise use their connections until the process exits.
+    this._calls.endConnections();
     const erased = this._gate.advertisedState.state === 'gone' ? this._platform.records.erase(this._settings.id) : undefined;
     this._gate.stop();
     // Calls that run on the local target may still send requests through this daemon, on new connections too.
@@ -412,7 +415,6 @@
       }),
       chainControl: this._chainControl,
       keysRequired: () => this._workspaces.required,
-      stopping: () => this._stopping,
       chains: this._chains,
       suspects: this._suspects,
       deadlines: this._deadlines,
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -6,7 +6,7 @@
 /** HTTP/1.1 server for the callers on this host: admits each request, forwards it to a target, and sends the final response. */
 
 import { createServer, type Server } from 'node:net';
-import { type EntryResult, monotonicMs, readCredentials, type RequestWorkspace } from '@gentiandrum/core';
+import { type EntryResult, monotonicMs, readCredentials, type RequestWorkspace, type ServerPhase } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeResult } from '../app/calls/callExchange.js';
@@ -53,7 +53,6 @@
   chainControl: ChainControl;
   /** Whether requests need keys. If so, keys are not forwarded to targets. */
   keysRequired(): boolean;
-  stopping(): boolean;
   metrics: MeshMetrics;
   events: EventLog;
 }
@@ -67,6 +66,7 @@
   private readonly _server: Server;
   private readonly _connections = new Set<CallerConnection>();
   private _limits = kInitialLimits;
+  private _phase: ServerPhase = 'serving';
   private _inFlight = 0;
 
   constructor(private readonly _deps: CallServerDeps) {
@@ -90,9 +90,8 @@
     return this._limits;
   }
 
-  /** Whether connections close after their next response. */
-  get closing(): boolean {
-    return this._deps.stopping();
+  get phase(): ServerPhase {
+    return this._phase;
   }
 
   async listen(address: string): Promise<void> {
@@ -104,6 +103,19 @@
     this._limits = limits;
   }
 
+  /** Closes each connection with a response behind which no request stands. */
+  drain(): void {
+    this._phase = 'draining';
+  }
+
+  /** Closes each connection with the response to its newest request, and new ones with their first response. */
+  endConnections(): void {
+    this._phase = 'ending';
+    for (const connection of this._connections) {
+      connection.chooseLast();
+    }
+  }
+
   /** Stops accepting connections, and closes idle ones. */
   close(): void {
     this._server.close();
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -9,7 +9,7 @@
  */
 
 import type { Socket } from 'node:net';
-import { monotonicMs } from '@gentiandrum/core';
+import { monotonicMs, ResponseSequence, type SequencedRequest, type ServerPhase } from '@gentiandrum/core';
 import type { HeaderReader, RequestHeaders } from '../http/headerReader.js';
 import { MessageParser, type MessageHead, type ParseFault } from '../http/messageParser.js';
 import { encodeResponse, writeParts } from '../http/messageText.js';
@@ -45,8 +45,7 @@
   readonly headers: HeaderReader;
   readonly memory: BodyMemory;
   readonly limits: CallerLimits;
-  /** Whether connections close after their next response. */
-  readonly closing: boolean;
+  readonly phase: ServerPhase;
   /** A request was read completely. */
   onRequest(req: CallerRequest): void;
   /** A request cannot be read; the connection closes after its response. */
@@ -59,8 +58,15 @@
 /** Who closed a connection first. */
 export type ConnectionEnd = 'caller' | 'daemon';
 
+/** Response to a caller. */
+interface CallerResponse {
+  status: number;
+  headers: string[];
+  body: Buffer;
+}
+
 /** One request of a caller. */
-export class CallerRequest {
+export class CallerRequest implements SequencedRequest {
   body: Buffer = kNoBody;
   /** Time at which the head was read, on the monotonic clock; the time for reading the body counts against the deadline. */
   readonly receivedAt = monotonicMs();
@@ -68,12 +74,10 @@
   onDisconnect: (() => void) | undefined;
   /** Bytes reserved for its body in {@link BodyMemory}. */
   reservedBytes = 0;
-  /** Encoded response, once there is one. */
-  response: Buffer[] | undefined;
+  /** Response that waits for those to older requests. */
+  response: CallerResponse | undefined;
   /** Whether the request has been admitted or refused. */
   entryDecided = false;
-  /** Whether the connection closes after this request. */
-  isLast = false;
 
   constructor(
     private readonly _connection: CallerConnection,
@@ -82,6 +86,10 @@
     readonly headers: RequestHeaders,
   ) {}
 
+  get ready(): boolean {
+    return this.response !== undefined;
+  }
+
   /** Time until the caller's deadline, in milliseconds; infinite when the caller sends none. */
   get remainingMs(): number {
     return this.receivedAt + this.headers.remainingMs - monotonicMs();
@@ -95,8 +103,8 @@
 
 export class CallerConnection {
   private readonly _parser: MessageParser;
-  /** Requests whose responses have not been written, the oldest first. */
-  private readonly _pending: CallerRequest[] = [];
+  /** Requests whose responses have not been written. */
+  private readonly _sequence = new ResponseSequence<CallerRequest>();
   /** Complete requests that have not been started, the oldest first. */
   private readonly _readRequests: CallerRequest[] = [];
   private _startedCount = 0;
@@ -106,8 +114,6 @@
   private _bodyTimer: NodeJS.Timeout | undefined;
   private _idleSince = monotonicMs();
   private _headStartedAt: number | undefined;
-  /** The connection closes after the last pending response, and received bytes are discarded. */
-  private _ending = false;
   /** This daemon has closed its end of the connection. */
   private _ended = false;
   private _disconnected = false;
@@ -153,24 +159,35 @@
   /** Enforces the connection's timeouts; called a few times a second. */
   check(now: number): void {
     const { headerTimeoutMs, idleTimeoutMs } = this._owner.limits;
-    if (this._ending) {
-      if (this._pending.length === 0 && now - this._idleSince > kLingerMs) {
+    const idle = this._sequence.pending.length === 0;
+    if (!this._sequence.accepting) {
+      if (idle && now - this._idleSince > kLingerMs) {
         this._socket.destroy();
       }
     } else if (this._headStartedAt !== undefined && now - this._headStartedAt > headerTimeoutMs) {
       this._failConnection('head_too_late');
-    } else if (this._pending.length === 0 && !this._reading && now - this._idleSince > idleTimeoutMs + kIdleGraceMs) {
+    } else if (idle && now - this._idleSince > idleTimeoutMs + kIdleGraceMs) {
       this._endConnection();
     }
   }
 
   /** Closes the connection if it is idle; otherwise it closes after its last response. */
   stop(): void {
-    if (this._pending.length === 0 && !this._reading && !this._ending) {
+    if (this._sequence.pending.length === 0 && !this._sequence.ended) {
       this._endConnection();
     }
   }
 
+  /** Accepts no requests behind those that have been started; a request that is being read is still completed. */
+  chooseLast(): void {
+    const [waiting] = this._readRequests;
+    if (waiting) {
+      this._dropFrom(waiting);
+    } else {
+      this._sequence.chooseLast();
+    }
+  }
+
   /** Sends the response to a request; see {@link CallerRequest.respond}. */
   respond(req: CallerRequest, status: number, headers: string[], body: Buffer): void {
     if (req.response || this._closed) {
@@ -178,24 +195,15 @@
     }
     req.onDisconnect = undefined;
     this._releaseBody(req);
-    const last = this._isLast(req);
-    const all = last ? [...headers, 'connection', 'close'] : headers;
-    req.response = encodeResponse(status, all, body, req.method === 'HEAD');
-    req.isLast = last;
+    req.response = { status, headers, body };
     this._writeResponses();
   }
 
-  /** Only the response to the last request that was read may announce the close: callers consider later requests unprocessed. */
-  private _isLast(req: CallerRequest): boolean {
-    return this._pending.at(-1) === req && (req.isLast || this._ending || this._owner.closing);
-  }
-
   private _writeResponses(): void {
-    while (this._pending[0]?.response) {
-      const req = this._pending.shift();
+    for (const { req, last } of this._sequence.takeReady(this._owner.phase)) {
       this._startedCount--;
-      writeParts(this._socket, req?.response ?? []);
-      if (req?.isLast) {
+      this._writeResponse(req, last);
+      if (last) {
         this._endConnection();
       }
     }
@@ -205,8 +213,28 @@
     }
   }
 
+  private _writeResponse({ method, response }: CallerRequest, last: boolean): void {
+    if (response) {
+      const { status, headers, body } = response;
+      const all = last ? [...headers, 'connection', 'close'] : headers;
+      writeParts(this._socket, encodeResponse(status, all, body, method === 'HEAD'));
+    }
+  }
+
+  /** Drops a request that has not been started, and those behind it; the caller considers them unprocessed. */
+  private _dropFrom(waiting: CallerRequest): void {
+    for (const req of this._sequence.dropFrom(waiting)) {
+      this._releaseBody(req);
+    }
+    this._readRequests.length = 0;
+    this._stopReading();
+    if (this._sequence.ended) {
+      this._endConnection();
+    }
+  }
+
   private _endConnection(): void {
-    this._ending = true;
+    this._sequence.end();
     this._ended = true;
     this._idleSince = monotonicMs();
     this._socket.end();
@@ -214,7 +242,7 @@
   }
 
   private _handleData(bytes: Buffer): void {
-    if (this._ending || this._closed) {
+    if (this._closed || (!this._sequence.accepting && !this._reading)) {
       return;
     }
     this._parser.maxHeadBytes = this._owner.limits.headerBytes;
@@ -229,7 +257,7 @@
   /** Starts and stops the timeouts for the head and the body that are being read. */
   private _updateTimeouts(): void {
     const reading = this._reading;
-    if (reading && !this._ending) {
+    if (reading) {
       this._bodyTimer ??= setTimeout(
         () => {
           this._rejectRequest(reading, 'body_too_late');
@@ -265,24 +293,26 @@
   }
 
   private _handleHead({ method, target, headers: raw, keepAlive }: MessageHead): void {
-    if (this._ending) {
+    if (!this._sequence.accepting) {
       return;
     }
     const headers = this._owner.headers.readRequest(raw);
     const req = new CallerRequest(this, method, target, headers);
-    req.isLast = !keepAlive;
-    this._pending.push(req);
+    this._sequence.add(req, this._owner.phase);
+    if (!keepAlive) {
+      this._sequence.chooseLast();
+    }
     this._reading = req;
     if (headers.bodyBytes > this._owner.limits.bodyBytes) {
       this._rejectRequest(req, 'body_too_long');
-    } else if (headers.expectsContinue && this._pending.length === 1) {
+    } else if (headers.expectsContinue && this._sequence.pending.length === 1) {
       this._socket.write(kContinueResponse);
     }
   }
 
   private _handleBody(part: Buffer): void {
     const req = this._reading;
-    if (!req || this._ending) {
+    if (!req) {
       return;
     }
     if (!this._owner.memory.reserve(part.length)) {
@@ -300,14 +330,19 @@
     const req = this._reading;
     this._reading = undefined;
     this._stopBodyTimer();
-    if (!req || this._ending) {
+    if (!req) {
       return;
     }
     const [only] = this._parts;
     req.body = this._parts.length === 1 && only ? only : Buffer.concat(this._parts);
     this._parts = [];
     this._readRequests.push(req);
-    this._ending = req.isLast;
+  }
+
+  private _stopReading(): void {
+    this._reading = undefined;
+    this._parts = [];
+    this._stopBodyTimer();
   }
 
   private _stopBodyTimer(): void {
@@ -317,26 +352,24 @@
 
   /** Rejects a request that was not read completely; the connection closes after the response. */
   private _rejectRequest(req: CallerRequest, fault: ReadFault): void {
-    this._stopBodyTimer();
-    this._parts = [];
-    this._ending = true;
+    this._stopReading();
+    this._sequence.chooseLast();
     this._startedCount++;
     this._owner.onFault(req, fault);
   }
 
   /** Rejects the current request, or an unparsed one, after malformed input or a timeout. */
   private _failConnection(fault: ReadFault): void {
-    if (this._ending || this._closed) {
+    if (this._closed) {
       return;
     }
-    this._rejectRequest(this._reading ?? this._addUnparsedRequest(), fault);
-  }
-
-  private _addUnparsedRequest(): CallerRequest {
-    const req = new CallerRequest(this, '', '', this._owner.headers.readRequest([]));
-    req.isLast = true;
-    this._pending.push(req);
-    return req;
+    if (this._reading) {
+      this._rejectRequest(this._reading, fault);
+    } else if (this._sequence.accepting) {
+      const req = new CallerRequest(this, '', '', this._owner.headers.readRequest([]));
+      this._sequence.add(req, this._owner.phase);
+      this._rejectRequest(req, fault);
+    }
   }
 
   private _releaseBody(req: CallerRequest): void {
@@ -350,10 +383,9 @@
       return;
     }
     this._disconnected = true;
-    this._stopBodyTimer();
-    this._parts = [];
+    this._stopReading();
     this._readRequests.length = 0;
-    for (const req of this._pending) {
+    for (const req of this._sequence.pending) {
       this._owner.onUnanswered(req, this._ended ? 'daemon' : 'caller');
       this._releaseBody(req);
       req.onDisconnect?.();
