Close a connection of the callers' daemon after its last response only

Callers saw: of three pipelined requests that ran when SIGTERM came, only the first was answered, then the connection was closed. Cause: the same as in the routing daemon. During a stop, every response was sent with Connection: close when it was ready; Node closes a connection after such a response, also if requests behind it have been started. By reading, not run: a 413 that Fastify closes has the same effect. Change: ResponseOrder holds a response back until those to older requests of its connection were handed to Node, and decides on the close then, by the ResponseSequence of the routing daemon. Requests behind the last one are dropped before a handler sees them. Why it works: Node writes responses in request order and closes after the first with the header; only the last one has it now.

--- a/packages/daemon/src/server/startServer.ts
+++ b/packages/daemon/src/server/startServer.ts
@@ -17,13 +17,14 @@
 import { callRoutes } from './callRoutes.js';
 import { peerRoutes } from './peerRoutes.js';
 import { ProblemFilter } from './problemFilter.js';
+import { ResponseOrder } from './responseOrder.js';
 
 const kMaxHeaderBytes = 65_536;
 const kKeepAliveMs = 75_000;
 
 /** A listening server. */
 export interface Server {
-  /** Stops accepting connections; open ones are still served. */
+  /** Stops accepting connections; open ones are still served, and close after their newest request. */
   refuseConnections(): void;
   /** Closes the remaining connections. */
   close(): Promise<void>;
@@ -44,7 +45,7 @@
   app.useGlobalFilters(new ProblemFilter());
   const fastify = adapter.getInstance<FastifyInstance>();
   meterPeerTraffic(fastify, daemon);
-  closeConnectionsWhileStopping(fastify, daemon);
+  const responses = new ResponseOrder(fastify, () => daemon.stopping);
   const unused = unusedConnections(fastify);
   await fastify.register(fastifyConnectPlugin, { routes: peerRoutes(daemon), acceptCompression: [] });
   parseBodiesAsBuffers(fastify);
@@ -56,6 +57,7 @@
   await app.listen(Number(port), host ?? '');
   return {
     refuseConnections: () => {
+      responses.endConnections();
       // `http.Server.close` would also close idle connections, on which a request may be in transit.
       NetServer.prototype.close.call(fastify.server);
     },
@@ -75,16 +77,6 @@
   });
 }
 
-/** Adds `Connection: close` to every response during a graceful shutdown, so that no connection is in use when the server closes. */
-function closeConnectionsWhileStopping(fastify: FastifyInstance, daemon: Daemon): void {
-  fastify.addHook('onSend', (_req, reply, _payload, done) => {
-    if (daemon.stopping) {
-      void reply.header('connection', 'close');
-    }
-    done();
-  });
-}
-
 /** Returns a live set of the connections that have not carried a request yet. */
 function unusedConnections(fastify: FastifyInstance): ReadonlySet<Socket> {
   const unused = new Set<Socket>();
