Refuse requests that cannot end before the daemon exits

Cause: a stop that the local target holds open took requests until its end, however long they may run. Change: after the notice, a request is refused as not run if neither its time limit nor the upper estimate of its route's durations (RFC 6298) ends before the exit. Retry-After is the time until the exit. Why it works: what is passed on is expected to end in time; the rest is told the truth while there is time to go elsewhere.

--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -226,7 +226,7 @@
     // The gate stays open meanwhile, because closing it at once would leave the target idle until callers switch to other daemons.
     await pause(kDrainNoticeMs);
     // Callers that never wait for their responses would otherwise use their connections until the process exits.
-    this._calls.endConnections();
+    this._calls.endConnections(latest);
     const erased = this._gate.advertisedState.state === 'gone' ? this._platform.records.erase(this._settings.id) : undefined;
     this._gate.stop();
     // Calls that run on the local target may still send requests through this daemon, on new connections too.
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -6,7 +6,7 @@
 /** HTTP/1.1 server for the callers on this host: admits each request, forwards it to a target, and sends the final response. */
 
 import { createServer, type Server } from 'node:net';
-import { type EntryResult, monotonicMs, readCredentials, type RequestWorkspace, type ServerPhase } from '@gentiandrum/core';
+import { DurationBounds, type EntryResult, monotonicMs, readCredentials, type RequestWorkspace, type ServerPhase } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeResult } from '../app/calls/callExchange.js';
@@ -67,6 +67,9 @@
   private readonly _connections = new Set<CallerConnection>();
   private _limits = kInitialLimits;
   private _phase: ServerPhase = 'serving';
+  /** Monotonic time at which the process exits. */
+  private _exitAt = Infinity;
+  private readonly _durations = new DurationBounds();
   private _inFlight = 0;
 
   constructor(private readonly _deps: CallServerDeps) {
@@ -108,9 +111,13 @@
     this._phase = 'draining';
   }
 
-  /** Closes each connection with the response to its newest request, and new ones with their first response. */
-  endConnections(): void {
+  /**
+   * Closes each connection with the response to its newest request, and new ones with their first response. Refuses requests that cannot be
+   * expected to end before `exitAt`, on the monotonic clock.
+   */
+  endConnections(exitAt: number): void {
     this._phase = 'ending';
+    this._exitAt = exitAt;
     for (const connection of this._connections) {
       connection.chooseLast();
     }
@@ -178,7 +185,9 @@
 
   private _handleEntry(req: CallerRequest, result: EntryResult): void {
     req.entryDecided = true;
-    if (result.kind === 'admitted') {
+    if (result.kind === 'admitted' && !this._endsBeforeExit(req, result)) {
+      this._refuseLate(req, result);
+    } else if (result.kind === 'admitted') {
       this._deps.chains.recordEntry(result.route.name);
       const chain = this._deps.chainControl.chainOf(result.route.name, req.remainingMs);
       if (chain.kind === 'ended') {
@@ -207,6 +216,26 @@
     this._refuse(req, status, detail, retryAfterMs, headers);
   }
 
+  private _endsBeforeExit({ remainingMs }: CallerRequest, { route }: AdmittedEntry): boolean {
+    const longestMs = Math.min(route.timeoutMs, remainingMs);
+    const remainingRunMs = this._exitAt - monotonicMs();
+    return longestMs <= remainingRunMs || this._durations.boundMs(route.name) <= remainingRunMs;
+  }
+
+  /** Refuses a request whose response would come after the end of the shutdown; until then, retries would be refused too. */
+  private _refuseLate(req: CallerRequest, { route, service, workspace }: AdmittedEntry): void {
+    const remainingRunMs = Math.max(0, this._exitAt - monotonicMs());
+    this._deps.metrics.requestEnded(service, 'not_run', 'shutting_down', 0);
+    this._deps.events.info('calls', 'Request refused: it may take longer than the rest of the shutdown.', {
+      req: req.headers.requestId,
+      route: route.name,
+      remainingRunMs: Math.round(remainingRunMs),
+      expectedMs: Math.round(this._durations.boundMs(route.name)),
+    });
+    this._deps.entry.returnToken(workspace);
+    this._refuse(req, 503, 'not run: shutting down', Math.max(kDefaultRetryAfterMs, remainingRunMs));
+  }
+
   /** Refuses a call of the local target whose run has ended, so that nobody waits for its response. */
   private _refuseOrphan(req: CallerRequest, { route, service, workspace }: AdmittedEntry): void {
     this._deps.metrics.requestEnded(service, 'not_run', 'parent_ended', 0);
@@ -239,6 +268,9 @@
       this._deps,
       (result) => {
         const { outcome, reason } = outcomeOf(result);
+        if (outcome === 'answered') {
+          this._durations.record(route.name, exchange.ageMs);
+        }
         if (external && outcome === 'answered') {
           this._deps.chainControl.recordSuccess(route.name, exchange.ageMs);
         }
--- a/tests/mesh/pipelinedStop.spec.ts
+++ b/tests/mesh/pipelinedStop.spec.ts
@@ -210,3 +210,32 @@
     }),
   );
 });
+
+describe('requests near the end of a graceful shutdown', () => {
+  // They were passed on although the daemon exited before their responses, and got a 502 while their target was at work.
+  itSerial('should be refused as not run unless they are expected to end in time', (t) =>
+    withStoppingHost(async (stopping) => {
+      await stopping.keepListening();
+      stopping.stop();
+      await new Promise((resolve) => setTimeout(resolve, kNoticeMs));
+      const unknown = await stopping.open();
+      unknown.write(requestText('/once/u1', 'u1', { method: 'POST' }).replace('3000', String(kTimeLimitMs)));
+      const text = await unknown.untilClosed();
+      t.regex(text, /^HTTP\/1.1 503/);
+      t.regex(text, /not run: shutting down/);
+      t.regex(text, /retry-after: /);
+      t.false(stopping.seen.includes('u1'));
+      const known = await stopping.open();
+      known.write(get('k1'));
+      await stopping.untilRunning('k1');
+      await stopping.release('k1');
+      checkResponses(t, await known.untilClosed(), ['k1']);
+      const short = await stopping.open();
+      short.write(requestText('/once/b1', 'b1', { method: 'POST' }).replace('3000', '500'));
+      await stopping.untilRunning('b1');
+      await stopping.release('b1');
+      checkResponses(t, await short.untilClosed(), ['b1']);
+      await stopping.untilStopped();
+    }),
+  );
+});
