Parse the bytes behind a request that offers an upgrade

Cause: llhttp pauses after such a request; MessageParser resumed it with the next chunk and dropped the rest of the present one. Change: parsing goes on at the position of the pause. A response with status 101 is malformed, as no offer is passed on to targets. Why it works: the parser sees each byte once, in order, however it was cut. Tests: three new ones in callers.spec.ts and messageParser.spec.ts failed on the code before and pass.

--- a/packages/mesh/src/http/messageParser.ts
+++ b/packages/mesh/src/http/messageParser.ts
@@ -38,7 +38,10 @@
 const kMessageTypes = { request: 1, answer: 2 } as const;
 /** Result of a callback that aborts parsing with an error. */
 const kAbort = -1;
-/** Results of llhttp: success, and a pause after a message that requests a protocol upgrade, which is not supported. */
+/**
+ * Results of llhttp: success, and a pause after a request that offers a protocol upgrade or a response that announces one. Offers are
+ * ignored (RFC 9110, 7.8), and no upgrade is ever offered to a target.
+ */
 const kOk = 0;
 const kPausedUpgrade = 22;
 /** Granularity of the size of the library's input buffer, in bytes. */
@@ -92,6 +95,7 @@
   llhttp_free(parser: number): void;
   llhttp_execute(parser: number, at: number, bytes: number): number;
   llhttp_finish(parser: number): number;
+  llhttp_get_error_pos(parser: number): number;
   llhttp_get_method(parser: number): number;
   llhttp_resume_after_upgrade(parser: number): void;
 }
@@ -192,7 +196,14 @@
 
   /** Parses a chunk; all callbacks are called before it returns. */
   push(bytes: Buffer): ParseFault | undefined {
-    return this._faultOf(execute(this, this._parser, bytes));
+    let rest = bytes;
+    let result = execute(this, this._parser, rest);
+    while (result === kPausedUpgrade && this._type === 'request') {
+      rest = rest.subarray(llhttp.llhttp_get_error_pos(this._parser) - activeChunkAddress);
+      llhttp.llhttp_resume_after_upgrade(this._parser);
+      result = execute(this, this._parser, rest);
+    }
+    return this._faultOf(result);
   }
 
   /** Signals the end of the connection, which completes a response without a length. */
@@ -288,10 +299,6 @@
     if (this._headTooLong) {
       return 'head_too_long';
     }
-    if (result === kPausedUpgrade) {
-      llhttp.llhttp_resume_after_upgrade(this._parser);
-      return undefined;
-    }
     return result === kOk ? undefined : 'malformed';
   }
 }
--- a/tests/mesh/callers.spec.ts
+++ b/tests/mesh/callers.spec.ts
@@ -153,6 +153,35 @@
     }),
   );
 
+  // Bytes behind an upgrade offer were dropped: responses went to the wrong requests, and a part of a body ran as a request.
+  itSerial('should receive the responses to requests behind an offer to upgrade the protocol', (t) =>
+    withFleet(async (fleet) => {
+      const host = await startHost(fleet);
+      const before = host.target.seen.length;
+      const caller = await RawCaller.open(host.calls);
+      const offer = { headers: ['Connection: Upgrade', 'Upgrade: other'] };
+      const body = requestText('/a/inner', 'inner');
+      caller.write(requestText('/a/1', 'u1', offer) + requestText('/a/2', 'u2'));
+      caller.write(requestText('/a/3', 'u3'));
+      caller.write(
+        requestText('/a/4', 'u4', offer) + requestText('/once/5', 'u5', { method: 'POST', headers: [`Content-Length: ${body.length}`] }),
+      );
+      await caller.until(/did u4/);
+      caller.write(body);
+      const text = await caller.until(/did u5/);
+      t.deepEqual(text.match(/did u\d/g), ['did u1', 'did u2', 'did u3', 'did u4', 'did u5']);
+      t.deepEqual(
+        host.target.seen
+          .slice(before)
+          .map(({ id }) => id)
+          .sort(),
+        ['u1', 'u2', 'u3', 'u4', 'u5'],
+      );
+      t.is(host.target.seen.find(({ id }) => id === 'u5')?.body, body);
+      caller.disconnect();
+    }),
+  );
+
   itSerial('should receive all responses to pipelined requests when the last one requests to close the connection', (t) =>
     withFleet(async (fleet) => {
       const host = await startHost(fleet);
--- a/tests/mesh/messageParser.spec.ts
+++ b/tests/mesh/messageParser.spec.ts
@@ -95,6 +95,35 @@
     );
   });
 
+  // The rest of a chunk behind an offer was dropped, so that the middle of a request was parsed as the start of one.
+  it('should parse the requests behind offers to upgrade the protocol, regardless of chunk boundaries', (t) => {
+    const offer = 'Host: a\r\nConnection: upgrade\r\nUpgrade: other\r\n';
+    const text =
+      `GET /1 HTTP/1.1\r\n${offer}\r\nPOST /2 HTTP/1.1\r\n${offer}Content-Length: 4\r\n\r\nbody` +
+      `GET /3 HTTP/1.1\r\n${offer}\r\nCONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\nGET /4 HTTP/1.1\r\nHost: a\r\n\r\n`;
+    const whole = parse('request', [text]);
+    t.is(whole.fault, undefined);
+    t.deepEqual(
+      whole.messages.map(({ head, body, ended }) => [head.target, body, ended]),
+      [
+        ['/1', '', true],
+        ['/2', 'body', true],
+        ['/3', '', true],
+        ['a:1', '', true],
+        ['/4', '', true],
+      ],
+    );
+    for (let at = 1; at < text.length; at++) {
+      t.deepEqual(parse('request', [text.slice(0, at), text.slice(at)]), whole);
+    }
+  });
+
+  it('should reject a response that switches the protocol, which is never requested', (t) => {
+    const head = 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n';
+    t.is(parse('answer', [head]).fault, 'malformed');
+    t.is(parse('answer', [`${head}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`]).fault, 'malformed');
+  });
+
   it('should reject a head over the limit', (t) => {
     const { messages, fault } = parse('request', [`GET /a HTTP/1.1\r\nHost: a\r\nLong: ${'x'.repeat(500)}\r\n\r\n`], 400);
     t.is(fault, 'head_too_long');
