Make a request that offers an upgrade the last one of its connection

Callers saw (daemon for callers with headers): requests behind an upgrade offer got no response, and one that was cut in the middle was read from there. Cause: Node's HTTP server discards the rest of the received bytes behind such a request where nobody listens to its upgrade event. Evidence: a bare Node server given four such requests in one write answers the first one only. Change: the request is the last one of its connection, and nothing is read behind it; the response closes the connection. Test: tests/e2e/path.spec.ts, 'should be the last one of its connection when it offers to upgrade the protocol', failed on the code before and passes.

--- a/packages/daemon/src/server/requestReader.ts
+++ b/packages/daemon/src/server/requestReader.ts
@@ -5,6 +5,7 @@
 
 /** Converts HTTP requests into the input of the core. */
 
+import type { IncomingHttpHeaders } from 'node:http';
 import { Err, Ok, type Payload, type Result } from '@gentiandrum/core';
 import { kTimeoutHeader } from '@gentiandrum/protocol';
 import type { FastifyRequest } from 'fastify';
@@ -30,8 +31,7 @@
   if (Buffer.isBuffer(req.body)) {
     return req.body;
   }
-  const hasBody = req.headers['transfer-encoding'] !== undefined || Number(req.headers['content-length'] ?? 0) > 0;
-  if (!hasBody) {
+  if (!hasBody(req.headers)) {
     return kEmptyBody;
   }
   const chunks: Buffer[] = [];
@@ -46,6 +46,11 @@
   return Buffer.concat(chunks);
 }
 
+/** Whether a request with these headers has a body. */
+export function hasBody(headers: IncomingHttpHeaders): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
 /** Splits a caller's request into service and payload; the first path segment names the service. */
 export function readPayload(req: FastifyRequest, body: Buffer): { service: string; payload: Payload } {
   const url = req.raw.url ?? '/';
--- a/packages/daemon/src/server/responseOrder.ts
+++ b/packages/daemon/src/server/responseOrder.ts
@@ -8,9 +8,11 @@
  * it has started requests behind it, so the header may only be set once no request stands behind the response.
  */
 
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { ResponseSequence, type SequencedRequest, type ServerPhase } from '@gentiandrum/core';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { hasBody } from './requestReader.js';
 
 /** A response that is sent after those to older requests of its connection. */
 class OrderedResponse implements SequencedRequest {
@@ -57,13 +59,18 @@
     return this._stopping() ? 'draining' : 'serving';
   }
 
-  private _handleRequest({ raw: { socket } }: FastifyRequest, reply: FastifyReply, done: () => void): void {
-    const response = new OrderedResponse(reply, this._sequenceOf(socket));
+  private _handleRequest({ raw }: FastifyRequest, reply: FastifyReply, done: () => void): void {
+    const response = new OrderedResponse(reply, this._sequenceOf(raw.socket));
     if (!response.sequence.add(response, this._phase)) {
       // The caller considers it unprocessed; it ends with the connection.
       reply.hijack();
       return;
     }
+    if (raw.headers.upgrade !== undefined) {
+      // Node discards the rest of the received bytes, so what follows them is not the start of a request.
+      response.sequence.chooseLast();
+      stopReadingAfter(raw);
+    }
     this._responses.set(reply, response);
     reply.raw.once('close', () => {
       // Responses of the peer protocol are not sent through the server's hooks.
@@ -113,3 +120,12 @@
     return sequence;
   }
 }
+
+/** Stops reading from the connection of a request once its body is complete. */
+function stopReadingAfter(req: IncomingMessage): void {
+  if (hasBody(req.headers)) {
+    req.once('end', () => req.socket.pause());
+  } else {
+    req.socket.pause();
+  }
+}
--- a/tests/e2e/path.spec.ts
+++ b/tests/e2e/path.spec.ts
@@ -6,6 +6,7 @@
 /** Guards against incomplete responses, wrong rejections and repeated holds in a fleet of real processes. */
 
 import test from 'ava';
+import { RawCaller } from '../mesh/rawCaller.js';
 import { describe, itSerial } from '../support/describe.js';
 import { Fleet } from '../support/fleet.js';
 import { kSampleConfig } from '../support/sampleConfig.js';
@@ -54,6 +55,19 @@
     t.deepEqual(lengths, sizes);
   });
 
+  // The HTTP server discarded the bytes behind it, so that a later request got no response, or was read from its middle.
+  itSerial('should be the last one of its connection when it offers to upgrade the protocol', async (t) => {
+    const caller = await RawCaller.open(fleet.host('a1').address);
+    const offer = 'Host: a1\r\nConnection: Upgrade\r\nUpgrade: other\r\nContent-Length: 5\r\n\r\nfirst';
+    const inner = 'POST /beta/holds HTTP/1.1\r\nHost: a1\r\nX-Call: inner\r\nContent-Length: 0\r\n\r\n';
+    caller.write(`POST /beta/holds HTTP/1.1\r\n${offer}POST /beta/holds HTTP/1.1\r\nHost: a1\r\nContent-Length: ${inner.length}\r\n\r\n`);
+    caller.write(inner);
+    const text = await caller.untilClosed();
+    t.is(text.match(/HTTP\/1.1 /g)?.length, 1);
+    t.regex(text, /^HTTP\/1.1 200 [^]*connection: close[^]*\r\n\r\nfirst$/i);
+    t.is(await fleet.totalRuns('inner'), 0);
+  });
+
   itSerial('should be explained by its id', async (t) => {
     const res = await send('a1', '/beta/x');
     await res.text();
