--- a/packages/mesh/src/http/messageParser.ts
+++ b/packages/mesh/src/http/messageParser.ts
@@ -47,6 +47,8 @@
 /** Granularity of the size of the library's input buffer, in bytes. */
 const kBufferGrowthBytes = 4_096;
 
+/** Number of QUERY in llhttp; the numbers between are methods of RTSP. */
+const kQueryMethod = 46;
 /** Method names by their number in llhttp. */
 const kMethods = [
   'DELETE',
@@ -151,6 +153,11 @@
   return libraryBufferAddress;
 }
 
+/** Returns the name of a method; undefined for methods of other protocols. */
+function methodName(method: number): string | undefined {
+  return method === kQueryMethod ? 'QUERY' : kMethods[method];
+}
+
 function execute(owner: MessageParser, parser: number, bytes: Buffer): number {
   activeParser = owner;
   activeChunk = bytes;
@@ -263,7 +270,10 @@
     if (this._headers.length % 2 === 1) {
       this._headers.push('');
     }
-    const method = this._type === 'request' ? (kMethods[llhttp.llhttp_get_method(this._parser)] ?? '') : '';
+    const method = this._type === 'request' ? methodName(llhttp.llhttp_get_method(this._parser)) : '';
+    if (method === undefined) {
+      return kAbort;
+    }
     this._events.onHead({ method, target: this._target, status, headers: this._headers, keepAlive });
     // Trailers are reported like headers, but are not part of the head.
     this._headers = [];
