Read header values without the white space behind them

Callers saw: 404 for a request with white space behind the value of Host. Cause: llhttp removes the white space before a value only. Change: the parser removes it behind values too (RFC 9110, 5.5). Test: tests/mesh/callers.spec.ts, 'should be served when white space follows the values of their headers', got 404 on the code before.

--- a/packages/mesh/src/http/messageParser.ts
+++ b/packages/mesh/src/http/messageParser.ts
@@ -270,6 +270,7 @@
     if (this._headers.length % 2 === 1) {
       this._headers.push('');
     }
+    this._trimValues();
     const method = this._type === 'request' ? methodName(llhttp.llhttp_get_method(this._parser)) : '';
     if (method === undefined) {
       return kAbort;
@@ -293,6 +294,16 @@
     return kOk;
   }
 
+  /** Removes white space behind values, which is not part of them (RFC 9110, 5.5). The library removes only that before them. */
+  private _trimValues(): void {
+    for (let i = 1; i < this._headers.length; i += 2) {
+      const value = this._headers[i] ?? '';
+      if (value.endsWith(' ') || value.endsWith('\t')) {
+        this._headers[i] = value.trimEnd();
+      }
+    }
+  }
+
   /** Appends the next part of a name or value that was split between chunks. */
   private _appendToLast(text: string): void {
     const part = this._headers.pop() ?? '';
--- a/tests/mesh/callers.spec.ts
+++ b/tests/mesh/callers.spec.ts
@@ -193,6 +193,17 @@
     }),
   );
 
+  // White space behind the host's name made it another host, and the response was 404.
+  itSerial('should be served when white space follows the values of their headers', (t) =>
+    withFleet(async (fleet) => {
+      const host = await startHost(fleet);
+      const caller = await RawCaller.open(host.calls);
+      caller.write(requestText('/a/1', 'w1').replace('app.example', 'app.example \t'));
+      t.regex(await caller.until(/did w1|404/), /did w1$/);
+      caller.disconnect();
+    }),
+  );
+
   itSerial('should receive 100 Continue before a body, and no body in the response to HEAD', (t) =>
     withFleet(async (fleet) => {
       const host = await startHost(fleet);
--- a/tests/mesh/parserFuzz.spec.ts
+++ b/tests/mesh/parserFuzz.spec.ts
@@ -130,7 +130,16 @@
         whole.fault === undefined &&
         isSame(parsed, expected) &&
         isSame(parse(type, cut(text, offsets)), whole) &&
-        isSame(parse(type, [...text]), whole)
+        isSame(
+          parse(
+            type,
+            cut(
+              text,
+              Array.from({ length: text.length }, (_, i) => i),
+            ),
+          ),
+          whole,
+        )
       );
     }),
     { numRuns: kStreams, seed: kSeed },
@@ -166,4 +175,9 @@
     );
     t.pass();
   });
+
+  it('should have values without surrounding white space', (t) => {
+    const { messages } = parse('request', ['GET /a HTTP/1.1\r\nHost: \t app.example \t \r\nEmpty: \r\n\r\n']);
+    t.deepEqual(messages[0]?.headers, ['Host', 'app.example', 'Empty', '']);
+  });
 });
