Keep an ended connection open while its response is being sent

Callers saw: a response of several MB that was read slowly was cut about a second into the end of its connection, in a planned stop for example. Cause: the second for discarding received bytes was counted from the writing of the last response to the socket, not from its transmission. Change: it is counted from the end of the transmission; until then an ended connection has the idle timeout. Test: tests/mesh/pipelinedStop.spec.ts, 20 MB read after 3 s of a shutdown: cut on the code before, complete now.

--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -146,6 +146,9 @@
     _socket.on('close', () => {
       this._handleClose();
     });
+    _socket.on('finish', () => {
+      this._idleSince = monotonicMs();
+    });
     _socket.on('drain', () => {
       this._startRequests();
     });
@@ -161,7 +164,8 @@
     const { headerTimeoutMs, idleTimeoutMs } = this._owner.limits;
     const idle = this._sequence.pending.length === 0;
     if (!this._sequence.accepting) {
-      if (idle && now - this._idleSince > kLingerMs) {
+      // A caller may read slowly; after the end of the connection it has as long for the rest as an idle connection is kept.
+      if (idle && now - this._idleSince > (this.writing ? idleTimeoutMs : kLingerMs)) {
         this._socket.destroy();
       }
     } else if (this._headStartedAt !== undefined && now - this._headStartedAt > headerTimeoutMs) {
--- a/tests/mesh/pipelinedStop.spec.ts
+++ b/tests/mesh/pipelinedStop.spec.ts
@@ -16,6 +16,9 @@
 
 /** Time after which a daemon that shuts down chooses the last request of each connection, in milliseconds, with a margin. */
 const kNoticeMs = 2_600;
+/** Size of a response that does not fit into the buffers of a connection, and time for which its caller does not read. */
+const kSlowBytes = 20_000_000;
+const kSlowMs = 3_000;
 
 /** A daemon whose callers' requests run on another host until they are released. */
 class StoppingHost {
@@ -68,10 +71,15 @@
     await this.fleet.until(`${ids.join(', ')} to run`, () => ids.every((id) => this._releases.has(id)));
   }
 
+  /** Lets the target respond to a request. */
+  respond(id: string): void {
+    this._releases.get(id)?.();
+  }
+
   /** Lets the target respond to a request, and waits until the stopping daemon has the response. */
   async release(id: string): Promise<void> {
     const before = await this._inFlight();
-    this._releases.get(id)?.();
+    this.respond(id);
     await this.fleet.until(`${id} to be answered`, async () => (await this._inFlight()) < before);
   }
 
@@ -239,3 +247,22 @@
     }),
   );
 });
+
+describe('a response that is read slowly during a graceful shutdown', () => {
+  // The connection was closed a second after the response was handed to the socket, though most of it had not been sent.
+  itSerial('should be sent completely', (t) =>
+    withStoppingHost(async (stopping) => {
+      stopping.other.target.padding = kSlowBytes;
+      const caller = await stopping.open();
+      caller.write(get('r1'));
+      await stopping.untilRunning('r1');
+      stopping.stop();
+      caller.pause();
+      stopping.respond('r1');
+      await new Promise((resolve) => setTimeout(resolve, kSlowMs));
+      caller.resume();
+      t.true((await caller.untilClosed()).length > kSlowBytes);
+      await stopping.untilStopped();
+    }),
+  );
+});
