Continue the graceful shutdown when the signal is repeated

Callers saw: a second SIGTERM ended the daemon at once, with requests in flight. Cause: the second call of MeshDaemon.stop resolved at once, and the process exits then; the daemon for callers with headers exited by intent. Change: both log the signal and continue. A second SIGINT still ends the daemon for callers with headers, whose shutdown may have no time limit. Tests: 'should be answered when the signal is repeated' in tests/mesh and in tests/e2e; both failed on the code before and pass.

--- a/packages/daemon/src/server/main.ts
+++ b/packages/daemon/src/server/main.ts
@@ -52,14 +52,18 @@
     daemon.logger.error('start', `Failed to listen on the configured address ${daemon.settings.listen}.`, { err: String(err) });
     process.exit(kExit.failed);
   });
-  let signals = 0;
-  const onSignal = (): void => {
-    signals++;
-    if (signals > 1) {
-      daemon.logger.warn('stop', `Second signal received; exiting with ${daemon.inFlight} calls in flight.`, { cut: daemon.inFlight });
+  let stopping = false;
+  const onSignal = (signal: NodeJS.Signals): void => {
+    if (!stopping) {
+      stopping = true;
+      void stop(daemon, server);
+    } else if (signal === 'SIGINT') {
+      daemon.logger.warn('stop', `Interrupted again; exiting with ${daemon.inFlight} calls in flight.`, { cut: daemon.inFlight });
       process.exit(kExit.failed);
+    } else {
+      // Supervisors may repeat the signal; they send SIGKILL when they want no graceful shutdown.
+      daemon.logger.info('stop', 'Signal received again; the shutdown continues.', { inFlight: daemon.inFlight });
     }
-    void stop(daemon, server);
   };
   process.on('unhandledRejection', (err) => {
     daemon.logger.error('start', 'Unhandled promise rejection.', { err: err instanceof Error ? err.stack : String(err) });
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -91,7 +91,8 @@
   private readonly _metricsServer: HostServer;
   private readonly _ready: HostServer;
   private readonly _announcements: HostServer;
-  private _stopping = false;
+  /** The shutdown in progress. */
+  private _shutdown: Promise<void> | undefined;
   private readonly _deadlines = new Deadlines();
   private _tickTimer: NodeJS.Timeout | undefined;
   private _totalsTimer: NodeJS.Timeout | undefined;
@@ -154,7 +155,7 @@
 
   /** Whether this daemon reports itself ready to callers. */
   get ready(): boolean {
-    return this._configs.config !== undefined && this._records.recovered && !this._stopping;
+    return this._configs.config !== undefined && this._records.recovered && !this._shutdown;
   }
 
   /** Record of this host as published to other daemons. */
@@ -213,12 +214,16 @@
     }
   }
 
-  /** Shuts down gracefully; resolves once no call is in flight, or the shutdown time is over. */
+  /** Shuts down gracefully; resolves once no call is in flight, or the shutdown time is over. Later calls wait for the same shutdown. */
   async stop(): Promise<void> {
-    if (this._stopping) {
-      return;
+    if (this._shutdown) {
+      this._events.info('stop', 'Signal received again; the shutdown continues.', { calls: this._calls.inFlight });
     }
-    this._stopping = true;
+    this._shutdown ??= this._shutDown();
+    await this._shutdown;
+  }
+
+  private async _shutDown(): Promise<void> {
     this._calls.drain();
     const startedAt = monotonicMs();
     this._events.info('stop', 'Graceful shutdown started.', { calls: this._calls.inFlight, atGate: this._gate.pending });
--- a/tests/e2e/pipelinedStop.spec.ts
+++ b/tests/e2e/pipelinedStop.spec.ts
@@ -84,4 +84,20 @@
       t.is(await exitOf(daemon), 0);
     }),
   );
+
+  // A second signal ended the process at once, with requests in flight.
+  itSerial('should be answered when the signal is repeated', (t) =>
+    withFleet(async (fleet) => {
+      const { address, daemon } = fleet.host('a1');
+      const caller = await RawCaller.open(address);
+      await run(fleet, caller, 'r1', kLongMs);
+      daemon.kill('SIGTERM');
+      await until('the daemon stops', () =>
+        Promise.resolve(fleet.host('a1').logs.some((line) => line.includes('Graceful shutdown started'))),
+      );
+      daemon.kill('SIGTERM');
+      t.deepEqual(bodies(await caller.untilClosed()), ['r1']);
+      t.is(await exitOf(daemon), 0);
+    }),
+  );
 });
--- a/tests/mesh/pipelinedStop.spec.ts
+++ b/tests/mesh/pipelinedStop.spec.ts
@@ -59,7 +59,7 @@
   /** Starts the shutdown; the daemon is closed at its end, like an exiting process. */
   stop(): void {
     this._stopped = this.host.daemon.stop().then(() => {
-      this.fleet.kill(this.host);
+      this.host.daemon.close();
     });
   }
 
@@ -248,6 +248,22 @@
   );
 });
 
+describe('a request that runs during a graceful shutdown', () => {
+  // The second signal ended the daemon at once.
+  itSerial('should be answered when the signal is repeated', (t) =>
+    withStoppingHost(async (stopping) => {
+      const caller = await stopping.open();
+      caller.write(get('r1'));
+      await stopping.untilRunning('r1');
+      stopping.stop();
+      stopping.stop();
+      await stopping.release('r1');
+      checkResponses(t, await caller.untilClosed(), ['r1']);
+      await stopping.untilStopped();
+    }),
+  );
+});
+
 describe('a response that is read slowly during a graceful shutdown', () => {
   // The connection was closed a second after the response was handed to the socket, though most of it had not been sent.
   itSerial('should be sent completely', (t) =>
