Keep the periodic work going when one part of it throws

Callers saw: after a record with a port above 65535 in the daemons' topic, requests were not answered at their time limit. Cause: connecting to it throws; the exception left the tick before it scheduled its next run.

--- a/packages/daemon/src/server/main.ts
+++ b/packages/daemon/src/server/main.ts
@@ -68,6 +68,9 @@
   process.on('unhandledRejection', (err) => {
     daemon.logger.error('start', 'Unhandled promise rejection.', { err: err instanceof Error ? err.stack : String(err) });
   });
+  process.on('uncaughtException', (err) => {
+    daemon.logger.error('start', 'Uncaught exception.', { err: err.stack });
+  });
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
   await daemon.start();
--- a/packages/mesh/src/app/log/logFollower.ts
+++ b/packages/mesh/src/app/log/logFollower.ts
@@ -189,7 +189,7 @@
 
   private _scheduleInitialRead(delayMs: number, retryMs: number): void {
     this._initialReadTimer = setTimeout(() => {
-      void this._deps.records.readNewest().then((responded) => {
+      void this._readNewest().then((responded) => {
         if (!responded && !this._hasRead) {
           // Other daemons may have sent their records meanwhile; then this daemon continues without the log.
           this._hasRead = this._deps.directory.size > 1;
@@ -199,6 +199,16 @@
     }, delayMs);
   }
 
+  /** Reads all records; returns false if that or their use failed. */
+  private async _readNewest(): Promise<boolean> {
+    try {
+      return await this._deps.records.readNewest();
+    } catch (err) {
+      this._deps.events.warn('log', 'Using the records of the hosts failed.', { err: err instanceof Error ? err.stack : String(err) });
+      return false;
+    }
+  }
+
   private _members(): TargetRecord[] {
     const { directory, settings } = this._deps;
     return [...directory.values()].filter(({ zone, state }) => zone === settings.zone && state !== 'gone');
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -33,6 +33,7 @@
 import { ChainControl } from './load/chainControl.js';
 import { type TargetLocality, MeshMetrics, type MetricsView } from './meshMetrics.js';
 import { RoomFollower } from './load/roomFollower.js';
+import { PeriodicWork } from './periodicWork.js';
 import { RecordSync } from './records/recordSync.js';
 import { RequestEntry } from './calls/requestEntry.js';
 import { createSuspects } from './calls/createSuspects.js';
@@ -94,6 +95,7 @@
   /** The shutdown in progress. */
   private _shutdown: Promise<void> | undefined;
   private readonly _deadlines = new Deadlines();
+  private readonly _periodicWork: PeriodicWork;
   private _tickTimer: NodeJS.Timeout | undefined;
   private _totalsTimer: NodeJS.Timeout | undefined;
   private _learnedTimer: NodeJS.Timeout | undefined;
@@ -151,6 +153,8 @@
     this._calls = new CallServer(this._callDeps());
     this._ready = new HostServer((req) => this._serveReady(req));
     this._announcements = new HostServer((req) => this._serveAnnouncement(req));
+    const { _gate: gate, _follower: follower, _network: network, _deadlines: deadlines, _workspaces: workspaces, _calls: calls } = this;
+    this._periodicWork = new PeriodicWork({ gate, follower, network, deadlines, workspaces, calls }, _events);
   }
 
   /** Whether this daemon reports itself ready to callers. */
@@ -264,20 +268,11 @@
   private _scheduleTick(ms: number): void {
     const startedAt = monotonicMs();
     this._tickTimer = setTimeout(() => {
-      this._tick(monotonicMs() - startedAt);
+      this._periodicWork.run(monotonicMs() - startedAt);
       this._scheduleTick(this._calls.inFlight + this._gate.pending > 0 ? kTickMs : kIdleTickMs);
     }, ms);
   }
 
-  private _tick(elapsedMs: number): void {
-    this._gate.check(elapsedMs);
-    this._follower.check();
-    this._network.check();
-    this._deadlines.check();
-    this._workspaces.check();
-    this._calls.check();
-  }
-
   private _createRoom(): RoomFollower | undefined {
     return RoomFollower.create({
       settings: this._settings,
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -18,6 +18,7 @@
 export * from './app/load/targetLoadTracker.js';
 export * from './app/log/logFollower.js';
 export * from './app/meshDaemon.js';
+export * from './app/periodicWork.js';
 export * from './app/records/hostRecords.js';
 export * from './app/runMesh.js';
 export * from './client/peerCalls.js';
--- a/packages/protocol/src/settingsSchema.ts
+++ b/packages/protocol/src/settingsSchema.ts
@@ -7,10 +7,17 @@
 
 import * as z from 'zod';
 
+const kMaxOctet = 255;
+const kMaxPort = 65_535;
+
 /** IPv4 address and port, such as `10.1.2.3:7400`. */
 export const addressSchema = z
   .string()
-  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'expected an IPv4 address and a port, such as 10.1.2.3:7400');
+  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'expected an IPv4 address and a port, such as 10.1.2.3:7400')
+  .refine((address) => {
+    const [host = '', port = ''] = address.split(':');
+    return Number(port) <= kMaxPort && host.split('.').every((octet) => Number(octet) <= kMaxOctet);
+  }, `expected numbers up to ${kMaxOctet} in the address, and a port up to ${kMaxPort}`);
 
 const kKiB = 1024;
 const kMiB = kKiB * kKiB;
--- a/tests/platform/foreignWriters.spec.ts
+++ b/tests/platform/foreignWriters.spec.ts
@@ -108,6 +108,21 @@
 });
 
 describe('records of other writers', () => {
+  // Connecting to a port above 65535 throws, which ended the daemon's periodic work: no request met its time limit any more.
+  itSerial('should not end the periodic work of a daemon when their addresses are impossible', (t) =>
+    withFleet(async (fleet) => {
+      fleet.configure([{ prefix: '/a/', service: 'reads', timeoutMs: 400 }]);
+      const host = await fleet.add('h1', 'reads');
+      await fleet.untilServing('/a/warm');
+      fleet.store.put(kTopic, 'h9', JSON.stringify({ ...kRecord, host: 'h9', peers: '127.0.0.1:70000' }));
+      fleet.store.put(kTopic, 'h8', JSON.stringify({ ...kRecord, host: 'h8', service: 'other', instance: 'i-8' }));
+      await fleet.until('the records to be read', () => host.daemon.knows('h8'));
+      host.target.workMs = 3_000;
+      t.is((await fleet.call(host, '/a/x', { remainingMs: 1_500 })).status, 504);
+      t.false(host.daemon.knows('h9'));
+    }),
+  );
+
   itSerial('should be skipped while valid records are read', async (t) => {
     const store = new StoreStandin();
     const address = await store.start();
