Treat a time limit of 0 as none left

Callers saw: a request with a time limit of 0 ran, and its target was given the whole time of the route. Cause: the header reader took 0 for an invalid value, which counts as no limit. Change: 0 is read as 0, and a request without time left is refused as not run before its first offer. Test: tests/mesh/callers.spec.ts, 'should not have a request run that has no time left'; it got 200 before the second part of the change.

--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -83,11 +83,17 @@
 
 const kSuspectedResult: RouteResult = { kind: 'not_run', reason: 'suspected', retryAfterMs: kSuspectedRetryMs };
 
+/** Result for a request whose deadline has passed before its first offer. */
+const kExpiredResult: RouteResult = { kind: 'not_run', reason: 'too_late', retryAfterMs: 0 };
+
 /** Routes one request to its final result. */
 export function* routeRequest(
   route: Pick<Route, 'idempotent' | 'maxAttempts'>,
   ctx: RouteContext,
 ): Generator<Offer, RouteResult, CallResult> {
+  if (ctx.remainingMs() <= 0) {
+    return kExpiredResult;
+  }
   const excluded = new Set<string>();
   let last: RouteResult = { kind: 'not_run', reason: 'no_target', retryAfterMs: 0 };
   let arrivals = 0;
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -128,7 +128,7 @@
       } else if (lower === names.requestId) {
         read.requestId ||= value;
       } else if (lower === names.remainingMs) {
-        read.remainingMs = parsePositive(value) ?? read.remainingMs;
+        read.remainingMs = parseNonNegative(value) ?? read.remainingMs;
       } else if (lower === kCredentialsHeader) {
         read.credentials.push(value);
       } else if (lower === 'content-length') {
@@ -204,9 +204,9 @@
   }
 }
 
-function parsePositive(value: string): number | undefined {
-  const number = Number(value);
-  return Number.isFinite(number) && number > 0 ? number : undefined;
+function parseNonNegative(value: string): number | undefined {
+  const number = value === '' ? NaN : Number(value);
+  return Number.isFinite(number) && number >= 0 ? number : undefined;
 }
 
 function appendToList(list: string | undefined, value: string): string {
@@ -215,8 +215,8 @@
 
 /** Parses a number of seconds. Dates are ignored, because they depend on the clocks of both hosts. */
 function parseRetryAfter(value: string): number | undefined {
-  const seconds = parsePositive(value);
-  return seconds === undefined ? undefined : seconds * kMsPerSecond;
+  const seconds = parseNonNegative(value);
+  return seconds === undefined || seconds === 0 ? undefined : seconds * kMsPerSecond;
 }
 
 function parseKeepAliveTimeout(value: string): number | undefined {
--- a/tests/mesh/callers.spec.ts
+++ b/tests/mesh/callers.spec.ts
@@ -204,6 +204,18 @@
     }),
   );
 
+  // A time limit of 0 counted as none, and the target was given the whole time of the route.
+  itSerial('should not have a request run that has no time left', (t) =>
+    withFleet(async (fleet) => {
+      const host = await startHost(fleet);
+      const caller = await RawCaller.open(host.calls);
+      caller.write(requestText('/a/1', 'z1').replace('3000', '0'));
+      t.regex(await caller.until(/\}$/), /^HTTP\/1.1 50[34]/);
+      t.false(host.target.seen.some(({ id }) => id === 'z1'));
+      caller.disconnect();
+    }),
+  );
+
   itSerial('should receive 100 Continue before a body, and no body in the response to HEAD', (t) =>
     withFleet(async (fleet) => {
       const host = await startHost(fleet);
