Split the connection of callers, its requests, and the methods of the parser

No change of behaviour: CallerRequest, ConnectionOwner, ExitSchedule and the names of HTTP methods have files of their own.

--- a/packages/mesh/src/http/messageParser.ts
+++ b/packages/mesh/src/http/messageParser.ts
@@ -8,6 +8,7 @@
  * are not used, because they create streams, timers and header objects for each message that the daemon does not need.
  */
 
+import { methodName } from './httpMethods.js';
 import llhttpCode from './llhttpCode.cjs';
 
 export interface MessageHead {
@@ -47,46 +48,6 @@
 /** Granularity of the size of the library's input buffer, in bytes. */
 const kBufferGrowthBytes = 4_096;
 
-/** Number of QUERY in llhttp; the numbers between are methods of RTSP. */
-const kQueryMethod = 46;
-/** Method names by their number in llhttp. */
-const kMethods = [
-  'DELETE',
-  'GET',
-  'HEAD',
-  'POST',
-  'PUT',
-  'CONNECT',
-  'OPTIONS',
-  'TRACE',
-  'COPY',
-  'LOCK',
-  'MKCOL',
-  'MOVE',
-  'PROPFIND',
-  'PROPPATCH',
-  'SEARCH',
-  'UNLOCK',
-  'BIND',
-  'REBIND',
-  'UNBIND',
-  'ACL',
-  'REPORT',
-  'MKACTIVITY',
-  'CHECKOUT',
-  'MERGE',
-  'M-SEARCH',
-  'NOTIFY',
-  'SUBSCRIBE',
-  'UNSUBSCRIBE',
-  'PATCH',
-  'PURGE',
-  'MKCALENDAR',
-  'LINK',
-  'UNLINK',
-  'SOURCE',
-];
-
 /** Exports of the WebAssembly module. */
 interface Llhttp {
   memory: WebAssembly.Memory;
@@ -153,11 +114,6 @@
   return libraryBufferAddress;
 }
 
-/** Returns the name of a method; undefined for methods of other protocols. */
-function methodName(method: number): string | undefined {
-  return method === kQueryMethod ? 'QUERY' : kMethods[method];
-}
-
 function execute(owner: MessageParser, parser: number, bytes: Buffer): number {
   activeParser = owner;
   activeChunk = bytes;
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -6,7 +6,7 @@
 /** HTTP/1.1 server for the callers on this host: admits each request, forwards it to a target, and sends the final response. */
 
 import { createServer, type Server } from 'node:net';
-import { DurationBounds, type EntryResult, monotonicMs, readCredentials, type RequestWorkspace, type ServerPhase } from '@gentiandrum/core';
+import { type EntryResult, monotonicMs, readCredentials, type RequestWorkspace, type ServerPhase } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeResult } from '../app/calls/callExchange.js';
@@ -18,16 +18,12 @@
 import { HeaderReader, kCredentialsHeader } from '../http/headerReader.js';
 import type { HeaderNames } from '../ports.js';
 import { BodyMemory } from './bodyMemory.js';
-import {
-  CallerConnection,
-  type CallerLimits,
-  type CallerRequest,
-  type ConnectionEnd,
-  type ConnectionOwner,
-  type ReadFault,
-} from './callerConnection.js';
+import { CallerConnection } from './callerConnection.js';
+import type { CallerRequest } from './callerRequest.js';
+import type { CallerLimits, ConnectionEnd, ConnectionOwner, ReadFault } from './connectionOwner.js';
 import { type RefusedEntry, refusalFields, refusalOf, refusedService, refusedWorkspace } from './entryRefusals.js';
 import { outcomeOf } from './exchangeOutcome.js';
+import { ExitSchedule } from './exitSchedule.js';
 import { faultStatus, faultDetail } from './readFaults.js';
 
 /** Limits until the first configuration is received. */
@@ -67,9 +63,7 @@
   private readonly _connections = new Set<CallerConnection>();
   private _limits = kInitialLimits;
   private _phase: ServerPhase = 'serving';
-  /** Monotonic time at which the process exits. */
-  private _exitAt = Infinity;
-  private readonly _durations = new DurationBounds();
+  private readonly _exit = new ExitSchedule();
   private _inFlight = 0;
 
   constructor(private readonly _deps: CallServerDeps) {
@@ -117,7 +111,7 @@
    */
   endConnections(exitAt: number): void {
     this._phase = 'ending';
-    this._exitAt = exitAt;
+    this._exit.at = exitAt;
     for (const connection of this._connections) {
       connection.chooseLast();
     }
@@ -185,7 +179,7 @@
 
   private _handleEntry(req: CallerRequest, result: EntryResult): void {
     req.entryDecided = true;
-    if (result.kind === 'admitted' && !this._endsBeforeExit(req, result)) {
+    if (result.kind === 'admitted' && !this._exit.allows(result.route, req.remainingMs)) {
       this._refuseLate(req, result);
     } else if (result.kind === 'admitted') {
       this._deps.chains.recordEntry(result.route.name);
@@ -216,24 +210,15 @@
     this._refuse(req, status, detail, retryAfterMs, headers);
   }
 
-  private _endsBeforeExit({ remainingMs }: CallerRequest, { route }: AdmittedEntry): boolean {
-    const longestMs = Math.min(route.timeoutMs, remainingMs);
-    const remainingRunMs = this._exitAt - monotonicMs();
-    return longestMs <= remainingRunMs || this._durations.boundMs(route.name) <= remainingRunMs;
-  }
-
   /** Refuses a request whose response would come after the end of the shutdown; until then, retries would be refused too. */
   private _refuseLate(req: CallerRequest, { route, service, workspace }: AdmittedEntry): void {
-    const remainingRunMs = Math.max(0, this._exitAt - monotonicMs());
     this._deps.metrics.requestEnded(service, 'not_run', 'shutting_down', 0);
     this._deps.events.info('calls', 'Request refused: it may take longer than the rest of the shutdown.', {
       req: req.headers.requestId,
-      route: route.name,
-      remainingRunMs: Math.round(remainingRunMs),
-      expectedMs: Math.round(this._durations.boundMs(route.name)),
+      ...this._exit.fields(route),
     });
     this._deps.entry.returnToken(workspace);
-    this._refuse(req, 503, 'not run: shutting down', Math.max(kDefaultRetryAfterMs, remainingRunMs));
+    this._refuse(req, 503, 'not run: shutting down', Math.max(kDefaultRetryAfterMs, this._exit.remainingMs));
   }
 
   /** Refuses a call of the local target whose run has ended, so that nobody waits for its response. */
@@ -269,7 +254,7 @@
       (result) => {
         const { outcome, reason } = outcomeOf(result);
         if (outcome === 'answered') {
-          this._durations.record(route.name, exchange.ageMs);
+          this._exit.recordDuration(route, exchange.ageMs);
         }
         if (external && outcome === 'answered') {
           this._deps.chainControl.recordSuccess(route.name, exchange.ageMs);
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -9,11 +9,11 @@
  */
 
 import type { Socket } from 'node:net';
-import { monotonicMs, ResponseSequence, type SequencedRequest, type ServerPhase } from '@gentiandrum/core';
-import type { HeaderReader, RequestHeaders } from '../http/headerReader.js';
-import { MessageParser, type MessageHead, type ParseFault } from '../http/messageParser.js';
+import { monotonicMs, ResponseSequence } from '@gentiandrum/core';
+import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { encodeResponse, writeParts } from '../http/messageText.js';
-import type { BodyMemory } from './bodyMemory.js';
+import { CallerRequest } from './callerRequest.js';
+import type { ConnectionOwner, ReadFault } from './connectionOwner.js';
 
 /** Largest number of requests of one connection that are in flight at once; further ones wait. */
 const kMaxPipelined = 32;
@@ -25,81 +25,6 @@
 const kIdleGraceMs = 1_000;
 
 const kContinueResponse = 'HTTP/1.1 100 Continue\r\n\r\n';
-const kNoBody = Buffer.alloc(0);
-
-/** Configured limits for callers. */
-export interface CallerLimits {
-  headerBytes: number;
-  bodyBytes: number;
-  /** Longest time for reading a request head, in milliseconds. */
-  headerTimeoutMs: number;
-  /** Time for which an idle connection is kept, in milliseconds. */
-  idleTimeoutMs: number;
-}
-
-/** Reason for rejecting a request before it was read completely. */
-export type ReadFault = ParseFault | 'head_too_late' | 'body_too_long' | 'body_too_late' | 'no_memory';
-
-/** Server that owns the connection. */
-export interface ConnectionOwner {
-  readonly headers: HeaderReader;
-  readonly memory: BodyMemory;
-  readonly limits: CallerLimits;
-  readonly phase: ServerPhase;
-  /** A request was read completely. */
-  onRequest(req: CallerRequest): void;
-  /** A request cannot be read; the connection closes after its response. */
-  onFault(req: CallerRequest, fault: ReadFault): void;
-  /** The connection was closed before the response to a request was sent. */
-  onUnanswered(req: CallerRequest, closedBy: ConnectionEnd): void;
-  onClose(connection: CallerConnection): void;
-}
-
-/** Who closed a connection first. */
-export type ConnectionEnd = 'caller' | 'daemon';
-
-/** Response to a caller. */
-interface CallerResponse {
-  status: number;
-  headers: string[];
-  body: Buffer;
-}
-
-/** One request of a caller. */
-export class CallerRequest implements SequencedRequest {
-  body: Buffer = kNoBody;
-  /** Time at which the head was read, on the monotonic clock; the time for reading the body counts against the deadline. */
-  readonly receivedAt = monotonicMs();
-  /** Called when the caller disconnects before the response. */
-  onDisconnect: (() => void) | undefined;
-  /** Bytes reserved for its body in {@link BodyMemory}. */
-  reservedBytes = 0;
-  /** Response that waits for those to older requests. */
-  response: CallerResponse | undefined;
-  /** Whether the request has been admitted or refused. */
-  entryDecided = false;
-
-  constructor(
-    private readonly _connection: CallerConnection,
-    readonly method: string,
-    readonly target: string,
-    readonly headers: RequestHeaders,
-  ) {}
-
-  get ready(): boolean {
-    return this.response !== undefined;
-  }
-
-  /** Time until the caller's deadline, in milliseconds; infinite when the caller sends none. */
-  get remainingMs(): number {
-    return this.receivedAt + this.headers.remainingMs - monotonicMs();
-  }
-
-  /** Sends the final response. Ignored after the first one and once the connection is closed. */
-  respond(status: number, headers: string[], body: Buffer): void {
-    this._connection.respond(this, status, headers, body);
-  }
-}
 
 export class CallerConnection {
   private readonly _parser: MessageParser;
--- a/packages/mesh/src/server/readFaults.ts
+++ b/packages/mesh/src/server/readFaults.ts
@@ -5,7 +5,7 @@
 
 /** Responses to requests that cannot be read. */
 
-import type { ReadFault } from './callerConnection.js';
+import type { ReadFault } from './connectionOwner.js';
 
 /** Returns the HTTP status for a fault. */
 export function faultStatus(fault: ReadFault): number {
