--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -22,6 +22,7 @@
 import type { CallerRequest } from './callerRequest.js';
 import type { CallerLimits, ConnectionEnd, ConnectionOwner, ReadFault } from './connectionOwner.js';
 import { type RefusedEntry, refusalFields, refusalOf, refusedService, refusedWorkspace } from './entryRefusals.js';
+import { logResult, logUnanswered } from './callLog.js';
 import { outcomeOf } from './exchangeOutcome.js';
 import { ExitSchedule } from './exitSchedule.js';
 import { faultStatus, faultDetail } from './readFaults.js';
@@ -160,16 +161,7 @@
   /** @internal */
   onUnanswered(req: CallerRequest, closedBy: ConnectionEnd): void {
     this._deps.metrics.unanswered(closedBy);
-    const text = `Connection closed by the ${closedBy} before the response to a request was sent.`;
-    const fields = (): EventFields => ({ req: req.headers.requestId, ms: Math.round(monotonicMs() - req.receivedAt) });
-    switch (closedBy) {
-      case 'caller':
-        this._deps.events.infoLowPriority('calls', text, fields);
-        return;
-      case 'daemon':
-        this._deps.events.warn('calls', text, fields());
-        return;
-    }
+    logUnanswered(this._deps.events, req, closedBy);
   }
 
   /** @internal */
@@ -260,7 +252,7 @@
           this._deps.chainControl.recordSuccess(route.name, exchange.ageMs);
         }
         this._deps.metrics.requestEnded(service, outcome, reason, exchange.ageMs / 1_000);
-        this._logResult(exchange, route.name, result, requestId);
+        logResult(this._deps.events, { exchange, route: route.name, result, requestId });
         this._recordWorkspaceOutcome(workspace, result, outcome);
         this._respond(req, result);
       },
@@ -310,27 +302,6 @@
     return requestId === '' ? headers : [...headers, this._deps.names.requestId, requestId];
   }
 
-  private _logResult(exchange: CallExchange, route: string, result: ExchangeResult, requestId: string): void {
-    const fields = (): EventFields => ({
-      req: requestId,
-      route,
-      offers: exchange.offers,
-      target: exchange.target,
-      ms: Math.round(exchange.ageMs),
-      ...(exchange.failed.length > 0 ? { failed: exchange.failed } : {}),
-    });
-    if (result.kind === 'answered') {
-      const { status } = result.answer;
-      if (status < 500) {
-        this._deps.events.infoLowPriority('calls', 'Request completed.', () => ({ ...fields(), status }));
-      } else {
-        this._deps.events.info('calls', 'Target responded with a server error.', { ...fields(), status });
-      }
-    } else {
-      this._deps.events.info('calls', 'Request failed without a response from a target.', { ...fields(), ...result });
-    }
-  }
-
   private _refuse(req: CallerRequest, status: number, detail: string, retryAfterMs?: number, extraHeaders: readonly string[] = []): void {
     const headers = ['content-type', 'application/problem+json', ...extraHeaders];
     if (retryAfterMs !== undefined) {
