--- a/tests/e2e/pipelinedStop.spec.ts
+++ b/tests/e2e/pipelinedStop.spec.ts
@@ -7,7 +7,7 @@
 
 import { RawCaller } from '../mesh/rawCaller.js';
 import { describe, itSerial } from '../support/describe.js';
-import { exitOf, Fleet, until } from '../support/fleet.js';
+import { exitOf, Fleet, type FleetHost, until } from '../support/fleet.js';
 import { kSampleConfig } from '../support/sampleConfig.js';
 
 const kLongMs = 1_500;
@@ -37,6 +37,12 @@
   await until(`${id} runs`, async () => (await fleet.runsOf('b1'))[id] === 1);
 }
 
+/** Sends SIGTERM to a daemon, and waits until it shuts down. */
+async function startShutdown({ daemon, logs }: FleetHost): Promise<void> {
+  daemon.kill('SIGTERM');
+  await until('the daemon shuts down', () => Promise.resolve(logs.some((line) => line.includes('Graceful shutdown started'))));
+}
+
 function bodies(text: string): string[] {
   return [...text.matchAll(/\r\n\r\n(r\d)/g)].map(([, id]) => id ?? '');
 }
@@ -63,10 +69,7 @@
       const { address, daemon } = fleet.host('a1');
       const caller = await RawCaller.open(address);
       await run(fleet, caller, 'r1', kLongMs);
-      daemon.kill('SIGTERM');
-      await until('the daemon stops', () =>
-        Promise.resolve(fleet.host('a1').logs.some((line) => line.includes('Graceful shutdown started'))),
-      );
+      await startShutdown(fleet.host('a1'));
       let sent = 1;
       while (!caller.closed) {
         const id = `s${++sent}`;
@@ -91,10 +94,7 @@
       const { address, daemon } = fleet.host('a1');
       const caller = await RawCaller.open(address);
       await run(fleet, caller, 'r1', kLongMs);
-      daemon.kill('SIGTERM');
-      await until('the daemon stops', () =>
-        Promise.resolve(fleet.host('a1').logs.some((line) => line.includes('Graceful shutdown started'))),
-      );
+      await startShutdown(fleet.host('a1'));
       daemon.kill('SIGTERM');
       t.deepEqual(bodies(await caller.untilClosed()), ['r1']);
       t.is(await exitOf(daemon), 0);
