Answer other daemons on connections in use during a shutdown

What a daemon would have seen: its second request on one connection to a daemon that shuts down got no response. Change: such a response ends its connection only where the last request was chosen, and closes it then. A response whose connection has closed is let through, so that nothing waits for it.

--- a/packages/daemon/src/server/responseOrder.ts
+++ b/packages/daemon/src/server/responseOrder.ts
@@ -73,16 +73,27 @@
     }
     this._responses.set(reply, response);
     reply.raw.once('close', () => {
-      // Responses of the peer protocol are not sent through the server's hooks.
-      response.ready = true;
-      this._sendReady(response.sequence);
+      if (!response.ready) {
+        this._handleUnhookedEnd(response, raw.socket);
+      }
     });
     done();
   }
 
+  /** Responses of the peer protocol are not sent through the server's hooks, so they do not announce a close. */
+  private _handleUnhookedEnd(response: OrderedResponse, socket: Socket): void {
+    const { sequence } = response;
+    response.ready = true;
+    this._sendReady(sequence, sequence.pending.length === 1 ? 'serving' : this._phase);
+    if (sequence.ended) {
+      socket.end();
+    }
+  }
+
   private _handleResponse(reply: FastifyReply, done: () => void): void {
     const response = this._responses.get(reply);
-    if (!response) {
+    if (!response || response.ready) {
+      // Its connection has closed.
       done();
       return;
     }
@@ -91,11 +102,11 @@
     }
     response.ready = true;
     response.send = done;
-    this._sendReady(response.sequence);
+    this._sendReady(response.sequence, this._phase);
   }
 
-  private _sendReady(sequence: ResponseSequence<OrderedResponse>): void {
-    for (const { req, last } of sequence.takeReady(this._phase)) {
+  private _sendReady(sequence: ResponseSequence<OrderedResponse>, phase: ServerPhase): void {
+    for (const { req, last } of sequence.takeReady(phase)) {
       if (req.send) {
         if (last) {
           void req.reply.header('connection', 'close');
--- a/tests/e2e/pipelinedStop.spec.ts
+++ b/tests/e2e/pipelinedStop.spec.ts
@@ -100,4 +100,23 @@
       t.is(await exitOf(daemon), 0);
     }),
   );
+
+  // A response that is sent without the server's hooks ended the sequence of its connection, and the next request got no response.
+  itSerial('should not keep other daemons from their responses on a connection in use', (t) =>
+    withFleet(async (fleet) => {
+      const { address, daemon } = fleet.host('a1');
+      const caller = await RawCaller.open(address);
+      await run(fleet, caller, 'r1', kLongMs);
+      const peer = await RawCaller.open(address);
+      await startShutdown(fleet.host('a1'));
+      const ping =
+        '/gentiandrum.v1.PeerService/FetchConfig HTTP/1.1\r\nHost: a1\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}';
+      for (let i = 1; i <= 3; i++) {
+        peer.write(`POST ${ping}`);
+        await until(`response ${i}`, () => Promise.resolve(peer.text.match(/HTTP\/1.1 /g)?.length === i));
+      }
+      t.deepEqual(bodies(await caller.untilClosed()), ['r1']);
+      t.is(await exitOf(daemon), 0);
+    }),
+  );
 });
