--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -32,6 +32,10 @@
   budget_window_s: 10,
   budget_extra_retries: 48,
 };
+/** Memory of a process on the machines of `paturi-ro`, in MB. */
+export const kMemoryMb = 350;
+/** Longest body that a client may send, as the pages show it in the configuration of each site. */
+export const kMaxBodyBytes = 67_108_864;
 const kHost = 'app.example';
 /** Delay between the end of a process and its next start. */
 const kRestartMs = 500;
@@ -179,11 +183,11 @@
   }
 }
 
-/** Sends one request on a connection of its own; returns the status, or why there was no complete answer. */
-export function send(address, { method = 'GET', path, headers = {}, body = '' }) {
+/** Sends one request, by default on a connection of its own; returns the status, or why there was no complete answer. */
+export function send(address, { method = 'GET', path, headers = {}, body = '', agent = false }) {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
-    const req = request({ host, port, method, path, headers: { ...headers, 'content-length': Buffer.byteLength(body) }, agent: false });
+    const req = request({ host, port, method, path, headers: { ...headers, 'content-length': Buffer.byteLength(body) }, agent });
     req.on('response', (res) => {
       const chunks = [];
       res.on('data', (chunk) => chunks.push(chunk));
@@ -304,7 +308,7 @@
       version: this._version.toString(16).padStart(8, '0'),
       routes: routes.map((route) => ({ host: kHost, priority: 1, max_attempts: 2, target_latency_ms: 1_000, ...route })),
       services: services.map((name) => ({ name, health_path: '/health', max_connections: 400 })),
-      limits: { max_header_bytes: 16_384, max_body_bytes: 1_000_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+      limits: { max_header_bytes: 16_384, max_body_bytes: kMaxBodyBytes, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
     };
     this.store.put('keyed.op', 'config', JSON.stringify(config));
   }
@@ -331,7 +335,7 @@
       listen: { outbound, inbound, ready, control },
       platform: { address: this.store.address },
       bounds: kBounds,
-      limits: { memory_mb: 350 },
+      limits: { memory_mb: kMemoryMb },
     };
     machine.render = () => {
       writeFileSync(machine.file, render(readFileSync(`${kRoot}/deploy/settings.yaml.template`, 'utf8'), fields));
@@ -368,6 +372,16 @@
     });
   }
 
+  /** Private memory of a machine's daemon, in MB; what it shares with other processes, like the program's text, is not counted. */
+  memoryMb(machine) {
+    try {
+      const status = readFileSync(`/proc/${machine.child.pid}/status`, 'utf8');
+      return Number(/^RssAnon:\s+(\d+)/m.exec(status)?.[1] ?? 0) / 1_024;
+    } catch {
+      return 0;
+    }
+  }
+
   /** Waits until the daemons of all machines report that they are ready. */
   async untilReady(machines = this.machines, timeoutMs = 20_000) {
     const deadline = now() + timeoutMs;
@@ -382,11 +396,11 @@
   }
 
   /** Sends a request of a client, or of the upstream, of a machine; the answer has the times of sending and of its end. */
-  async call(machine, path, { limitMs = 5_000, method = 'GET', label = 'r' } = {}) {
+  async call(machine, path, { limitMs = 5_000, method = 'GET', label = 'r', body = '', agent = false } = {}) {
     const id = `${label}-${this._nextId++}`;
     const headers = { host: kHost, 'x-attempt-id': id, 'x-deadline-remaining': String(limitMs) };
     const sentAt = now();
-    const answer = await send(machine.outbound, { method, path, headers });
+    const answer = await send(machine.outbound, { method, path, headers, body, agent });
     return { id, sentAt, endedAt: now(), ...answer };
   }
 
