Review case 7: a lower idle timeout cuts answers that are being read

The case shows a break of LOST by one change of the configuration. When the idle timeout is lowered, a daemon destroys the connections that end after their last answer once the new timeout has passed since the answer was handed to the socket, while the clients still read it.

Nothing is fixed.

--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -205,6 +205,10 @@
 /** An upstream: serves requests with its seal, refuses those for another instance, and sends heartbeats to the daemon beside it. */
 export class Upstream {
   running = 0;
+  /** Bytes added to the body of each answer. */
+  paddingBytes = 0;
+  /** Start of the incarnation, on sites whose upstreams send it. */
+  born = undefined;
   /** Called with each request that starts to run; its promise is the work. */
   work = () => pause(20);
   _sequence = 0;
@@ -233,6 +237,7 @@
     const sequence = ++this._sequence;
     const body = JSON.stringify({
       address: this._machine.app,
+      born: this.born,
       info: { service: this._machine.service, version: 'v1', zone: this._machine.zone, slots: 20 },
       status: { state, sequence, cold_remaining_ms: 0 },
     });
@@ -248,10 +253,20 @@
     return answer.status;
   }
 
+  /** Sends only heartbeats that say that it leaves; returns the status of the answer to the first. */
+  async drain() {
+    clearInterval(this._timer);
+    this._timer = setInterval(() => {
+      void this.beat('draining');
+    }, 1_500);
+    return this.beat('draining');
+  }
+
   /** Sends no more heartbeats and deregisters; the upstream goes on serving. Returns the status of the answer. */
   async leave() {
     clearInterval(this._timer);
-    return (await send(this._machine.control, { method: 'DELETE', path: `/v1/instances/${this.instance}` })).status;
+    const body = this.born === undefined ? '' : JSON.stringify({ born: this.born });
+    return (await send(this._machine.control, { method: 'DELETE', path: `/v1/instances/${this.instance}`, body })).status;
   }
 
   /** Ends like a process that exits. */
@@ -275,7 +290,7 @@
     this._site.onRun(this, id);
     await this.work(id, req);
     this.running--;
-    const text = `${this.instance} did ${id}`;
+    const text = `${this.instance} did ${id}${'x'.repeat(this.paddingBytes)}`;
     res.writeHead(200, { 'x-attempt-id': id, 'x-response-seal': `seal.${id}`, 'content-length': text.length }).end(text);
   }
 }
@@ -301,14 +316,14 @@
   }
 
   /** The operator writes a configuration. */
-  configure(routes) {
+  configure(routes, limits = {}) {
     this._version = (this._version ?? 0) + 3;
     const services = [...new Set(routes.map(({ service }) => service))];
     const config = {
       version: this._version.toString(16).padStart(8, '0'),
       routes: routes.map((route) => ({ host: kHost, priority: 1, max_attempts: 2, target_latency_ms: 1_000, ...route })),
       services: services.map((name) => ({ name, health_path: '/health', max_connections: 400 })),
-      limits: { max_header_bytes: 16_384, max_body_bytes: kMaxBodyBytes, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+      limits: { max_header_bytes: 16_384, max_body_bytes: kMaxBodyBytes, header_timeout_ms: 3_000, idle_timeout_ms: 15_000, ...limits },
     };
     this.store.put('keyed.op', 'config', JSON.stringify(config));
   }
