Review: keep line ends when rendering sections of the settings template

A section that stands inside a line took the line's end with it, so that settings with key revocation could not be read.

--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -72,11 +72,11 @@
 /** Renders the settings template: `{{a.b}}`, `{{a|json}}` and sections, as the page on the deploy file describes them. */
 export function render(template, fields) {
   const find = (path) => path.split('.').reduce((value, key) => value?.[key], fields);
-  const sections = /\{\{([#^])([\w.]+)\}\}\n?([\s\S]*?)\{\{\/\2\}\}\n?/g;
-  const plain = template.replace(sections, (_, kind, path, inner) => {
+  const sections = /\{\{([#^])([\w.]+)\}\}(\n?)([\s\S]*?)\{\{\/\2\}\}(\n?)/g;
+  const plain = template.replace(sections, (_, kind, path, afterStart, inner, afterEnd) => {
     const value = find(path);
     const present = value !== undefined && value !== false;
-    return (kind === '#') === present ? render(inner, fields) : '';
+    return ((kind === '#') === present ? render(inner, fields) : '') + (afterStart === '' ? afterEnd : '');
   });
   return plain.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, path, json) => {
     const value = find(path);
