--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -59,14 +59,13 @@
   }
 }
 
-async function freePort(ip) {
-  const server = createTcpServer();
-  server.listen(0, ip);
-  await once(server, 'listening');
-  const { port } = server.address();
-  server.close();
-  await once(server, 'close');
-  return port;
+/** Free ports of an address; all are held until the last one is known, so that none is given twice. */
+async function freePorts(ip, count) {
+  const servers = Array.from({ length: count }, () => createTcpServer().listen(0, ip));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => once(server.close(), 'close')));
+  return ports;
 }
 
 /** Renders the settings template: `{{a.b}}`, `{{a|json}}` and sections, as the page on the deploy file describes them. */
@@ -331,10 +330,7 @@
   /** Adds a machine with its daemon; the upstream beside it is started by the caller. */
   async add(name, zone, service) {
     const ip = `${this._net}.${this.machines.length + 1}`;
-    const ports = [];
-    for (let i = 0; i < 5; i++) {
-      ports.push(await freePort(ip));
-    }
+    const ports = await freePorts(ip, 5);
     const [outbound, inbound, ready, control, app] = ports.map((port) => `${ip}:${port}`);
     const machine = { name, zone, service, ip, outbound, inbound, ready, control, app, starts: 0 };
     this.machines.push(machine);
