--- a/packages/core/src/admission/notRunReason.ts
+++ b/packages/core/src/admission/notRunReason.ts
@@ -7,8 +7,8 @@
 
 import type { GateRefusal } from './gatedCall.js';
 
-/** Why a call certainly did not run. */
-export type NotRunReason = GateRefusal | 'no_connection' | 'target_refused' | 'wrong_instance' | 'cancelled';
+/** Why a call certainly did not run; `no_memory` if a daemon had no memory for its body. */
+export type NotRunReason = GateRefusal | 'no_connection' | 'target_refused' | 'wrong_instance' | 'cancelled' | 'no_memory';
 
 /**
  * Whether the reason is a lack of capacity at the gate, which fewer arrivals would relieve. The others say nothing about capacity: another
@@ -31,6 +31,7 @@
     case 'suspected':
     case 'quarantined':
     case 'cancelled':
+    case 'no_memory':
       return false;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,6 +38,8 @@
 export * from './config/mergePatch.js';
 export * from './connections/responseSequence.js';
 export * from './errors/errorKind.js';
+export * from './memory/memoryAccount.js';
+export * from './memory/messageBody.js';
 export * from './membership/livenessCheck.js';
 export * from './membership/memberView.js';
 export * from './membership/readerRank.js';
--- a/packages/core/src/procedures/routeRequest.ts
+++ b/packages/core/src/procedures/routeRequest.ts
@@ -11,6 +11,8 @@
 import type { Route } from '@gentiandrum/protocol';
 import type { TargetRecord } from '../membership/targetRecord.js';
 import type { NotRunReason } from '../admission/notRunReason.js';
+import type { MemoryLease } from '../memory/memoryAccount.js';
+import type { MessageBody } from '../memory/messageBody.js';
 import type { Verdict } from '../quarantine/suspicion.js';
 
 /** Maximum number of offers of one request, including refused ones. */
@@ -40,7 +42,9 @@
   status: number;
   /** Alternating names and values. */
   headers: string[];
-  body: Buffer;
+  body: MessageBody;
+  /** Memory of the body; to be released by whoever holds the response last. Undefined for short bodies. */
+  memory?: MemoryLease | undefined;
 }
 
 /** Result of one offer. */
--- a/packages/core/src/quarantine/requestFingerprint.ts
+++ b/packages/core/src/quarantine/requestFingerprint.ts
@@ -8,7 +8,8 @@
  * calling service is excluded, so that crashes caused by a request count together whichever service it enters through.
  */
 
-import { hashBytes, hashText } from '../util/hashText.js';
+import { bodyBytes, hashBody, type ReadableBody } from '../memory/messageBody.js';
+import { hashText } from '../util/hashText.js';
 
 /** The parts of a request that its fingerprint covers. */
 export interface RequestIdentity {
@@ -16,7 +17,7 @@
   host: string;
   /** Path with query. */
   path: string;
-  body: Uint8Array;
+  body: ReadableBody;
 }
 
 /** Separates the parts of a head. None of the parts can contain it. */
@@ -36,10 +37,10 @@
  */
 export function fingerprintOf(identity: RequestIdentity): string {
   const head = headOf(identity);
-  return kSeeds.map((seed) => hashBytes(identity.body, hashText(head, seed)).toString(kRadix)).join('-');
+  return kSeeds.map((seed) => hashBody(identity.body, hashText(head, seed)).toString(kRadix)).join('-');
 }
 
 /** Joins the parts unambiguously. The body is represented by its length. */
 function headOf({ method, host, path, body }: RequestIdentity): string {
-  return [method, host.toLowerCase(), path, body.length].join(kSeparator);
+  return [method, host.toLowerCase(), path, bodyBytes(body)].join(kSeparator);
 }
--- a/packages/mesh/src/app/calls/callExchange.ts
+++ b/packages/mesh/src/app/calls/callExchange.ts
@@ -10,8 +10,10 @@
 
 import {
   type Assessment,
+  bodyBytes,
   type ChainModel,
   type GateReport,
+  type MemoryLease,
   monotonicMs,
   type Offer,
   type PlacedCallResult,
@@ -78,6 +80,9 @@
   private _assessment: Assessment | undefined;
   private _target = '';
   private _finished = false;
+  private _openOffers = 0;
+  /** Memory of the responses received so far. */
+  private _responseMemory: MemoryLease[] | undefined;
 
   constructor(
     private readonly _req: RoutedRequest,
@@ -128,6 +133,7 @@
   abandon(): void {
     this._finish();
     this._handle?.cancel();
+    this._releaseMemory();
   }
 
   /** Assesses the request once per offer; the assessment is kept for the target choice and the call. */
@@ -174,7 +180,9 @@
       return;
     }
     if (step.done === true) {
+      this._releaseResponses(step.value.kind === 'answered' ? step.value.answer.memory : undefined);
       this._finish();
+      this._releaseMemory();
       this._done(step.value);
       return;
     }
@@ -188,11 +196,16 @@
     this._target = target.host;
     this._deps.onOfferSent(target, this._offers === 1);
     const progress = { settled: false };
+    this._openOffers++;
     const handle = this._deps.offer(target, this._toPeerCall(offer), (result, report) => {
       progress.settled = true;
+      this._openOffers--;
       this._recordResult(target, result, report, monotonicMs() - sentAt);
+      this._keepMemory(result);
       if (!this._finished) {
         this._advance(this._procedure.next(result));
+      } else {
+        this._releaseMemory();
       }
     });
     if (!progress.settled) {
@@ -217,7 +230,7 @@
     this._deps.onOfferResult(target.host, this._req.route.name, {
       load,
       tookMs: answered && !failed ? tookMs : undefined,
-      bytes: answered ? this._req.body.length + result.answer.body.length : undefined,
+      bytes: answered ? bodyBytes(this._req.body) + bodyBytes(result.answer.body) : undefined,
       failed,
     });
   }
@@ -273,9 +286,35 @@
     if (this._req.route.idempotent) {
       handle?.cancel();
     }
+    this._releaseMemory();
     this._done({ kind: 'timed_out' });
   }
 
+  private _keepMemory(result: CallResult): void {
+    if (result.kind === 'answered' && result.answer.memory) {
+      this._responseMemory ??= [];
+      this._responseMemory.push(result.answer.memory);
+    }
+  }
+
+  /** Releases the memory of all responses but the final one. */
+  private _releaseResponses(final?: MemoryLease): void {
+    this._responseMemory?.forEach((memory) => {
+      if (memory !== final) {
+        memory.release();
+      }
+    });
+    this._responseMemory = undefined;
+  }
+
+  /** Releases what the finished request held; its body is needed while an offer is under way. */
+  private _releaseMemory(): void {
+    this._releaseResponses();
+    if (this._openOffers === 0) {
+      this._req.memory?.release();
+    }
+  }
+
   private _finish(): void {
     this._finished = true;
     this._deps.deadlines.delete(this);
--- a/packages/mesh/src/app/calls/routedRequest.ts
+++ b/packages/mesh/src/app/calls/routedRequest.ts
@@ -5,7 +5,7 @@
 
 /** A request that the daemon routes to a target, and its unsuccessful offers. */
 
-import type { RequestWorkspace } from '@gentiandrum/core';
+import type { MemoryLease, MessageBody, RequestWorkspace } from '@gentiandrum/core';
 import type { Route } from '@gentiandrum/protocol';
 import type { CallChain } from '../load/chainControl.js';
 
@@ -18,7 +18,9 @@
   method: string;
   path: string;
   headers: string[];
-  body: Buffer;
+  body: MessageBody;
+  /** Memory of the body; released once the request is answered and no offer is under way. */
+  memory?: MemoryLease | undefined;
   /** Rank under overload, 0 the most urgent. */
   rank: number;
   /** Chain of a call of the local target. */
--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -8,6 +8,7 @@
 import {
   type Announcement,
   type GateRefusal,
+  type MemoryAccount,
   monotonicMs,
   type CallResult,
   type ReachabilityEvidence,
@@ -21,7 +22,7 @@
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
-import { type RunResult, TargetClient } from '../../client/targetClient.js';
+import { type RunResult, TargetClient, type TargetEvents } from '../../client/targetClient.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { TargetLoadTracker } from '../load/targetLoadTracker.js';
@@ -58,6 +59,9 @@
   onChange(): void;
   chainControl: ChainControl;
   suspects: Suspects;
+  memory: MemoryAccount;
+  /** There was no memory for the body of the target's response. */
+  onResponseRefused(call: PeerCall, bytes: number): void;
   events: EventLog;
 }
 
@@ -335,7 +339,7 @@
       return;
     }
     const reachability = this._reachability;
-    this._client ??= new TargetClient(address, instance, this._connections, this._deps.names, {
+    const events: TargetEvents = {
       ...statementEvents(() => reachability === this._reachability, this._condition, this._targetLoad),
       onReachability: (evidence) => {
         this._handleReachability(reachability, evidence);
@@ -343,7 +347,11 @@
       onCrash: (calls) => {
         this._handleCrash(calls);
       },
-    });
+      onResponseRefused: (call, bytes) => {
+        this._deps.onResponseRefused(call, bytes);
+      },
+    };
+    this._client ??= new TargetClient(address, instance, this._connections, this._deps.names, events, this._deps.memory);
     if (this._reachability.reachable) {
       this._gate.open(slots, this._warmAt);
     } else {
--- a/packages/mesh/src/app/eventLog.ts
+++ b/packages/mesh/src/app/eventLog.ts
@@ -11,7 +11,8 @@
 import { createLogger, format, type Logger as WinstonLogger, transports } from 'winston';
 
 /** Components of the daemon, used as prefixes of log lines. */
-export type EventPart = 'calls' | 'config' | 'gate' | 'log' | 'peers' | 'quarantine' | 'start' | 'stop' | 'target' | 'workspaces';
+export type EventPart =
+  'calls' | 'config' | 'gate' | 'log' | 'memory' | 'peers' | 'quarantine' | 'start' | 'stop' | 'target' | 'workspaces';
 
 /** Structured fields of a log line. */
 export type EventFields = Record<string, unknown>;
--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -25,6 +25,7 @@
 import { serveSuspects } from '../server/suspectControl.js';
 import { HostServer, type HostResponse, type HostRequest } from '../server/hostServer.js';
 import { splitAddress } from './addresses.js';
+import { BodyMemory } from './bodyMemory.js';
 import { ConfigHolder } from './log/configHolder.js';
 import { Deadlines } from './calls/deadlines.js';
 import type { EventLog } from './eventLog.js';
@@ -39,7 +40,7 @@
 import { createSuspects } from './calls/createSuspects.js';
 import { logExcludedTargets } from './logExcludedTargets.js';
 import type { OfferDone, OfferHandle } from './calls/offeredCall.js';
-import { TargetGate } from './calls/targetGate.js';
+import { TargetGate, type TargetGateDeps } from './calls/targetGate.js';
 import { waitUntil } from './waitUntil.js';
 import { Workspaces, type WorkspacesDeps } from './workspaces/workspaces.js';
 
@@ -89,6 +90,7 @@
   private readonly _room: RoomFollower | undefined;
   private readonly _calls: CallServer;
   private readonly _metrics: MeshMetrics;
+  private readonly _memory: BodyMemory;
   private readonly _metricsServer: HostServer;
   private readonly _ready: HostServer;
   private readonly _announcements: HostServer;
@@ -105,10 +107,10 @@
     private readonly _platform: Platform,
     private readonly _events: EventLog,
   ) {
-    const { dialect } = _platform;
     this._placement = new Placement(_settings.id, _settings.zone, Math.random, _settings.load.speedChoice ? 'speed' : 'mean');
     this._chainControl = new ChainControl({ load: _settings.load, chains: this._chains });
     this._metrics = new MeshMetrics(_settings.zone, () => this._view());
+    this._memory = new BodyMemory(_settings.memoryMb, this._metrics, _events);
     this._metricsServer = new HostServer(async (req) => serveSuspects(req, this._suspects) ?? (await this._serveMetrics()));
     this._configs = new ConfigHolder((cfg) => {
       this._calls.configure(cfg);
@@ -126,30 +128,8 @@
     });
     this._records = new HostRecords(this._recordsDeps());
     this._room = this._createRoom();
-    this._gate = new TargetGate({
-      room: this._room,
-      names: dialect.headers,
-      bound: _settings.retries,
-      load: _settings.load,
-      host: _settings.id,
-      address: _settings.target.address,
-      maxConnections: (service) => this._configs.maxConnections(service) ?? kDefaultMaxConnections,
-      targets: (service) => this._directory.ready(service).length,
-      isProbeTarget: (fingerprint, service) =>
-        chooseProbeTarget(fingerprint, this._directory.ready(service), kNoHosts)?.host === _settings.id,
-      isReady: (host, service) => this._directory.ready(service).some((record) => record.host === host),
-      chargeMs: (route) => this._placement.chargeMs(route),
-      isKeyValid: (workspace) => this._workspaces.isKeyValid(workspace),
-      onChange: () => {
-        this._records.updateOwn();
-      },
-      chains: this._chains,
-      chainControl: this._chainControl,
-      suspects: this._suspects,
-      metrics: this._metrics,
-      events: _events,
-    });
-    this._network = new PeerNetwork(_settings.id, this._directory, this._networkEvents(), _events);
+    this._gate = new TargetGate(this._gateDeps());
+    this._network = new PeerNetwork(_settings.id, this._directory, this._networkEvents(), _events, this._memory.account);
     this._calls = new CallServer(this._callDeps());
     this._ready = new HostServer((req) => this._serveReady(req));
     this._announcements = new HostServer((req) => this._serveAnnouncement(req));
@@ -241,7 +221,8 @@
     // Calls that run on the local target may still send requests through this daemon, on new connections too.
     await waitUntil(monotonicMs(), startedAt + kDrainNoticeMs * 2, () => this._gate.pending === 0);
     this._calls.close();
-    await waitUntil(monotonicMs() + kLingerMs, latest, () => this._calls.inFlight + this._gate.pending === 0);
+    const idle = (): boolean => this._calls.inFlight + this._gate.pending + this._network.unsentAnswers === 0;
+    await waitUntil(monotonicMs() + kLingerMs, latest, idle);
     await Promise.race([erased, pause(kStopPollMs)]);
     await this._network.shutDown();
     this._events.info('stop', 'Stopped.', { calls: this._calls.inFlight, atGate: this._gate.pending });
@@ -273,6 +254,36 @@
     }, ms);
   }
 
+  private _gateDeps(): TargetGateDeps {
+    return {
+      room: this._room,
+      names: this._platform.dialect.headers,
+      bound: this._settings.retries,
+      load: this._settings.load,
+      host: this._settings.id,
+      address: this._settings.target.address,
+      maxConnections: (service) => this._configs.maxConnections(service) ?? kDefaultMaxConnections,
+      targets: (service) => this._directory.ready(service).length,
+      isProbeTarget: (fingerprint, service) =>
+        chooseProbeTarget(fingerprint, this._directory.ready(service), kNoHosts)?.host === this._settings.id,
+      isReady: (host, service) => this._directory.ready(service).some((record) => record.host === host),
+      chargeMs: (route) => this._placement.chargeMs(route),
+      isKeyValid: (workspace) => this._workspaces.isKeyValid(workspace),
+      onChange: () => {
+        this._records.updateOwn();
+      },
+      chains: this._chains,
+      chainControl: this._chainControl,
+      suspects: this._suspects,
+      memory: this._memory.account,
+      onResponseRefused: ({ requestId }, bytes) => {
+        this._memory.refused('target_responses', requestId, bytes);
+      },
+      metrics: this._metrics,
+      events: this._events,
+    };
+  }
+
   private _createRoom(): RoomFollower | undefined {
     return RoomFollower.create({
       settings: this._settings,
@@ -350,6 +361,9 @@
   private _networkEvents(): PeerNetworkEvents {
     return {
       onCall: (call, done) => this._gate.offer(call, done),
+      onMemoryRefused: (place, requestId, bytes) => {
+        this._memory.refused(place, requestId, bytes);
+      },
       onRecords: (records) => {
         this._records.receive(records);
       },
@@ -403,7 +417,10 @@
     return {
       names: this._platform.dialect.headers,
       service: this._settings.target.service,
-      memoryMb: this._settings.memoryMb,
+      memory: this._memory.account,
+      onMemoryRefused: (requestId, bytes) => {
+        this._memory.refused('requests', requestId, bytes);
+      },
       entry: new RequestEntry({
         tables: () => this._configs.tables,
         validUntil: () => this._workspaces.proofs.validUntil(),
@@ -520,6 +537,7 @@
       readsLog: this._follower.readsLog,
       proofAge: this._workspaces.proofs.ageSeconds,
       suspensions: this._suspensions.count,
+      memory: this._memory.account,
       suspects: this._suspects.counts,
       chainCounts: this._chainControl.counts,
       quotas: { ...this._workspaces.quotas.counts, buckets: this._workspaces.quotas.buckets },
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -5,7 +5,7 @@
 
 /** Prometheus metrics of a routing daemon. The number of label values is bounded for any input of callers. */
 
-import type { GateRefusal, RankedRepeatCounts } from '@gentiandrum/core';
+import type { GateRefusal, MemoryPlace, RankedRepeatCounts } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
 import type { TargetLoadState } from './load/targetLoadTracker.js';
 import type { QuotaCounts } from './workspaces/quotaService.js';
@@ -44,6 +44,8 @@
     /** Repeats admitted and refused by urgency; undefined when they are not ranked. */
     repeats?: RankedRepeatCounts | undefined;
   };
+  /** Bytes of bodies held, by place, and number of bodies that wait for memory. */
+  memory: { held: Record<MemoryPlace, number>; waiting: number };
   /** Number of hosts by the state of their target. */
   hosts: ReadonlyMap<string, number>;
   links: number;
@@ -87,6 +89,7 @@
   private readonly _unanswered = this._counter('unanswered_requests_total', 'Requests whose connection closed before their response', [
     'closed_by',
   ]);
+  private readonly _memoryRefusals = this._counter('memory_refusals_total', 'Bodies that were refused for lack of memory', ['place']);
   /** Totals by label values; copied to the counters on each read, because the library hashes the labels on every increment. */
   private readonly _requestTotals = new Map<string, RequestTotals>();
   private readonly _placementTotals = new Map<string, PlacementTotals>();
@@ -161,6 +164,11 @@
     totals.count++;
   }
 
+  /** Counts a body that was refused for lack of memory. */
+  memoryRefused(place: MemoryPlace): void {
+    this._memoryRefusals.inc({ place });
+  }
+
   /** Counts a crash of this host's target. */
   targetCrashed(): void {
     this._crashes.inc();
@@ -199,6 +207,7 @@
       suspects,
       quotas,
       chainCounts,
+      memory,
     } = this._view();
     const values: [string, number][] = [
       ['gate_in_flight', gate.inFlight],
@@ -231,6 +240,7 @@
       ['call_parents_ended', chainCounts.ended],
       ['chains_too_late_at_gate', chainCounts.tooLateAtGate],
       ['chains_too_late_at_entry', chainCounts.tooLateAtEntry],
+      ...memoryValues(memory),
       ...[...logCalls].map(([kind, count]): [string, number] => [`log_calls_${kind}`, count]),
       ...[...hosts].map(([state, count]): [string, number] => [`hosts_${state}`, count]),
     ];
@@ -290,6 +300,11 @@
   ];
 }
 
+function memoryValues({ held, waiting }: MetricsView['memory']): [string, number][] {
+  const places = Object.entries(held).map(([place, bytes]): [string, number] => [`held_bytes_${place}`, bytes]);
+  return [['bodies_waiting_for_memory', waiting], ...places];
+}
+
 function repeatValues({ urgent, other, refusedUrgent, refusedOther }: RankedRepeatCounts): [string, number][] {
   const counts = { urgent, other, refused_urgent: refusedUrgent, refused_other: refusedOther };
   return Object.entries(counts).map(([name, count]) => [`repeats_${name}`, count]);
--- a/packages/mesh/src/client/callCodec.ts
+++ b/packages/mesh/src/client/callCodec.ts
@@ -5,7 +5,8 @@
 
 /** Encodes calls and gate reports as arrays of fields for messages between daemons. Repeated names are encoded as numbers. */
 
-import type { ChainNeed, GateReport, Suspicion } from '@gentiandrum/core';
+import type { ChainNeed, GateReport, MemoryLease, MessageBody, Suspicion } from '@gentiandrum/core';
+import { encodeBody, parseBody } from './bodyFrames.js';
 import type { NameReader, NameWriter } from './sharedNames.js';
 
 /** Admission levels are sent as integer thousandths. */
@@ -71,7 +72,9 @@
   path: string;
   /** Alternating names and values. */
   headers: string[];
-  body: Buffer;
+  body: MessageBody;
+  /** Memory of a long body that was received from another daemon; not sent. */
+  memory?: MemoryLease | undefined;
 }
 
 /** Encodes the fields of a call that follow its type and id. */
@@ -91,7 +94,7 @@
     names.write(call.method),
     call.path,
     call.headers.map((text) => names.write(text)),
-    call.body,
+    encodeBody(call.body),
     call.suspicion,
     ...(call.chain ? [encodeChain(call.chain)] : encodeWorkspace(call.workspace, names)),
   ];
@@ -158,10 +161,11 @@
   return (field as unknown[]).map((text) => names.read(text));
 }
 
-/** Decodes the fields of a call message. */
-export function parseCall(fields: unknown[], names: NameReader): PeerCall {
+/** Decodes the fields of a call message; `longBody` is the length of a body that follows in parts. */
+export function parseCall(fields: unknown[], names: NameReader): { call: PeerCall; longBody?: number } {
+  const { body, ...long } = parseBody(fields[16]);
   // Names must be read in the order in which they were written, because one field may define a name that the next one uses.
-  return {
+  const call = {
     route: names.read(fields[2]),
     service: names.read(fields[3]),
     waitMs: fields[4] as number,
@@ -176,11 +180,12 @@
     method: names.read(fields[13]),
     path: fields[14] as string,
     headers: parseHeaders(fields[15], names),
-    body: fields[16] as Buffer,
+    body,
     suspicion: (fields[17] ?? undefined) as Suspicion | undefined,
     workspace: parseWorkspace(fields, names),
     ...parseChain(fields),
   };
+  return { call, ...long };
 }
 
 function parseWorkspace(fields: unknown[], names: NameReader): CallWorkspace | undefined {
--- a/packages/mesh/src/client/peerLink.ts
+++ b/packages/mesh/src/client/peerLink.ts
@@ -6,7 +6,9 @@
 /** A connection between two routing daemons. Batches the messages of one event loop iteration, and detects an unresponsive peer. */
 
 import type { Socket } from 'node:net';
-import { monotonicMs } from '@gentiandrum/core';
+import { type MessageBody, monotonicMs } from '@gentiandrum/core';
+import type { BodyOwner } from './bodyFrames.js';
+import { BodySender, type PartSent } from './bodySender.js';
 import { MessageReader, MessageWriter, type PeerMessage } from './peerMessages.js';
 
 /** Idle time after which a peer with pending calls is pinged, in milliseconds: far above a round trip. */
@@ -44,6 +46,7 @@
   pendingCalls = 0;
   private readonly _reader = new MessageReader();
   private readonly _writer = new MessageWriter();
+  private readonly _bodies: BodySender;
   private _outbox: Buffer[] = [];
   private _flushing = false;
   private _flushes = 0;
@@ -59,6 +62,7 @@
     private readonly _socket: Socket,
     private readonly _events: PeerLinkEvents,
   ) {
+    this._bodies = new BodySender(_socket);
     _socket.setNoDelay(true);
     _socket.on('data', (chunk: Buffer) => {
       this._handleData(chunk);
@@ -94,6 +98,19 @@
     }
   }
 
+  /** Sends a long body in parts, between the messages. `onSent` is not called any more once the link is closed. */
+  sendBody(of: BodyOwner, id: number, body: MessageBody, onSent: PartSent): void {
+    if (!this._closed) {
+      this._bodies.add(of, id, body, onSent);
+      this._bodies.pump();
+    }
+  }
+
+  /** Stops sending a long body. */
+  cancelBody(of: BodyOwner, id: number): void {
+    this._bodies.cancel(of, id);
+  }
+
   /** Pings an idle peer and closes the link to a lost one; called a few times a second. */
   check(): void {
     const now = monotonicMs();
@@ -119,6 +136,7 @@
       return;
     }
     this._closed = true;
+    this._bodies.clear();
     this._socket.destroy();
     this._events.onClose(this, reason);
   }
--- a/packages/mesh/src/client/peerMessages.ts
+++ b/packages/mesh/src/client/peerMessages.ts
@@ -11,6 +11,16 @@
 import type { GateReport, GrantResult, NotRunReason, Suspicion, TargetRecord, CompleteResponse } from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { Packr, Unpackr } from 'msgpackr';
+import {
+  type BodyOwner,
+  encodeBody,
+  encodePartHeader,
+  isPart,
+  kPartHeaderBytes,
+  parseBody,
+  parsePartHeader,
+  type PartHeader,
+} from './bodyFrames.js';
 import { encodeCall, parseCall, parseHeaders, encodeReport, parseReport, type PeerCall } from './callCodec.js';
 import { NameReader, NameWriter } from './sharedNames.js';
 
@@ -21,9 +31,14 @@
 export type PeerMessage =
   /** First message on each link: the sender, its configuration version, its record, and its digests. */
   | { type: 'hello'; host: string; version: number; record: TargetRecord; digests: Digests }
-  | { type: 'call'; id: number; call: PeerCall }
+  /** `longBody` is the length of a body that follows in parts. */
+  | { type: 'call'; id: number; call: PeerCall; longBody?: number }
   | { type: 'cancel'; id: number }
-  | { type: 'answer'; id: number; answer: CompleteResponse; report: GateReport }
+  | { type: 'answer'; id: number; answer: CompleteResponse; report: GateReport; longBody?: number }
+  /** Requests the body of a call, or of an answer, with a long one. */
+  | { type: 'body_wanted'; of: BodyOwner; id: number }
+  /** Part of a long body. */
+  | { type: 'part'; of: BodyOwner; id: number; bytes: Buffer }
   | { type: 'not_run'; id: number; reason: NotRunReason; retryAfterMs: number; report: GateReport }
   | { type: 'lost'; id: number; reason: string; report: GateReport }
   | { type: 'records'; records: TargetRecord[] }
@@ -82,13 +97,14 @@
   'tokens_back',
   'goodbye',
   'suspects',
-] as const satisfies PeerMessage['type'][];
+  'body_wanted',
+] as const satisfies Exclude<PeerMessage['type'], 'part'>[];
 
 const kLengthBytes = 4;
 /** Sent in place of a wait when the daemon owns no share of the quota. */
 const kNotOwner = -1;
-/** Longest message, in bytes: the largest request body and its head. */
-const kMaxMessageBytes = 80 * 1024 * 1024;
+/** Longest message, in bytes; long bodies are sent in parts. */
+const kMaxMessageBytes = 16 * 1024 * 1024;
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true });
 const unpackr = new Unpackr({ useRecords: false });
@@ -99,6 +115,9 @@
 
   /** Returns the message with its length prefix. */
   encode(message: PeerMessage): Buffer {
+    if (message.type === 'part') {
+      return Buffer.concat([encodePartHeader({ of: message.of, id: message.id, bytes: message.bytes.length }), message.bytes]);
+    }
     const body = packr.pack(encodeFields(message, this._names));
     const frame = Buffer.allocUnsafe(kLengthBytes + body.length);
     frame.writeUInt32BE(body.length, 0);
@@ -112,31 +131,69 @@
   private readonly _names = new NameReader();
   private _pending: Buffer[] = [];
   private _bytes = 0;
+  /** Part that is being received; `bytes` is what is missing. */
+  private _part: PartHeader | undefined;
 
-  /** Appends bytes and returns the messages that are complete; throws on a malformed message. */
+  /** Appends bytes and returns the messages that are complete, and parts as far as they were received; throws on a malformed message. */
   push(chunk: Buffer): PeerMessage[] {
     this._pending.push(chunk);
     this._bytes += chunk.length;
     const messages: PeerMessage[] = [];
-    while (this._bytes >= kLengthBytes) {
-      const first = this._joinPending(kLengthBytes);
-      const length = first.readUInt32BE(0);
-      if (length > kMaxMessageBytes) {
-        throw new Error(`expected a message of at most ${kMaxMessageBytes} bytes, got one of ${length}`);
-      }
-      if (this._bytes < kLengthBytes + length) {
-        return messages;
-      }
-      const frame = this._joinPending(kLengthBytes + length);
-      messages.push(parseFields(unpackr.unpack(frame.subarray(kLengthBytes, kLengthBytes + length)) as unknown[], this._names));
-      this._pending = [frame.subarray(kLengthBytes + length)];
-      this._bytes -= kLengthBytes + length;
+    for (let message = this._next(); message; message = this._next()) {
+      messages.push(message);
     }
     return messages;
   }
 
+  private _next(): PeerMessage | undefined {
+    if (this._part) {
+      return this._nextOfPart(this._part);
+    }
+    if (this._bytes < kLengthBytes) {
+      return undefined;
+    }
+    const length = this._peek(kLengthBytes).readUInt32BE(0);
+    if (!isPart(length)) {
+      return this._nextMessage(length);
+    }
+    if (this._bytes < kPartHeaderBytes) {
+      return undefined;
+    }
+    this._part = parsePartHeader(this._peek(kPartHeaderBytes));
+    this._skip(kPartHeaderBytes);
+    return this._nextOfPart(this._part);
+  }
+
+  /** Takes what was received of a part, without a copy. */
+  private _nextOfPart(part: PartHeader): PeerMessage | undefined {
+    const [first] = this._pending;
+    if (!first || this._bytes === 0) {
+      return undefined;
+    }
+    const bytes = first.subarray(0, part.bytes);
+    this._skip(bytes.length);
+    part.bytes -= bytes.length;
+    if (part.bytes === 0) {
+      this._part = undefined;
+    }
+    return { type: 'part', of: part.of, id: part.id, bytes };
+  }
+
+  private _nextMessage(length: number): PeerMessage | undefined {
+    if (length > kMaxMessageBytes) {
+      throw new Error(`expected a message of at most ${kMaxMessageBytes} bytes, got one of ${length}`);
+    }
+    if (this._bytes < kLengthBytes + length) {
+      return undefined;
+    }
+    const frame = this._peek(kLengthBytes + length);
+    const message = parseFields(unpackr.unpack(frame.subarray(kLengthBytes, kLengthBytes + length)) as unknown[], this._names);
+    this._skip(kLengthBytes + length);
+    return message;
+  }
+
   /** Returns a contiguous buffer that begins with the first `bytes` pending bytes. */
-  private _joinPending(bytes: number): Buffer {
+  private _peek(bytes: number): Buffer {
     const [first] = this._pending;
     if (first && first.length >= bytes) {
       return first;
@@ -145,9 +202,20 @@
     this._pending = [joined];
     return joined;
   }
+
+  /** Removes bytes of the first pending buffer. */
+  private _skip(bytes: number): void {
+    const [first] = this._pending;
+    if (first && first.length > bytes) {
+      this._pending[0] = first.subarray(bytes);
+    } else {
+      this._pending.shift();
+    }
+    this._bytes -= bytes;
+  }
 }
 
-function encodeFields(message: PeerMessage, names: NameWriter): unknown[] {
+function encodeFields(message: Exclude<PeerMessage, { type: 'part' }>, names: NameWriter): unknown[] {
   const type = kMessageTypes.indexOf(message.type);
   switch (message.type) {
     case 'hello':
@@ -162,7 +230,7 @@
         message.id,
         message.answer.status,
         message.answer.headers.map((text) => names.write(text)),
-        message.answer.body,
+        encodeBody(message.answer.body),
         ...encodeReport(message.report),
       ];
     case 'not_run':
@@ -197,6 +265,8 @@
       return [type, message.taken];
     case 'suspects':
       return [type, message.suspects];
+    case 'body_wanted':
+      return [type, message.id, message.of];
     case 'config_wanted':
     case 'ping':
     case 'pong':
@@ -247,12 +317,13 @@
     case 'suspects':
       return { type, suspects: fields[1] as Suspicion[] };
     case 'call':
-      return { type, id, call: parseCall(fields, names) };
+      return { type, id, ...parseCall(fields, names) };
     case 'cancel':
       return { type, id };
     case 'answer': {
-      const answer = { status: fields[2] as number, headers: parseHeaders(fields[3], names), body: fields[4] as Buffer };
-      return { type, id, answer, report: parseReport(fields, 5) };
+      const { body, ...long } = parseBody(fields[4]);
+      const answer = { status: fields[2] as number, headers: parseHeaders(fields[3], names), body };
+      return { type, id, answer, report: parseReport(fields, 5), ...long };
     }
     case 'not_run':
       return { type, id, reason: names.read(fields[2]) as NotRunReason, retryAfterMs: fields[3] as number, report: parseReport(fields, 4) };
@@ -272,6 +343,8 @@
       return { type, epoch: fields[1] as number, revision: fields[2] as number };
     case 'reading':
       return { type, well: fields[1] as boolean, version: fields[2] as number, digests: fields[3] as Digests };
+    case 'body_wanted':
+      return { type, id, of: fields[2] as BodyOwner };
     case 'config_wanted':
     case 'ping':
     case 'pong':
--- a/packages/mesh/src/client/peerNetwork.ts
+++ b/packages/mesh/src/client/peerNetwork.ts
@@ -9,7 +9,15 @@
 
 import { createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
-import { type CallResult, monotonicMs, RendezvousRank, type Suspicion, type TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import {
+  type MemoryAccount,
+  type MemoryPlace,
+  monotonicMs,
+  RendezvousRank,
+  type Suspicion,
+  type TargetDirectory,
+  type TargetRecord,
+} from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import type { EventLog } from '../app/eventLog.js';
@@ -32,6 +40,8 @@
 export interface PeerNetworkEvents {
   /** A call for the target on this host. */
   onCall(call: PeerCall, done: OfferDone): OfferHandle;
+  /** A body from a peer was refused for lack of memory. */
+  onMemoryRefused(place: MemoryPlace, requestId: string, bytes: number): void;
   onRecords(records: TargetRecord[]): void;
   onErased(hosts: string[]): void;
   /** The platform's log has the local record up to this epoch and revision. */
@@ -77,9 +87,16 @@
     private readonly _directory: TargetDirectory,
     private readonly _events: PeerNetworkEvents,
     private readonly _log: EventLog,
+    memory: MemoryAccount,
   ) {
     this._rank = new RendezvousRank(_localHost);
-    this._calls = new PeerCalls((call, done) => _events.onCall(call, done));
+    this._calls = new PeerCalls(
+      (call, done) => _events.onCall(call, done),
+      memory,
+      (place, requestId, bytes) => {
+        _events.onMemoryRefused(place, requestId, bytes);
+      },
+    );
     this._dialer = new PeerDialer({
       onOpen: (host, socket) => this._handleDialed(host, socket),
       onFailed: (host, reason) => this._handleDialFailed(host, reason),
@@ -94,6 +111,11 @@
     return this._links.size;
   }
 
+  /** Number of long answers that were not sent completely. */
+  get unsentAnswers(): number {
+    return this._calls.unsentAnswers;
+  }
+
   /** Accepts links from other daemons. */
   async listen(address: string): Promise<void> {
     await listenOn(this._server, address);
@@ -224,15 +246,13 @@
         this._handleHello(link, message);
         return;
       case 'call':
-        this._calls.accept(link, message.id, message.call);
-        return;
       case 'cancel':
-        this._calls.cancel(link, message.id);
-        return;
       case 'answer':
+      case 'body_wanted':
+      case 'part':
       case 'not_run':
       case 'lost':
-        this._calls.complete(link, message.id, callResultOf(message), message.report);
+        this._calls.receive(link, message);
         return;
       case 'goodbye':
         this._calls.peerShutDown(link, message.taken);
@@ -336,6 +356,7 @@
     for (const link of this._allLinks) {
       link.check();
     }
+    this._calls.check();
     if (this._shuttingDown) {
       return;
     }
@@ -361,14 +382,3 @@
     this._persistentHosts = new Set(hosts.slice(0, count).map(({ host }) => host));
   }
 }
-
-function callResultOf(message: Extract<PeerMessage, { type: 'answer' | 'not_run' | 'lost' }>): CallResult {
-  switch (message.type) {
-    case 'answer':
-      return { kind: 'answered', answer: message.answer };
-    case 'not_run':
-      return { kind: 'not_run', reason: message.reason, retryAfterMs: message.retryAfterMs };
-    case 'lost':
-      return { kind: 'lost', reason: message.reason };
-  }
-}
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -7,7 +7,7 @@
  * Runs calls on the target of this host, and accepts only complete responses that come from the target itself.
  */
 
-import { type CallResult, monotonicMs, type ReachabilityEvidence } from '@gentiandrum/core';
+import { type CallResult, type MemoryAccount, monotonicMs, type ReachabilityEvidence } from '@gentiandrum/core';
 import { Deadlines, type Expirable } from '../app/calls/deadlines.js';
 import { HeaderReader, type ResponseHeaders } from '../http/headerReader.js';
 import { encodeRequest } from '../http/messageText.js';
@@ -43,6 +43,8 @@
   onLoad(call: PeerCall, text: string): void;
   /** The target stated no rate limit in the complete response to a call that was sent at `sentAt`, on the monotonic clock. */
   onNoRateLimit(call: PeerCall, sentAt: number): void;
+  /** There was no memory for the body of a response, of which `bytes` were stated or received. The call has run. */
+  onResponseRefused(call: PeerCall, bytes: number): void;
   /** The target crashed while these calls were in flight. Called before their results are reported. */
   onCrash(calls: readonly PeerCall[]): void;
 }
@@ -69,6 +71,7 @@
     private readonly _maxConnections: () => number,
     private readonly _names: HeaderNames,
     private readonly _events: TargetEvents,
+    private readonly _memory: MemoryAccount,
   ) {
     this._headers = new HeaderReader(_names);
     this._crashDetector = new CrashDetector({
@@ -104,6 +107,9 @@
           this._events.onLoad(call, headers.load);
         }
       },
+      onRefused: (bytes) => {
+        this._events.onResponseRefused(call, bytes);
+      },
       onDone: (outcome) => {
         this._runs.delete(run);
         run.ended = true;
@@ -159,6 +165,9 @@
     if (outcome.kind === 'broken') {
       this._crashDetector.addAbandoned(call, sentAt);
     }
+    if (outcome.kind === 'answered' && runResult.result.kind !== 'answered') {
+      outcome.response.memory?.release();
+    }
     if (runResult.result.kind === 'lost') {
       // The rest of this response cannot be distinguished from the next one on the connection.
       connection.close('incomplete response');
@@ -231,7 +240,7 @@
     if (this._connections.size >= this._maxConnections()) {
       return undefined;
     }
-    const connection = new TargetConnection(this._address, this._headers, {
+    const connectionEvents: TargetConnectionEvents = {
       onReachability: (evidence) => {
         events.onReachability?.(evidence);
         this._handleReachability(evidence);
@@ -246,7 +255,8 @@
         this._removeIdle(closed);
         events.onClosed?.(closed);
       },
-    });
+    };
+    const connection = new TargetConnection(this._address, this._headers, connectionEvents, this._memory);
     this._connections.add(connection);
     return connection;
   }
@@ -273,7 +283,7 @@
     }
   }
 
-  private _resultOfResponse(call: PeerCall, { status, headers, body }: TargetResponse): RunResult {
+  private _resultOfResponse(call: PeerCall, { status, headers, body, memory }: TargetResponse): RunResult {
     if (headers.requestId !== call.requestId && call.requestId !== '') {
       return { result: { kind: 'lost', reason: 'answer of another request' }, responded: false };
     }
@@ -292,7 +302,7 @@
     if (status < 300 && !headers.sealed) {
       return { result: { kind: 'lost', reason: 'success without the seal of the target' }, responded: false };
     }
-    return { result: { kind: 'answered', answer: { status, headers: headers.forwarded, body } }, responded: true };
+    return { result: { kind: 'answered', answer: { status, headers: headers.forwarded, body, memory } }, responded: true };
   }
 }
 
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -6,9 +6,10 @@
 /** A connection to the target of this host: sends one request at a time and reads its complete response. */
 
 import { connect, type Socket } from 'node:net';
-import { monotonicMs } from '@gentiandrum/core';
+import { kShortBodyBytes, type MemoryAccount, type MemoryLease, type MessageBody, monotonicMs } from '@gentiandrum/core';
 import { splitAddress } from '../app/addresses.js';
 import type { ResponseHeaders, HeaderReader } from '../http/headerReader.js';
+import { BodyCollector } from '../http/bodyCollector.js';
 import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { writeParts } from '../http/messageText.js';
 
@@ -19,6 +20,12 @@
 /** Time before the target's keep-alive timeout at which an idle connection is closed, in milliseconds. */
 const kKeepAliveMarginMs = 1_000;
 
+/** Largest number of interim responses (1xx) before a response. */
+const kMaxInterimResponses = 100;
+
+const kTooLongReason = 'response too long for the memory of this daemon';
+const kTooManyInterimReason = 'too many interim responses';
+
 /** Read buffer shared by all connections; its bytes are parsed before the next read. Avoids an allocation for each read. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
 
@@ -26,7 +33,9 @@
 export interface TargetResponse {
   status: number;
   headers: ResponseHeaders;
-  body: Buffer;
+  body: MessageBody;
+  /** Memory of a long body. */
+  memory: MemoryLease | undefined;
 }
 
 /** Outcome of a request on a connection. */
@@ -41,6 +50,8 @@
 export interface ExchangeEvents {
   /** The head of the response was received; called before the body is complete. */
   onHead(status: number, headers: ResponseHeaders): void;
+  /** There is no memory for the body of the response, of which `bytes` were stated or received; the exchange ends as broken. */
+  onRefused(bytes: number): void;
   /** The exchange ended. */
   onDone(outcome: ExchangeOutcome): void;
 }
@@ -65,7 +76,12 @@
   private _isHead = false;
   private _head: MessageHead | undefined;
   private _responseHeaders: ResponseHeaders | undefined;
-  private _parts: Buffer[] = [];
+  private readonly _body = new BodyCollector(true);
+  /** Memory of the long body that is received. */
+  private _bodyMemory: MemoryLease | undefined;
+  private _interimResponses = 0;
+  /** Why the rest of the response is not read; set while a chunk is parsed. */
+  private _refusedReason: string | undefined;
   /** The response is complete; it is delivered after the rest of the chunk has been parsed. */
   private _complete = false;
   /** Bytes were received that belong to no request. */
@@ -76,6 +92,7 @@
     address: string,
     private readonly _headers: HeaderReader,
     private readonly _events: TargetConnectionEvents,
+    private readonly _memory: MemoryAccount,
   ) {
     this._parser = new MessageParser(
       'answer',
@@ -84,8 +101,8 @@
           this._handleHead(head);
         },
         onBody: (part) => {
-          if (!this._unsolicited) {
-            this._parts.push(Buffer.from(part));
+          if (!this._unsolicited && this._refusedReason === undefined) {
+            this._handleBody(part);
           }
         },
         onEnd: () => {
@@ -156,6 +173,8 @@
     this._closed = true;
     this._socket.destroy();
     this._parser.close();
+    this._bodyMemory?.release();
+    this._body.clear();
     this._events.onClosed(this);
     if (!this._isConnected && !aborted) {
       this._events.onReachability(this._refused ? 'refused' : 'timed_out');
@@ -187,6 +206,10 @@
       return;
     }
     const fault = this._parser.push(bytes);
+    if (this._refusedReason !== undefined) {
+      this.close(this._refusedReason);
+      return;
+    }
     const broken = fault !== undefined || this._unsolicited || this._exchange === undefined;
     if (this._complete) {
       this._deliverResponse(broken);
@@ -213,13 +236,62 @@
       return;
     }
     this._head = head;
-    this._parts = [];
-    if (isFinalStatus(head.status)) {
-      this._responseHeaders = this._headers.readResponse(head.headers, head.status);
-      this._exchange?.onHead(head.status, this._responseHeaders);
+    if (!isFinalStatus(head.status)) {
+      this._interimResponses++;
+      this._refusedReason = this._interimResponses > kMaxInterimResponses ? kTooManyInterimReason : undefined;
+      return;
+    }
+    this._interimResponses = 0;
+    this._responseHeaders = this._headers.readResponse(head.headers, head.status);
+    this._exchange?.onHead(head.status, this._responseHeaders);
+    const { bodyBytes } = this._responseHeaders;
+    if (bodyBytes !== undefined && bodyBytes > kShortBodyBytes && !this._isHead) {
+      this._reserveMemory(bodyBytes);
+    }
+  }
+
+  /** Reserves memory for a body of known length; the target has to wait until it is available. */
+  private _reserveMemory(bytes: number): void {
+    this._bodyMemory = this._memory.open('target_responses');
+    const reservation = this._bodyMemory.reserve(bytes, () => {
+      this._socket.resume();
+    });
+    switch (reservation) {
+      case 'granted':
+        return;
+      case 'waiting':
+        this._socket.pause();
+        return;
+      case 'too_long':
+        this._refuseBody(bytes);
+        return;
     }
   }
 
+  private _handleBody(part: Buffer): void {
+    this._body.append(part);
+    const { bytes } = this._body;
+    if (bytes <= kShortBodyBytes || this._responseHeaders?.bodyBytes !== undefined) {
+      return;
+    }
+    if (!this._bodyMemory) {
+      this._bodyMemory = this._memory.open('target_responses');
+      this._bodyMemory.onDropped = () => {
+        this._exchange?.onRefused(this._body.bytes);
+        this.close(kTooLongReason);
+      };
+    }
+    if (!this._bodyMemory.grow(bytes)) {
+      this._refuseBody(bytes);
+    }
+  }
+
+  /** Gives up the response once the current chunk is parsed. */
+  private _refuseBody(bytes: number): void {
+    this._refusedReason = kTooLongReason;
+    this._exchange?.onRefused(bytes);
+  }
+
   private _handleMessageEnd(): void {
     if (!this._unsolicited && this._head && isFinalStatus(this._head.status)) {
       this._complete = true;
@@ -233,9 +305,11 @@
     if (!head || !headers) {
       return;
     }
-    const response = { status: head.status, headers, body: this._body() };
+    const memory = this._bodyMemory;
+    const response = { status: head.status, headers, body: this._body.take(), memory };
     this._head = undefined;
-    this._parts = [];
+    this._bodyMemory = undefined;
+    memory?.complete();
     this._complete = false;
     const exchange = this._exchange;
     this._exchange = undefined;
@@ -247,11 +321,6 @@
     exchange?.onDone({ kind: 'answered', response });
   }
 
-  private _body(): Buffer {
-    const [only] = this._parts;
-    return this._parts.length === 1 && only ? only : Buffer.concat(this._parts);
-  }
-
   /** Becomes idle once the request is written completely; a target may respond before it has read all of it. */
   private _becomeIdle(keepAliveSeconds: number | undefined): void {
     const idleMs = keepAliveSeconds === undefined ? kKeepAliveMs : keepAliveSeconds * 1_000 - kKeepAliveMarginMs;
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -32,6 +32,8 @@
   requestId: string;
   /** Whether the end of the body can be distinguished from a lost connection. */
   framed: boolean;
+  /** Content length, in bytes; undefined when the header is missing. */
+  bodyBytes: number | undefined;
   /** Whether the response proves that the target has not run the request. */
   notRun: boolean;
   sealed: boolean;
@@ -149,6 +151,7 @@
     const read: ResponseHeaders = {
       requestId: '',
       framed: status === 204 || status === 304,
+      bodyBytes: undefined,
       notRun: false,
       sealed: false,
       condition: kNoCondition,
@@ -179,7 +182,10 @@
         }
       } else if (lower === names.requestId) {
         read.requestId ||= value;
-      } else if (lower === 'content-length' || lower === 'transfer-encoding') {
+      } else if (lower === 'content-length') {
+        read.framed = true;
+        read.bodyBytes = Number(value);
+      } else if (lower === 'transfer-encoding') {
         read.framed = true;
       } else if (lower === 'keep-alive') {
         read.keepAliveSeconds = parseKeepAliveTimeout(value);
--- a/packages/mesh/src/server/callServer.ts
+++ b/packages/mesh/src/server/callServer.ts
@@ -6,7 +6,14 @@
 /** HTTP/1.1 server for the callers on this host: admits each request, forwards it to a target, and sends the final response. */
 
 import { createServer, type Server } from 'node:net';
-import { type EntryResult, monotonicMs, readCredentials, type RequestWorkspace, type ServerPhase } from '@gentiandrum/core';
+import {
+  type EntryResult,
+  type MemoryAccount,
+  monotonicMs,
+  readCredentials,
+  type RequestWorkspace,
+  type ServerPhase,
+} from '@gentiandrum/core';
 import type { MeshConfig } from '@gentiandrum/protocol';
 import { listenOn } from '../app/addresses.js';
 import { CallExchange, type ExchangeDeps, type ExchangeResult } from '../app/calls/callExchange.js';
@@ -17,9 +24,8 @@
 import type { CallChain, ChainControl } from '../app/load/chainControl.js';
 import { HeaderReader, kCredentialsHeader } from '../http/headerReader.js';
 import type { HeaderNames } from '../ports.js';
-import { BodyMemory } from './bodyMemory.js';
 import { CallerConnection } from './callerConnection.js';
-import type { CallerRequest } from './callerRequest.js';
+import type { CallerRequest, CallerResponse } from './callerRequest.js';
 import type { CallerLimits, ConnectionEnd, ConnectionOwner, ReadFault } from './connectionOwner.js';
 import { type RefusedEntry, refusalFields, refusalOf, refusedService, refusedWorkspace } from './entryRefusals.js';
 import { logResult, logUnanswered } from './callLog.js';
@@ -38,14 +44,15 @@
 const kDefaultRetryAfterMs = 200;
 /** Largest random increase of Retry-After, as a factor; spreads the retries of callers. */
 const kRetrySpread = 1.0;
-/** Share of the process's memory for the bodies of requests in flight. */
-const kBodyMemoryShare = 0.3;
-const kBytesPerMb = 2 ** 20;
+/** Retry-After of a request that was refused for lack of memory, in milliseconds: long bodies need about as long to be sent. */
+const kMemoryRetryMs = 1_000;
 
 export interface CallServerDeps extends ExchangeDeps {
   names: HeaderNames;
   service: string;
-  memoryMb: number;
+  memory: MemoryAccount;
+  /** The body of a request was refused for lack of memory. */
+  onMemoryRefused(requestId: string, bytes: number): void;
   entry: RequestEntry;
   chainControl: ChainControl;
   /** Whether requests need keys. If so, keys are not forwarded to targets. */
@@ -59,7 +66,7 @@
 
 export class CallServer implements ConnectionOwner {
   readonly headers: HeaderReader;
-  readonly memory: BodyMemory;
+  readonly memory: MemoryAccount;
   private readonly _server: Server;
   private readonly _connections = new Set<CallerConnection>();
   private _limits = kInitialLimits;
@@ -69,7 +76,7 @@
 
   constructor(private readonly _deps: CallServerDeps) {
     this.headers = new HeaderReader(_deps.names);
-    this.memory = new BodyMemory(_deps.memoryMb * kBytesPerMb * kBodyMemoryShare);
+    this.memory = _deps.memory;
     this._server = createServer({ noDelay: true }, (socket) => {
       this._connections.add(new CallerConnection(socket, this));
     });
@@ -155,7 +162,10 @@
   /** @internal */
   onFault(req: CallerRequest, fault: ReadFault): void {
     this._inFlight++;
-    this._refuse(req, faultStatus(fault), faultDetail(fault), kDefaultRetryAfterMs);
+    if (fault === 'no_memory') {
+      this._deps.onMemoryRefused(req.headers.requestId, Math.max(req.headers.bodyBytes, req.receivedBytes));
+    }
+    this._refuse(req, faultStatus(fault), faultDetail(fault), fault === 'no_memory' ? kMemoryRetryMs : kDefaultRetryAfterMs);
   }
 
   /** @internal */
@@ -237,6 +247,7 @@
         path: req.target,
         headers: this._forwardedHeaders(req),
         body: req.body,
+        memory: req.takeMemory(),
         rank,
         chain,
         workspace,
@@ -281,7 +292,10 @@
   private _respond(req: CallerRequest, result: ExchangeResult): void {
     switch (result.kind) {
       case 'answered':
-        this._send(req, result.answer.status, this._withRequestId(result.answer.headers, req.headers.requestId), result.answer.body);
+        this._send(req, {
+          ...result.answer,
+          headers: this._withRequestId(result.answer.headers, req.headers.requestId),
+        });
         return;
       case 'not_run':
         this._refuse(req, 503, `not run: ${result.reason}`, Math.max(kDefaultRetryAfterMs, result.retryAfterMs));
@@ -304,11 +318,11 @@
     if (retryAfterMs !== undefined) {
       headers.push('retry-after', ((retryAfterMs * (1 + Math.random() * kRetrySpread)) / 1_000).toFixed(3));
     }
-    this._send(req, status, headers, Buffer.from(JSON.stringify({ status, detail })));
+    this._send(req, { status, headers, body: Buffer.from(JSON.stringify({ status, detail })) });
   }
 
-  private _send(req: CallerRequest, status: number, headers: string[], body: Buffer): void {
+  private _send(req: CallerRequest, response: CallerResponse): void {
     this._inFlight--;
-    req.respond(status, headers, body);
+    req.respond(response);
   }
 }
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -9,21 +9,28 @@
  */
 
 import type { Socket } from 'node:net';
-import { monotonicMs, ResponseSequence } from '@gentiandrum/core';
+import { kShortBodyBytes, type MemoryLease, monotonicMs, ResponseSequence } from '@gentiandrum/core';
+import { BodyCollector } from '../http/bodyCollector.js';
 import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { encodeResponse, writeParts } from '../http/messageText.js';
-import { CallerRequest } from './callerRequest.js';
+import { CallerRequest, type CallerResponse } from './callerRequest.js';
 import type { ConnectionOwner, ReadFault } from './connectionOwner.js';
 
 /** Largest number of requests of one connection that are in flight at once; further ones wait. */
 const kMaxPipelined = 32;
 /** Longest time for reading a body, in milliseconds; shorter if the caller's deadline is earlier. */
 const kMaxBodyWaitMs = 30_000;
+/** Longest time for which a request waits for the memory for its body, in milliseconds, and as a share of the time until its deadline. */
+const kMaxMemoryWaitMs = 2_000;
+const kMemoryWaitShare = 0.5;
 /** Time for discarding received bytes after the last response, in milliseconds: closing a socket with unread bytes resets it. */
 const kLingerMs = 1_000;
 /** Additional time beyond the configured idle timeout, in milliseconds: makes requests that race with the close rare. */
 const kIdleGraceMs = 1_000;
 
+/** Unsent response data below which a connection counts as read, in bytes: a buffer of the socket. */
+const kMinUnreadBytes = 16_384;
+
 const kContinueResponse = 'HTTP/1.1 100 Continue\r\n\r\n';
 
 export class CallerConnection {
@@ -35,7 +42,11 @@
   private _startedCount = 0;
   /** The request whose body is being read. */
   private _reading: CallerRequest | undefined;
-  private _parts: Buffer[] = [];
+  private readonly _body = new BodyCollector();
+  /** Time until which the body that is being read may wait for memory, on the monotonic clock; undefined if it does not wait. */
+  private _memoryWaitUntil: number | undefined;
+  /** Memory of the responses that the caller has not read. */
+  private _unread: MemoryLease | undefined;
   private _bodyTimer: NodeJS.Timeout | undefined;
   private _idleSince = monotonicMs();
   private _headStartedAt: number | undefined;
@@ -75,6 +86,7 @@
       this._idleSince = monotonicMs();
     });
     _socket.on('drain', () => {
+      this._countUnread();
       this._startRequests();
     });
   }
@@ -88,6 +100,11 @@
   check(now: number): void {
     const { headerTimeoutMs, idleTimeoutMs } = this._owner.limits;
     const idle = this._sequence.pending.length === 0;
+    this._countUnread();
+    if (this._reading && this._memoryWaitUntil !== undefined && now > this._memoryWaitUntil) {
+      this._rejectRequest(this._reading, 'no_memory');
+      return;
+    }
     if (!this._sequence.accepting) {
       // A caller may read slowly; after the end of the connection it has as long for the rest as an idle connection is kept.
       if (idle && now - this._idleSince > (this.writing ? idleTimeoutMs : kLingerMs)) {
@@ -118,13 +135,14 @@
   }
 
   /** Sends the response to a request; see {@link CallerRequest.respond}. */
-  respond(req: CallerRequest, status: number, headers: string[], body: Buffer): void {
+  respond(req: CallerRequest, response: CallerResponse): void {
     if (req.response || this._closed) {
+      response.memory?.release();
       return;
     }
     req.onDisconnect = undefined;
     this._releaseBody(req);
-    req.response = { status, headers, body };
+    req.response = response;
     this._writeResponses();
   }
 
@@ -144,10 +162,26 @@
 
   private _writeResponse({ method, response }: CallerRequest, last: boolean): void {
     if (response) {
-      const { status, headers, body } = response;
+      const { status, headers, body, memory } = response;
       const all = last ? [...headers, 'connection', 'close'] : headers;
       writeParts(this._socket, encodeResponse(status, all, body, method === 'HEAD'));
+      this._countUnread();
+      memory?.release();
+    }
+  }
+
+  /** Counts the response data that the system has not taken, because the caller does not read it. */
+  private _countUnread(): void {
+    // `writableNeedDrain` would be false once the connection ends, although data is still to be sent.
+    const bytes = this._closed ? 0 : this._socket.writableLength;
+    if (bytes < kMinUnreadBytes) {
+      this._unread?.release();
+      this._unread = undefined;
+      return;
     }
+    this._unread ??= this._owner.memory.open('unread_responses');
+    this._unread.hold(bytes);
+    this._unread.shrink(this._unread.bytes - bytes);
   }
 
   /** Drops a request that has not been started, and those behind it; the caller considers them unprocessed. */
@@ -214,7 +248,7 @@
       }
     }
     const full = this._readRequests.length > 0 || this._startedCount >= kMaxPipelined || this._socket.writableNeedDrain;
-    if (full && !this._closed) {
+    if ((full || this._memoryWaitUntil !== undefined) && !this._closed) {
       this._socket.pause();
     } else if (this._socket.isPaused()) {
       this._socket.resume();
@@ -234,7 +268,36 @@
     this._reading = req;
     if (headers.bodyBytes > this._owner.limits.bodyBytes) {
       this._rejectRequest(req, 'body_too_long');
-    } else if (headers.expectsContinue && this._sequence.pending.length === 1) {
+    } else if (headers.bodyBytes > kShortBodyBytes) {
+      this._reserveMemory(req);
+    } else {
+      this._sendContinue(req);
+    }
+  }
+
+  /** Reserves memory for a body of known length; until it is available, the body is not read. */
+  private _reserveMemory(req: CallerRequest): void {
+    req.memory = this._owner.memory.open('requests');
+    const reservation = req.memory.reserve(req.headers.bodyBytes, () => {
+      this._memoryWaitUntil = undefined;
+      this._sendContinue(req);
+      this._startRequests();
+    });
+    switch (reservation) {
+      case 'granted':
+        this._sendContinue(req);
+        return;
+      case 'waiting':
+        this._memoryWaitUntil = monotonicMs() + Math.min(kMaxMemoryWaitMs, req.remainingMs * kMemoryWaitShare);
+        return;
+      case 'too_long':
+        this._rejectRequest(req, 'no_memory');
+        return;
+    }
+  }
+
+  private _sendContinue({ headers }: CallerRequest): void {
+    if (headers.expectsContinue && this._sequence.pending.length === 1) {
       this._socket.write(kContinueResponse);
     }
   }
@@ -244,15 +307,32 @@
     if (!req) {
       return;
     }
-    if (!this._owner.memory.reserve(part.length)) {
+    this._body.append(part);
+    if (this._body.bytes > this._owner.limits.bodyBytes) {
+      this._rejectRequest(req, 'body_too_long');
+    } else if (!this._holdBody(req, this._body.bytes)) {
       this._rejectRequest(req, 'no_memory');
-      return;
     }
-    req.reservedBytes += part.length;
-    this._parts.push(part);
-    if (req.reservedBytes > this._owner.limits.bodyBytes) {
-      this._rejectRequest(req, 'body_too_long');
+  }
+
+  /** Counts the bytes of a body that were received; returns false if there is no memory for more. */
+  private _holdBody(req: CallerRequest, bytes: number): boolean {
+    if (!req.memory) {
+      if (this._owner.memory.full) {
+        return false;
+      }
+      req.memory = this._owner.memory.open('requests');
+    }
+    if (bytes <= req.memory.bytes) {
+      // The length was stated, and its memory reserved.
+      return true;
+    }
+    if (bytes > kShortBodyBytes && !req.memory.long) {
+      req.memory.onDropped = () => {
+        this._rejectRequest(req, 'no_memory');
+      };
     }
+    return req.memory.grow(bytes);
   }
 
   private _handleMessageEnd(): void {
@@ -262,15 +342,15 @@
     if (!req) {
       return;
     }
-    const [only] = this._parts;
-    req.body = this._parts.length === 1 && only ? only : Buffer.concat(this._parts);
-    this._parts = [];
+    req.memory?.complete();
+    req.body = this._body.take();
     this._readRequests.push(req);
   }
 
   private _stopReading(): void {
     this._reading = undefined;
-    this._parts = [];
+    this._memoryWaitUntil = undefined;
+    this._body.clear();
     this._stopBodyTimer();
   }
 
@@ -281,6 +361,7 @@
 
   /** Rejects a request that was not read completely; the connection closes after the response. */
   private _rejectRequest(req: CallerRequest, fault: ReadFault): void {
+    req.receivedBytes = this._body.bytes;
     this._stopReading();
     this._sequence.chooseLast();
     this._startedCount++;
@@ -302,8 +383,7 @@
   }
 
   private _releaseBody(req: CallerRequest): void {
-    this._owner.memory.release(req.reservedBytes);
-    req.reservedBytes = 0;
+    req.takeMemory()?.release();
   }
 
   /** The caller has closed its end of the connection. */
@@ -317,6 +397,7 @@
     for (const req of this._sequence.pending) {
       this._owner.onUnanswered(req, this._ended ? 'daemon' : 'caller');
       this._releaseBody(req);
+      req.response?.memory?.release();
       req.onDisconnect?.();
       req.onDisconnect = undefined;
     }
@@ -328,6 +409,7 @@
     }
     this._closed = true;
     this._handleDisconnect();
+    this._countUnread();
     this._parser.close();
     this._owner.onClose(this);
   }
--- a/packages/mesh/src/server/callerRequest.ts
+++ b/packages/mesh/src/server/callerRequest.ts
@@ -5,32 +5,36 @@
 
 /** A request of a caller, from its head to its response. */
 
-import { monotonicMs, type SequencedRequest } from '@gentiandrum/core';
+import { type MemoryLease, type MessageBody, monotonicMs, type SequencedRequest } from '@gentiandrum/core';
 import type { RequestHeaders } from '../http/headerReader.js';
 
 const kNoBody = Buffer.alloc(0);
 
 /** Response to a caller. */
-interface CallerResponse {
+export interface CallerResponse {
   status: number;
   headers: string[];
-  body: Buffer;
+  body: MessageBody;
+  /** Memory of a long body. */
+  memory?: MemoryLease | undefined;
 }
 
 /** Connection of a request. */
 interface RequestConnection {
-  respond(req: CallerRequest, status: number, headers: string[], body: Buffer): void;
+  respond(req: CallerRequest, response: CallerResponse): void;
 }
 
 /** One request of a caller. */
 export class CallerRequest implements SequencedRequest {
-  body: Buffer = kNoBody;
+  body: MessageBody = kNoBody;
   /** Time at which the head was read, on the monotonic clock; the time for reading the body counts against the deadline. */
   readonly receivedAt = monotonicMs();
   /** Called when the caller disconnects before the response. */
   onDisconnect: (() => void) | undefined;
-  /** Bytes reserved for its body in {@link BodyMemory}. */
-  reservedBytes = 0;
+  /** Bytes of the body that were received when it was rejected. */
+  receivedBytes = 0;
+  /** Memory of its body; undefined without one, and once it was passed on with the body. */
+  memory: MemoryLease | undefined;
   /** Response that waits for those to older requests. */
   response: CallerResponse | undefined;
   /** Whether the request has been admitted or refused. */
@@ -53,7 +57,14 @@
   }
 
   /** Sends the final response. Ignored after the first one and once the connection is closed. */
-  respond(status: number, headers: string[], body: Buffer): void {
-    this._connection.respond(this, status, headers, body);
+  respond(response: CallerResponse): void {
+    this._connection.respond(this, response);
+  }
+
+  /** Passes on the duty to release the memory of the body. */
+  takeMemory(): MemoryLease | undefined {
+    const { memory } = this;
+    this.memory = undefined;
+    return memory;
   }
 }
--- a/packages/mesh/src/server/connectionOwner.ts
+++ b/packages/mesh/src/server/connectionOwner.ts
@@ -5,10 +5,9 @@
 
 /** What the connections of callers need from the server that owns them. */
 
-import type { ServerPhase } from '@gentiandrum/core';
+import type { MemoryAccount, ServerPhase } from '@gentiandrum/core';
 import type { HeaderReader } from '../http/headerReader.js';
 import type { ParseFault } from '../http/messageParser.js';
-import type { BodyMemory } from './bodyMemory.js';
 import type { CallerConnection } from './callerConnection.js';
 import type { CallerRequest } from './callerRequest.js';
 
@@ -28,7 +27,7 @@
 /** Server that owns the connection. */
 export interface ConnectionOwner {
   readonly headers: HeaderReader;
-  readonly memory: BodyMemory;
+  readonly memory: MemoryAccount;
   readonly limits: CallerLimits;
   readonly phase: ServerPhase;
   /** A request was read completely. */
--- a/tests/admission/refusalLevel.spec.ts
+++ b/tests/admission/refusalLevel.spec.ts
@@ -22,6 +22,7 @@
   suspected: false,
   quarantined: false,
   cancelled: false,
+  no_memory: false,
 };
 const kStepMs = 100;
 
--- a/tests/platform/upstreamStandin.ts
+++ b/tests/platform/upstreamStandin.ts
@@ -8,6 +8,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { request } from 'undici';
 import { readBody } from '../standins/httpJson.js';
+import { sendEndlessly } from '../standins/sendEndlessly.js';
+
+/** Bytes after which an endless response pauses for good, so that a daemon that reads them all does not exhaust the machine. */
+const kEndlessBytes = 500 * 2 ** 20;
 
 /** How the target responds to requests. */
 export type ResponseMode =
@@ -22,7 +26,8 @@
   | 'garbage'
   | 'unframed'
   | 'unframed_reset'
-  | 'surplus';
+  | 'surplus'
+  | 'endless';
 
 /** Request as received by the target. */
 export interface SeenRequest {
@@ -200,6 +205,10 @@
       case 'dropped':
         res.destroy();
         return;
+      case 'endless':
+        res.writeHead(200, sealed);
+        sendEndlessly(res, kEndlessBytes);
+        return;
       default:
         this._respondRaw(mode, id, text, req);
     }
