Count bodies before they are read in the daemon for callers with headers

Bodies were held against inFlightBytes only once they had been read, so that any number of them could be on their way, and responses were not counted at all.

Change: the daemon uses the memory account of the core, one for requests and one for responses. A body of known length is refused as not run before it is read; a response of known length is not read until there is memory for it, and one that exceeds it is given up as answer_too_large. The accounts are logged when they are used up, and shown in bodies.bytes.

--- a/packages/daemon/src/app/callService.ts
+++ b/packages/daemon/src/app/callService.ts
@@ -43,6 +43,7 @@
 import { digestOf, hash32, hashBytes64, hash64 } from './digests.js';
 import { IdGenerator } from './idGenerator.js';
 import type { Metrics } from './metrics.js';
+import type { RequestMemory } from './requestMemory.js';
 import { type ParsedKey, parseIdempotencyKey } from './idempotencyKey.js';
 
 /** A request as received by the HTTP server. */
@@ -54,6 +55,8 @@
   /** Timeout that the caller set, in milliseconds. */
   timeoutMs: number | undefined;
   chain: ChainToken | undefined;
+  /** Counts the bodies of its responses. */
+  memory: RequestMemory | undefined;
 }
 
 /** Id and result of a request. The owner of the connection must call `onCallerDisconnect` when the connection closes. */
@@ -80,7 +83,6 @@
   decisions: DecisionLog;
   metrics: Metrics;
   answerBytes: number;
-  inFlightBytes: number;
 }
 
 /** Runs the call procedure for each request and performs its effects. */
@@ -93,7 +95,6 @@
   private readonly _ctx: ServeContext;
   private _classifier: Classifier;
   private _inFlight = 0;
-  private _bodyBytes = 0;
 
   constructor(
     private readonly _deps: CallDeps,
@@ -131,7 +132,7 @@
       this._deps.decisions.add({ request: id, step: 'refuse', cls: 'none', reason: call });
       return { id, result: Promise.resolve(this.refusal(call)), onCallerDisconnect: () => undefined };
     }
-    const session = new CallSession(this._deps);
+    const session = new CallSession(this._deps, req.memory);
     return {
       id,
       result: this._serve(call, session),
@@ -159,16 +160,13 @@
 
   private async _serve(call: Call, session: CallSession): Promise<ServeResult> {
     const startedAt = monotonicMs();
-    const size = call.payload.body.byteLength;
     this._inFlight++;
-    this._bodyBytes += size;
     try {
       const served = await runProcedure(serveCall(call, this._ctx), this._effectHandlers(session));
       this._recordMetrics(call, served, monotonicMs() - startedAt);
       return served;
     } finally {
       this._inFlight--;
-      this._bodyBytes -= size;
     }
   }
 
@@ -188,9 +186,6 @@
     if (!cls) {
       return 'unknown_class';
     }
-    if (this._bodyBytes + payload.body.byteLength > this._deps.inFlightBytes) {
-      return 'overloaded';
-    }
     const chain = this._chainPositionOf(id, cls, req);
     if (chain.depth > kMaxChainDepth) {
       return 'chain_too_deep';
--- a/packages/daemon/src/app/callSession.ts
+++ b/packages/daemon/src/app/callSession.ts
@@ -11,6 +11,7 @@
 import type { Pools } from '../client/pools.js';
 import type { OfferService } from './offerService.js';
 import type { OpenOffers } from './openOffers.js';
+import type { RequestMemory } from './requestMemory.js';
 import { isErrorKind, kOpenReport } from '@gentiandrum/core';
 
 /** Timeout for the response to a cancellation, in milliseconds. */
@@ -35,7 +36,11 @@
   private _wake: ((event: CallEvent) => void) | undefined;
   private _callerDisconnected = false;
 
-  constructor(private readonly _deps: SessionDeps) {}
+  /** @param _memory counts the responses */
+  constructor(
+    private readonly _deps: SessionDeps,
+    private readonly _memory?: RequestMemory,
+  ) {}
 
   onCallerDisconnect(): void {
     if (!this._callerDisconnected) {
@@ -49,7 +54,7 @@
     const { attempt, to, terms, payload } = effect;
     if (to.daemon === this._deps.selfId) {
       void this._deps.offers
-        .offer(terms, payload)
+        .offer(terms, payload, this._memory)
         .catch((): OfferResult => ({ kind: 'lost', written: true }))
         .then((result) => {
           this._push({ kind: 'ended', attempt, result });
@@ -110,7 +115,8 @@
     const offer = JSON.stringify({ terms, method, path, headers, from: selfId });
     const req = { method: 'POST', path: '/-/offer', headers: { [kOfferHeader]: offer, 'content-type': 'application/octet-stream' }, body };
     openOffers.sent(to.daemon);
-    const httpExchange = new HttpExchange(this._deps.pools.get(`http://${to.address}`), req, kMaxResponseBytes, (result) => {
+    const pool = this._deps.pools.get(`http://${to.address}`);
+    const done = (result: ExchangeResult): void => {
       const awaited = this._exchanges.delete(attempt);
       openOffers.ended(to.daemon);
       if (result.kind === 'lost' && result.written && awaited && !terms.idempotent) {
@@ -118,7 +124,8 @@
       } else {
         this._push({ kind: 'ended', attempt, result: offerResultOf(result) });
       }
-    });
+    };
+    const httpExchange = new HttpExchange(pool, req, kMaxResponseBytes, done, this._memory);
     this._exchanges.set(attempt, httpExchange);
   }
 
--- a/packages/daemon/src/app/daemon.ts
+++ b/packages/daemon/src/app/daemon.ts
@@ -11,6 +11,7 @@
   coldStart,
   type Member,
   MemberView,
+  MemoryAccount,
   monotonicMs,
   gracefulShutdown,
   RetryLedger,
@@ -36,6 +37,7 @@
 import { OfferService } from './offerService.js';
 import { OpenOffers } from './openOffers.js';
 import { SuspectOffers } from './suspectOffers.js';
+import type { BodyAccounts } from './requestMemory.js';
 import { SuspectService } from './suspectService.js';
 import { ControlMeter } from './controlMeter.js';
 
@@ -62,6 +64,7 @@
   readonly meter: ControlMeter;
   readonly suspects: SuspectService;
   /** Offers received from other daemons, by connection. */
+  readonly bodies: BodyAccounts;
   readonly acceptedOffers = new AcceptedOffers<Socket>();
   readonly incarnation: number;
   private readonly _pools = new Pools(kPeerConnections);
@@ -94,10 +97,10 @@
     });
     this.claims = new ClaimService(this._log, view, settings.limits);
     this.suspects = new SuspectService(view, this._peers, this.logger);
+    this.bodies = { requests: this._openAccount('requests'), responses: this._openAccount('responses') };
     this.offers = new OfferService({
       incarnation: this.incarnation,
       maxBodyBytes: settings.limits.bodyBytes,
-      inFlightBytes: settings.limits.inFlightBytes,
       ledger: this._ledger,
       pools: this._pools,
       tokens: this.tokens,
@@ -126,6 +129,19 @@
     this.calls = new CallService(this._callDeps(address), this.config.fold.config);
   }
 
+  private _openAccount(of: keyof BodyAccounts): MemoryAccount {
+    const account = new MemoryAccount(this.settings.limits.inFlightBytes);
+    account.events = {
+      onExhausted: () => {
+        this.logger.warn('memory', `Bodies of ${of} have used up inFlightBytes; further ones wait or are refused.`, account.held);
+      },
+      onRelieved: () => {
+        this.logger.info('memory', `Bodies of ${of} have memory again.`, account.held);
+      },
+    };
+    return account;
+  }
+
   private _callDeps(address: string): CallDeps {
     const { settings } = this;
     return {
@@ -151,7 +167,6 @@
       decisions: this.decisions,
       metrics: this.metrics,
       answerBytes: settings.limits.answerBytes,
-      inFlightBytes: settings.limits.inFlightBytes,
     };
   }
 
@@ -350,6 +365,8 @@
     metrics.gauge('requests.in_flight', this.calls.inFlight);
     metrics.gauge('claims.remembered', this.claims.size);
     metrics.gauge('answers.bytes', this.calls.responses.bytes);
+    metrics.gauge('bodies.bytes', this.bodies.requests.heldBytes, { of: 'requests' });
+    metrics.gauge('bodies.bytes', this.bodies.responses.heldBytes, { of: 'responses' });
     metrics.gauge('control.bytes', this.meter.bytes);
     if (gate) {
       metrics.gauge('gate.limit', gate.limit);
--- a/packages/daemon/src/app/logger.ts
+++ b/packages/daemon/src/app/logger.ts
@@ -8,7 +8,8 @@
 import { createLogger, format, type Logger as WinstonLogger, transports } from 'winston';
 
 /** Part of the daemon that writes a log line; the prefix of its message. */
-export type LogPart = 'config' | 'gate' | 'http' | 'keys' | 'log' | 'members' | 'quarantine' | 'route' | 'start' | 'stop' | 'target';
+export type LogPart =
+  'config' | 'gate' | 'http' | 'keys' | 'log' | 'members' | 'memory' | 'quarantine' | 'route' | 'start' | 'stop' | 'target';
 /** Additional fields of a log line. */
 export type LogFields = Record<string, unknown>;
 
--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -29,6 +29,7 @@
 import { type ChainTokens, withBaggage } from './chainToken.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { LocalTarget } from './localTarget.js';
+import type { RequestMemory } from './requestMemory.js';
 import type { SuspectOffers } from './suspectOffers.js';
 
 /** Maximum number of attempt ids stored to detect duplicate deliveries. */
@@ -42,7 +43,6 @@
 export interface OfferDeps {
   incarnation: number;
   maxBodyBytes: number;
-  inFlightBytes: number;
   ledger: RetryLedger;
   pools: Pools;
   tokens: ChainTokens;
@@ -59,7 +59,6 @@
   private readonly _terms = new Map<string, OfferTerms>();
   private readonly _seen = new Set<string>();
   private readonly _downstream: RootFilter;
-  private _bodyBytes = 0;
 
   constructor(private readonly _deps: OfferDeps) {
     this._downstream = new RootFilter(_deps.favour, kGateReopenPolicy);
@@ -78,8 +77,8 @@
     this._resolveAdmission(call.id, { kind: 'shed', reason });
   }
 
-  /** Passes an offer through the gate and, once admitted, forwards it to the target. */
-  async offer(terms: OfferTerms, payload: Payload): Promise<OfferResult> {
+  /** Passes an offer through the gate and, once admitted, forwards it to the target; `memory` counts the response. */
+  async offer(terms: OfferTerms, payload: Payload, memory?: RequestMemory): Promise<OfferResult> {
     const { target, ledger, decisions, suspects } = this._deps;
     const local = target();
     const ctx = {
@@ -90,18 +89,6 @@
       seenAttempts: { add: (attempt: string) => this._markSeen(attempt) },
       logDecision: decisions.add.bind(decisions),
     };
-    const size = payload.body.byteLength;
-    if (this._bodyBytes + size > this._deps.inFlightBytes) {
-      decisions.add({
-        request: terms.request,
-        attempt: terms.attempt,
-        step: 'gate',
-        cls: terms.className,
-        reason: 'bodies over the limit',
-      });
-      return { kind: 'refused', reason: 'overloaded', unspent: terms.allowance, level: kOpenReport };
-    }
-    this._bodyBytes += size;
     this._terms.set(terms.attempt, terms);
     let mayStillRun = true;
     try {
@@ -114,12 +101,11 @@
       }
       const result = await runProcedure(gateCall(terms, payload, ctx), {
         awaitAdmission: ({ attempt }) => this._awaitAdmission(attempt),
-        forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline),
+        forward: ({ attempt, payload: sent, deadline }) => this._forward(attempt, sent, deadline, memory),
       });
       mayStillRun = result.kind === 'lost' || result.kind === 'failed';
       return withSuspicion(result, () => suspects.suspicionOf(terms, payload));
     } finally {
-      this._bodyBytes -= size;
       this._terms.delete(terms.attempt);
       suspects.leave(terms.attempt, mayStillRun);
     }
@@ -164,7 +150,7 @@
     resolve?.(result);
   }
 
-  private _forward(attempt: string, payload: Payload, deadline: number): Promise<ForwardResult> {
+  private _forward(attempt: string, payload: Payload, deadline: number, memory: RequestMemory | undefined): Promise<ForwardResult> {
     const announcement = this._deps.target().announcement;
     const terms = this._terms.get(attempt);
     if (!announcement || !terms) {
@@ -181,7 +167,7 @@
         this._forwarding.delete(attempt);
         void this._finishForward(attempt, result, abortReason).then(resolve);
       };
-      const httpExchange = new HttpExchange(pool, { ...payload, headers }, this._deps.maxBodyBytes, done);
+      const httpExchange = new HttpExchange(pool, { ...payload, headers }, this._deps.maxBodyBytes, done, memory);
       const stop = (reason: 'timeout' | 'cancelled'): void => {
         abortReason = reason;
         httpExchange.abort();
--- a/packages/daemon/src/client/httpExchange.ts
+++ b/packages/daemon/src/client/httpExchange.ts
@@ -10,7 +10,9 @@
  * may have been written, and whether the response was complete.
  */
 
+import { kShortBodyBytes } from '@gentiandrum/core';
 import type { Dispatcher } from 'undici';
+import type { RequestMemory } from '../app/requestMemory.js';
 
 /** Result of an exchange. `written` is true if any byte of the request may have been sent. */
 export type ExchangeResult =
@@ -37,18 +39,22 @@
   private _headers: Record<string, string | string[]> | undefined;
   private readonly _chunks: Buffer[] = [];
   private _receivedBytes = 0;
+  /** Whether the length of the response was stated, and its memory reserved. */
+  private _reserved = false;
 
   /**
    * Sends the request.
    *
    * @param _maxBytes maximum size of the response body
    * @param _onResult called exactly once
+   * @param _memory counts the response body
    */
   constructor(
     dispatcher: Dispatcher,
     req: ExchangeRequest,
     private readonly _maxBytes: number,
     private readonly _onResult: (result: ExchangeResult) => void,
+    private readonly _memory?: RequestMemory,
   ) {
     dispatcher.dispatch(
       {
@@ -79,26 +85,28 @@
     this._written = true;
   }
 
-  onResponseStart(
-    _controller: Dispatcher.DispatchController,
-    status: number,
-    headers: Record<string, string | string[] | undefined>,
-  ): void {
+  onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
     this._status = status;
     this._headers = headers as Record<string, string | string[]>;
+    const stated = Number(headers['content-length'] ?? 0);
+    if (stated > this._maxBytes) {
+      this._refuseBody(controller);
+    } else if (stated > kShortBodyBytes) {
+      this._reserveMemory(controller, stated);
+    }
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._receivedBytes += chunk.byteLength;
-    if (this._receivedBytes > this._maxBytes) {
-      this._settle({ kind: 'too_large' });
-      controller.abort(new Error('response body exceeds the limit'));
+    if (this._receivedBytes > this._maxBytes || (!this._reserved && this._memory?.addResponse(chunk.byteLength) === false)) {
+      this._refuseBody(controller);
       return;
     }
     this._chunks.push(chunk);
   }
 
   onResponseEnd(): void {
+    this._memory?.completeResponse();
     const [first] = this._chunks;
     const body = this._chunks.length === 1 && first ? first : this._chunks.length === 0 ? kEmptyBody : Buffer.concat(this._chunks);
     this._settle({ kind: 'answered', status: this._status, headers: this._headers ?? {}, body });
@@ -108,6 +116,31 @@
     this._settle(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written, cause: err.message });
   }
 
+  /** Reserves memory for a response of known length; it is not read until that is available. */
+  private _reserveMemory(controller: Dispatcher.DispatchController, bytes: number): void {
+    this._reserved = true;
+    const reservation = this._memory?.reserveResponse(bytes, () => {
+      controller.resume();
+    });
+    switch (reservation) {
+      case undefined:
+      case 'granted':
+        return;
+      case 'waiting':
+        controller.pause();
+        return;
+      case 'too_long':
+        this._refuseBody(controller);
+        return;
+    }
+  }
+
+  private _refuseBody(controller: Dispatcher.DispatchController): void {
+    this._settle({ kind: 'too_large' });
+    this._chunks.length = 0;
+    controller.abort(new Error('response body exceeds the limit'));
+  }
+
   private _settle(result: ExchangeResult): void {
     if (this._settled) {
       return;
--- a/packages/daemon/src/server/callRoutes.ts
+++ b/packages/daemon/src/server/callRoutes.ts
@@ -5,13 +5,14 @@
 
 /** HTTP routes for calls: requests from callers and targets to any service, and offers from other daemons. */
 
-import { offerHeadSchema, kOfferHeader, kVerdictHeader, type OfferTerms } from '@gentiandrum/protocol';
-import { errorResponse, errorResult, monotonicMs, type OfferResult } from '@gentiandrum/core';
+import { offerHeadSchema, kOfferHeader, kVerdictHeader, type OfferHead, type OfferTerms } from '@gentiandrum/protocol';
+import { errorResponse, errorResult, kOpenReport, monotonicMs, type OfferResult } from '@gentiandrum/core';
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import { verdictHeader } from '../app/callSession.js';
 import type { Daemon } from '../app/daemon.js';
+import { kNoMemoryCode, memoryOf } from './bodyParser.js';
 import { sendResult } from './problem.js';
 import { readBody, readSingleHeader, readPayload, readTimeout } from './requestReader.js';
 
@@ -35,10 +36,13 @@
   });
   app.all('/*', (req, reply) => handleCall(daemon, req, reply));
   app.setErrorHandler(async (err: { statusCode?: number; code?: string; message: string }, req, reply) => {
-    const kind = errorKindOf(err.statusCode);
+    const kind = err.code === kNoMemoryCode ? 'overloaded' : errorKindOf(err.statusCode);
     if (kind === 'body_too_large') {
       await discardBody(req.raw);
     }
+    if (kind === 'overloaded') {
+      return refuseForMemory(daemon, req, reply);
+    }
     if (kind === 'internal_error') {
       daemon.logger.error('http', 'Request failed with an internal error.', { err: err.message });
     }
@@ -47,6 +51,24 @@
   });
 }
 
+/** Refuses a request or an offer whose body there is no memory for. */
+function refuseForMemory(daemon: Daemon, req: FastifyRequest, reply: FastifyReply): FastifyReply {
+  const head = readOfferHead(req);
+  daemon.decisions.add({
+    request: head?.terms.request ?? kNoRequestId,
+    ...(head ? { attempt: head.terms.attempt } : {}),
+    step: head ? 'gate' : 'refuse',
+    cls: head?.terms.className ?? 'none',
+    reason: 'no memory for the body',
+  });
+  if (!head) {
+    sendResult(reply, kNoRequestId, daemon.calls.refusal('overloaded'));
+    return reply;
+  }
+  const refused: OfferResult = { kind: 'refused', reason: 'overloaded', unspent: head.terms.allowance, level: kOpenReport };
+  return reply.header(kVerdictHeader, verdictHeader(refused)).send(kEmptyBody);
+}
+
 /** Maps the status of an error raised by the HTTP server to an error kind; a missing status or 5xx is an internal error. */
 function errorKindOf(status: number | undefined): 'body_too_large' | 'bad_request' | 'internal_error' {
   if (status === kPayloadTooLarge) {
@@ -73,8 +95,12 @@
     sendResult(reply, kNoRequestId, errorResult('bad_request', 'not_run', detail));
     return reply;
   };
-  const body = await readBody(req, daemon.settings.limits.bodyBytes);
-  if (!body) {
+  const memory = memoryOf(daemon, req);
+  const read = await readBody(req, daemon.settings.limits.bodyBytes, memory);
+  if (read.kind === 'no_memory') {
+    return refuseForMemory(daemon, req, reply);
+  }
+  if (read.kind === 'too_large') {
     sendResult(
       reply,
       kNoRequestId,
@@ -95,9 +121,9 @@
     sendResult(reply, kNoRequestId, errorResult('bad_chain_token', 'not_run', 'Expected the chain token exactly as the daemon issued it.'));
     return reply;
   }
-  const { service, payload } = readPayload(req, body);
+  const { service, payload } = readPayload(req, read.body);
   const token = chain.kind === 'token' ? chain.token : undefined;
-  const accepted = daemon.calls.accept({ service, payload, key: key.val, timeoutMs: timeout.val, chain: token });
+  const accepted = daemon.calls.accept({ service, payload, key: key.val, timeoutMs: timeout.val, chain: token, memory });
   const onClose = (): void => {
     if (!reply.raw.writableEnded) {
       accepted.onCallerDisconnect();
@@ -111,12 +137,11 @@
 }
 
 async function handleOffer(daemon: Daemon, req: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
-  const text = req.headers[kOfferHeader];
-  const head = offerHeadSchema.safeParse(typeof text === 'string' ? parseJson(text) : undefined);
-  if (!head.success) {
+  const head = readOfferHead(req);
+  if (!head) {
     return reply.code(400).send('expected a valid gentiandrum-offer header');
   }
-  const { terms, method, path, headers, from } = head.data;
+  const { terms, method, path, headers, from } = head;
   const body = Buffer.isBuffer(req.body) ? req.body : kEmptyBody;
   const onClose = (): void => {
     if (!reply.raw.writableEnded) {
@@ -125,7 +150,7 @@
   };
   reply.raw.on('close', onClose);
   recordOffer(daemon, req.raw.socket, from, terms);
-  const result: OfferResult = await daemon.offers.offer(terms, { method, path, headers, body });
+  const result: OfferResult = await daemon.offers.offer(terms, { method, path, headers, body }, memoryOf(daemon, req));
   reply.raw.off('close', onClose);
   if (result.kind === 'refused') {
     daemon.acceptedOffers.refused(req.raw.socket, terms.attempt);
@@ -133,6 +158,11 @@
   return reply.header(kVerdictHeader, verdictHeader(result)).send(result.kind === 'answered' ? result.answer.body : kEmptyBody);
 }
 
+function readOfferHead(req: FastifyRequest): OfferHead | undefined {
+  const text = req.headers[kOfferHeader];
+  return offerHeadSchema.safeParse(typeof text === 'string' ? parseJson(text) : undefined).data;
+}
+
 function recordOffer({ acceptedOffers }: Daemon, socket: Socket, from: string, { attempt, remainingMs, idempotent }: OfferTerms): void {
   const offer = idempotent ? undefined : { attempt, deadline: monotonicMs() + remainingMs };
   if (acceptedOffers.accept(socket, from, offer)) {
--- a/packages/daemon/src/server/requestReader.ts
+++ b/packages/daemon/src/server/requestReader.ts
@@ -6,9 +6,11 @@
 /** Converts HTTP requests into the input of the core. */
 
 import type { IncomingHttpHeaders } from 'node:http';
-import { Err, Ok, type Payload, type Result } from '@gentiandrum/core';
+import type { Readable } from 'node:stream';
+import { Err, kShortBodyBytes, Ok, type Payload, type Result } from '@gentiandrum/core';
 import { kTimeoutHeader } from '@gentiandrum/protocol';
 import type { FastifyRequest } from 'fastify';
+import type { RequestMemory } from '../app/requestMemory.js';
 
 const kEmptyBody = Buffer.alloc(0);
 /** Request headers that are not forwarded: hop-by-hop headers, and those that the daemon sets itself. */
@@ -26,24 +28,60 @@
   kTimeoutHeader,
 ]);
 
-/** Returns the request body, or undefined if it exceeds `maxBytes`. Reads it from the stream if Fastify did not, as for GET and HEAD. */
-export async function readBody(req: FastifyRequest, maxBytes: number): Promise<Buffer | undefined> {
+/** Result of reading a body. */
+export type BodyRead = { kind: 'complete'; body: Buffer } | { kind: 'too_large' } | { kind: 'no_memory' };
+
+/** Returns the body that was parsed with the request; reads it if there is none, as for GET and HEAD. */
+export async function readBody(req: FastifyRequest, maxBytes: number, memory: RequestMemory): Promise<BodyRead> {
   if (Buffer.isBuffer(req.body)) {
-    return req.body;
+    return { kind: 'complete', body: req.body };
   }
-  if (!hasBody(req.headers)) {
-    return kEmptyBody;
+  return hasBody(req.headers) ? collectBody(req.raw, req.headers, maxBytes, memory) : { kind: 'complete', body: kEmptyBody };
+}
+
+/** Reads a body from a stream if there is memory for it; a body that is given up is not read further. Rejects if the stream fails. */
+export function collectBody(stream: Readable, headers: IncomingHttpHeaders, maxBytes: number, memory: RequestMemory): Promise<BodyRead> {
+  const stated = Number(headers['content-length'] ?? 0);
+  if (stated > maxBytes) {
+    return Promise.resolve({ kind: 'too_large' });
   }
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of req.raw as AsyncIterable<Buffer>) {
-    size += chunk.byteLength;
-    if (size > maxBytes) {
-      return undefined;
-    }
-    chunks.push(chunk);
+  if (stated > kShortBodyBytes && !memory.reserveRequest(stated)) {
+    return Promise.resolve({ kind: 'no_memory' });
   }
-  return Buffer.concat(chunks);
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const giveUp = (kind: 'too_large' | 'no_memory'): void => {
+      chunks.length = 0;
+      stream.off('data', add);
+      stream.pause();
+      resolve({ kind });
+    };
+    const add = (chunk: Buffer): void => {
+      size += chunk.byteLength;
+      if (size > maxBytes) {
+        giveUp('too_large');
+      } else if (!memory.holdRequest(size)) {
+        giveUp('no_memory');
+      } else {
+        chunks.push(chunk);
+      }
+    };
+    stream.on('data', add);
+    stream.once('end', () => {
+      memory.completeRequest();
+      resolve({ kind: 'complete', body: joinChunks(chunks) });
+    });
+    stream.once('error', reject);
+    stream.once('close', () => {
+      reject(new Error('the connection closed before the end of the body'));
+    });
+  });
+}
+
+function joinChunks(chunks: Buffer[]): Buffer {
+  const [first] = chunks;
+  return chunks.length === 1 && first ? first : Buffer.concat(chunks);
 }
 
 /** Whether a request with these headers has a body. */
--- a/packages/daemon/src/server/startServer.ts
+++ b/packages/daemon/src/server/startServer.ts
@@ -14,6 +14,7 @@
 import { Server as NetServer, type Socket } from 'node:net';
 import type { Daemon } from '../app/daemon.js';
 import { AppModule } from './appModule.js';
+import { parseBodiesAsBuffers } from './bodyParser.js';
 import { callRoutes } from './callRoutes.js';
 import { peerRoutes } from './peerRoutes.js';
 import { ProblemFilter } from './problemFilter.js';
@@ -48,7 +49,7 @@
   const responses = new ResponseOrder(fastify, () => daemon.stopping);
   const unused = unusedConnections(fastify);
   await fastify.register(fastifyConnectPlugin, { routes: peerRoutes(daemon), acceptCompression: [] });
-  parseBodiesAsBuffers(fastify);
+  parseBodiesAsBuffers(fastify, daemon);
   await fastify.register((scope, _options, done) => {
     callRoutes(scope, daemon);
     done();
@@ -69,14 +70,6 @@
   };
 }
 
-/** Parses bodies of every content type as buffers, so that they are forwarded unchanged. */
-function parseBodiesAsBuffers(fastify: FastifyInstance): void {
-  fastify.removeAllContentTypeParsers();
-  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, done) => {
-    done(null, body);
-  });
-}
-
 /** Returns a live set of the connections that have not carried a request yet. */
 function unusedConnections(fastify: FastifyInstance): ReadonlySet<Socket> {
   const unused = new Set<Socket>();
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -120,3 +120,4 @@
 export type Announcement = z.infer<typeof announcementSchema>;
 export type PatchRequest = z.infer<typeof patchRequestSchema>;
 export type OfferTerms = z.infer<typeof offerTermsSchema>;
+export type OfferHead = z.infer<typeof offerHeadSchema>;
--- a/packages/protocol/src/settingsSchema.ts
+++ b/packages/protocol/src/settingsSchema.ts
@@ -52,7 +52,7 @@
         .min(kMiB)
         .max(1024 * kMiB)
         .default(16 * kMiB),
-      /** Maximum size of all bodies of requests in flight. */
+      /** Maximum size of all bodies of requests in flight, and of all bodies of their responses. */
       inFlightBytes: z
         .int()
         .min(kMiB)
--- a/tests/standins/targetStandin.ts
+++ b/tests/standins/targetStandin.ts
@@ -8,6 +8,7 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, request as httpRequest, type Server, type ServerResponse } from 'node:http';
 import { readBody, readJson, sendJson } from './httpJson.js';
+import { sendEndlessly } from './sendEndlessly.js';
 
 /** An onward call that the target makes for each call it serves. */
 export interface OnwardCall {
@@ -34,6 +35,8 @@
   endsOn: string;
   /** Time between the start of such a call and the exit, in milliseconds. */
   endsAfterMs: number;
+  /** Sends a response body without end, up to a limit that protects the machine. */
+  endless: boolean;
   /** Returns the request body instead of a short text. */
   echo: boolean;
 }
@@ -47,6 +50,8 @@
 
 const kAnnounceIntervalMs = 500;
 const kMaxConnections = 1_000;
+/** Length after which a response without end pauses for good, in bytes. */
+const kEndlessBytes = 500 * 2 ** 20;
 
 export class TargetStandin {
   /** Number of runs by the `x-call` header of the requests. */
@@ -77,6 +82,7 @@
       drop: 0,
       endsOn: '',
       endsAfterMs: 30,
+      endless: false,
       echo: false,
     };
     this.behaviour = { ...defaults, ...behaviour };
@@ -166,6 +172,9 @@
     if (behaviour.drop > 0) {
       behaviour.drop--;
       res.destroy();
+    } else if (behaviour.endless) {
+      res.writeHead(200);
+      sendEndlessly(res, kEndlessBytes);
     } else if (behaviour.truncate > 0) {
       behaviour.truncate--;
       res.writeHead(200, { 'content-length': '1000' });
