Let a body wait for memory also when what has arrived of it does not fit

A body that waits for its memory was refused at once if it arrived together with its head and less room was left than had been received, as these bytes were taken for growth beyond the reservation. They are held already, so they are counted.

Refusals of long answers name their request. The public methods of PeerCalls stand before the private ones.

Measured: the new test in longBodies.spec.ts failed before.

--- a/packages/mesh/src/client/peerCalls.ts
+++ b/packages/mesh/src/client/peerCalls.ts
@@ -30,6 +30,7 @@
 /** A sent call and the number of flushes of its link before it was sent. */
 interface SentCall {
   done: OfferDone;
+  requestId: string;
   flushes: number;
   /** Whether the peer has been sent all of it. */
   complete: boolean;
@@ -127,6 +128,67 @@
     }
   }
 
+  /** Refuses calls whose bodies have waited too long for memory; called a few times a second. */
+  check(): void {
+    for (const { bodies } of this._byLink.values()) {
+      bodies.check();
+    }
+  }
+
+  /** Stops accepting calls, and informs the peers which of their calls were accepted. */
+  announceShutdown(links: Iterable<PeerLink>): void {
+    this._shuttingDown = true;
+    for (const link of links) {
+      const calls = this._byLink.get(link);
+      for (const id of calls?.bodies.expectedCalls ?? []) {
+        calls?.bodies.cancelExpected('call', id);
+        link.send(resultMessage(id, kNotAccepting, kEmptyReport));
+      }
+      link.send({ type: 'goodbye', taken: calls?.lastAcceptedId ?? 0 });
+    }
+  }
+
+  /** The peer is shutting down and has not accepted calls with ids above `lastAcceptedId`. */
+  peerShutDown(link: PeerLink, lastAcceptedId: number): void {
+    for (const id of [...(this._byLink.get(link)?.sent.keys() ?? [])]) {
+      if (id > lastAcceptedId) {
+        this.complete(link, id, kNotAccepting);
+      }
+    }
+  }
+
+  /** Reports the result of a sent call. */
+  complete(link: PeerLink, id: number, result: CallResult, load: GateReport = kEmptyReport): void {
+    const calls = this._byLink.get(link);
+    const call = calls?.sent.get(id);
+    if (calls && call) {
+      calls.sent.delete(id);
+      calls.bodies.cancelOffered('call', id);
+      calls.bodies.cancelExpected('answer', id);
+      link.pendingCalls--;
+      call.done(result, load);
+    } else if (result.kind === 'answered') {
+      result.answer.memory?.release();
+    }
+  }
+
+  /** Ends all calls of a lost link. Calls that were not completely written to it have not run. */
+  linkLost(link: PeerLink, reason: string): void {
+    const calls = this._byLink.get(link);
+    if (!calls) {
+      return;
+    }
+    for (const [id, { flushes, complete }] of [...calls.sent]) {
+      const written = link.flushes > flushes && complete;
+      this.complete(link, id, written ? { kind: 'lost', reason } : { kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 });
+    }
+    this._byLink.delete(link);
+    calls.bodies.close();
+    calls.accepted.forEach((handle) => {
+      handle.cancel();
+    });
+  }
+
   /** Accepts a call from another daemon, once its body is received; refuses it if this daemon has announced its shutdown. */
   private _accept(link: PeerLink, { id, call, longBody }: Extract<PeerMessage, { type: 'call' }>): void {
     if (this._shuttingDown) {
@@ -163,7 +225,8 @@
       return;
     }
     const calls = this._callsOf(link);
-    if (!calls.sent.has(id)) {
+    const sent = calls.sent.get(id);
+    if (!sent) {
       link.send({ type: 'cancel', id });
       return;
     }
@@ -177,42 +240,13 @@
         this.complete(link, id, { kind: 'answered', answer: { ...answer, body, memory } }, report);
       },
       onRefused: () => {
-        this._onMemoryRefused('received_responses', '', longBody);
+        this._onMemoryRefused('received_responses', sent.requestId, longBody);
         link.send({ type: 'cancel', id });
         this.complete(link, id, { kind: 'lost', reason: 'response too long for the memory of the ingress' }, report);
       },
     });
   }
 
-  /** Refuses calls whose bodies have waited too long for memory; called a few times a second. */
-  check(): void {
-    for (const { bodies } of this._byLink.values()) {
-      bodies.check();
-    }
-  }
-
-  /** Stops accepting calls, and informs the peers which of their calls were accepted. */
-  announceShutdown(links: Iterable<PeerLink>): void {
-    this._shuttingDown = true;
-    for (const link of links) {
-      const calls = this._byLink.get(link);
-      for (const id of calls?.bodies.expectedCalls ?? []) {
-        calls?.bodies.cancelExpected('call', id);
-        link.send(resultMessage(id, kNotAccepting, kEmptyReport));
-      }
-      link.send({ type: 'goodbye', taken: calls?.lastAcceptedId ?? 0 });
-    }
-  }
-
-  /** The peer is shutting down and has not accepted calls with ids above `lastAcceptedId`. */
-  peerShutDown(link: PeerLink, lastAcceptedId: number): void {
-    for (const id of [...(this._byLink.get(link)?.sent.keys() ?? [])]) {
-      if (id > lastAcceptedId) {
-        this.complete(link, id, kNotAccepting);
-      }
-    }
-  }
-
   /** The peer cancels a call. */
   private _cancel(link: PeerLink, id: number): void {
     const calls = this._byLink.get(link);
@@ -221,42 +255,10 @@
     calls?.accepted.get(id)?.cancel();
   }
 
-  /** Reports the result of a sent call. */
-  complete(link: PeerLink, id: number, result: CallResult, load: GateReport = kEmptyReport): void {
-    const calls = this._byLink.get(link);
-    const call = calls?.sent.get(id);
-    if (calls && call) {
-      calls.sent.delete(id);
-      calls.bodies.cancelOffered('call', id);
-      calls.bodies.cancelExpected('answer', id);
-      link.pendingCalls--;
-      call.done(result, load);
-    } else if (result.kind === 'answered') {
-      result.answer.memory?.release();
-    }
-  }
-
-  /** Ends all calls of a lost link. Calls that were not completely written to it have not run. */
-  linkLost(link: PeerLink, reason: string): void {
-    const calls = this._byLink.get(link);
-    if (!calls) {
-      return;
-    }
-    for (const [id, { flushes, complete }] of [...calls.sent]) {
-      const written = link.flushes > flushes && complete;
-      this.complete(link, id, written ? { kind: 'lost', reason } : { kind: 'not_run', reason: 'unreachable', retryAfterMs: 0 });
-    }
-    this._byLink.delete(link);
-    calls.bodies.close();
-    calls.accepted.forEach((handle) => {
-      handle.cancel();
-    });
-  }
-
   private _send(link: PeerLink, id: number, call: PeerCall, done: OfferDone): void {
     const calls = this._callsOf(link);
     const long = isLongBody(call.body);
-    const sent: SentCall = { done, flushes: link.flushes, complete: !long };
+    const sent: SentCall = { done, requestId: call.requestId, flushes: link.flushes, complete: !long };
     calls.sent.set(id, sent);
     link.pendingCalls++;
     link.send({ type: 'call', id, call });
--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -327,6 +327,11 @@
       // The length was stated, and its memory reserved.
       return true;
     }
+    if (this._memoryWaitUntil !== undefined) {
+      // Received together with the head, so it is held already.
+      req.memory.hold(bytes);
+      return true;
+    }
     if (bytes > kShortBodyBytes && !req.memory.long) {
       req.memory.onDropped = () => {
         this._rejectRequest(req, 'no_memory');
--- a/tests/mesh/longBodies.spec.ts
+++ b/tests/mesh/longBodies.spec.ts
@@ -210,6 +210,21 @@
     }),
   );
 
+  // What arrived together with its head was taken for growth beyond the limit, and refused at once.
+  itSerial('should wait also when there is no room for what has arrived', (t) =>
+    withFleet(async (fleet) => {
+      const [near, far] = await startPair(fleet);
+      const runs = holdRuns(far);
+      const first = upload(near, (kLimitBytes * 7) / 8 - 100, { seed: 1 });
+      await fleet.until('it to run', () => runs.count() === 1);
+      const second = upload(near, kLongBytes, { seed: 2 });
+      await fleet.until('the other one to wait', async () => (await heldBytes(fleet, near)).waiting === 1);
+      runs.release();
+      t.deepEqual(await Promise.all([first, second]), [200, 200]);
+      await untilNothingHeld(fleet, [near, far]);
+    }),
+  );
+
   itSerial("should wait for memory of the target's host when they come from several hosts", (t) =>
     withFleet(async (fleet) => {
       const [near, far] = await startPair(fleet);
