Log and count data of a target that is not a response to the request

A warning and a counter now name four kinds: data without a request, data behind a complete response, a complete response with another request's id, and a head that contains the status line of another message. Responses are delivered as before; the parser also reports the reason phrase, which counts toward the limit of a head.

--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -344,6 +344,14 @@
       onReachability: (evidence) => {
         this._handleReachability(reachability, evidence);
       },
+      onUnsolicited: (kind, requestId) => {
+        this._deps.metrics.unsolicited(kind);
+        this._deps.events.warn('target', 'The target sent data that is not a response to the request.', {
+          instance,
+          kind,
+          req: requestId,
+        });
+      },
       onCrash: (calls) => {
         this._handleCrash(calls);
       },
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -7,6 +7,7 @@
 
 import type { GateRefusal, MemoryPlace, RankedRepeatCounts } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
+import type { UnsolicitedData } from '../client/targetConnection.js';
 import type { TargetLoadState } from './load/targetLoadTracker.js';
 import type { QuotaCounts } from './workspaces/quotaService.js';
 import { kLatencyBounds, LatencyMetric, type RequestTotals, type RequestOutcome } from './latencyMetric.js';
@@ -83,6 +84,9 @@
   ]);
   private readonly _repeats = this._counter('gate_repeats_total', 'Repeats that the gate of this host let in', []);
   private readonly _crashes = this._counter('target_crashes_total', 'Ends of this host’s target while requests ran on it', []);
+  private readonly _unsolicited = this._counter('unsolicited_data_total', 'Data of the target that is not a response to the request', [
+    'kind',
+  ]);
   private readonly _fairShareSheds = this._counter('fair_share_shed_total', 'Requests that fair shares shed at this ingress', [
     'over_share',
   ]);
@@ -174,6 +178,11 @@
     this._crashes.inc();
   }
 
+  /** Counts data of this host's target that is not a response to the request. */
+  unsolicited(kind: UnsolicitedData): void {
+    this._unsolicited.inc({ kind });
+  }
+
   /** Counts a repeat that the gate admitted. */
   repeated(): void {
     this._repeats.inc();
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -15,7 +15,13 @@
 import type { HeaderNames } from '../ports.js';
 import type { PeerCall } from './callCodec.js';
 import { type CheckConnection, type CheckEvents, CrashDetector, type SentCall } from './crashDetector.js';
-import { type ExchangeOutcome, type TargetConnectionEvents, type TargetResponse, TargetConnection } from './targetConnection.js';
+import {
+  type ExchangeOutcome,
+  type TargetConnectionEvents,
+  type TargetResponse,
+  TargetConnection,
+  type UnsolicitedData,
+} from './targetConnection.js';
 
 /** Statuses that mean "not run". Without the target's proof such a response is not forwarded, and the call counts as lost. */
 const kNotRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -45,6 +51,8 @@
   onNoRateLimit(call: PeerCall, sentAt: number): void;
   /** There was no memory for the body of a response, of which `bytes` were stated or received. The call has run. */
   onResponseRefused(call: PeerCall, bytes: number): void;
+  /** The target sent data that is not a response to the request; `requestId` is empty if there is none. */
+  onUnsolicited(kind: UnsolicitedData, requestId: string): void;
   /** The target crashed while these calls were in flight. Called before their results are reported. */
   onCrash(calls: readonly PeerCall[]): void;
 }
@@ -98,30 +106,34 @@
     const run = new TargetRun(connection, monotonicMs() + remainingMs + kAbortGraceMs);
     this._runs.add(run);
     const sentAt = monotonicMs();
-    connection.send(this._encodeRequest(call, remainingMs), call.method === 'HEAD', {
-      onHead: (status, headers) => {
-        if (headers.condition !== kNoCondition && isFromTarget(call, status, headers)) {
-          this._events.onCondition(call, headers.condition);
-        }
-        if (headers.load !== undefined && isFromTarget(call, status, headers)) {
-          this._events.onLoad(call, headers.load);
-        }
-      },
-      onRefused: (bytes) => {
-        this._events.onResponseRefused(call, bytes);
-      },
-      onDone: (outcome) => {
-        this._runs.delete(run);
-        run.ended = true;
-        if (outcome.kind === 'answered') {
-          this._crashDetector.responded(sentAt);
-        }
-        if (outcome.kind === 'answered' && provesNoRateLimit(call, outcome.response)) {
-          this._events.onNoRateLimit(call, sentAt);
-        }
-        this._handleOutcome({ call, sentAt }, connection, outcome, run.aborted, done);
+    connection.send(
+      this._encodeRequest(call, remainingMs),
+      { requestId: call.requestId, isHead: call.method === 'HEAD' },
+      {
+        onHead: (status, headers) => {
+          if (headers.condition !== kNoCondition && isFromTarget(call, status, headers)) {
+            this._events.onCondition(call, headers.condition);
+          }
+          if (headers.load !== undefined && isFromTarget(call, status, headers)) {
+            this._events.onLoad(call, headers.load);
+          }
+        },
+        onRefused: (bytes) => {
+          this._events.onResponseRefused(call, bytes);
+        },
+        onDone: (outcome) => {
+          this._runs.delete(run);
+          run.ended = true;
+          if (outcome.kind === 'answered') {
+            this._crashDetector.responded(sentAt);
+          }
+          if (outcome.kind === 'answered' && provesNoRateLimit(call, outcome.response)) {
+            this._events.onNoRateLimit(call, sentAt);
+          }
+          this._handleOutcome({ call, sentAt }, connection, outcome, run.aborted, done);
+        },
       },
-    });
+    );
     return run;
   }
 
@@ -245,6 +257,9 @@
         events.onReachability?.(evidence);
         this._handleReachability(evidence);
       },
+      onUnsolicited: (kind, requestId) => {
+        this._events.onUnsolicited(kind, requestId);
+      },
       onIdle:
         events.onIdle ??
         ((idle) => {
@@ -285,6 +300,7 @@
 
   private _resultOfResponse(call: PeerCall, { status, headers, body, memory }: TargetResponse): RunResult {
     if (headers.requestId !== call.requestId && call.requestId !== '') {
+      this._events.onUnsolicited('other_request', call.requestId);
       return { result: { kind: 'lost', reason: 'answer of another request' }, responded: false };
     }
     if (headers.notRun || status === 421) {
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -23,6 +23,8 @@
 /** Largest number of interim responses (1xx) before a response. */
 const kMaxInterimResponses = 100;
 
+const kStatusLine = /HTTP\/\d\.\d \d{3}/;
+
 const kTooLongReason = 'response too long for the memory of this daemon';
 const kTooManyInterimReason = 'too many interim responses';
 
@@ -46,6 +48,12 @@
   /** The request was sent without a complete response; `byTarget` when the target closed the connection. */
   | { kind: 'broken'; reason: string; byTarget: boolean };
 
+/**
+ * Data of a target that is not a response to a request: received without a request, behind a complete response, as a response with the id
+ * of another request, or as the first part of a message in the head of another one.
+ */
+export type UnsolicitedData = 'without_request' | 'behind_response' | 'other_request' | 'joined_heads';
+
 /** Callbacks for a request on a connection. */
 export interface ExchangeEvents {
   /** The head of the response was received; called before the body is complete. */
@@ -59,6 +67,8 @@
 export interface TargetConnectionEvents {
   /** The connection attempt succeeded or failed. */
   onReachability(evidence: 'connected' | 'refused' | 'timed_out'): void;
+  /** The target sent data that is not a response to the request; `requestId` is empty if there is none. */
+  onUnsolicited(kind: UnsolicitedData, requestId: string): void;
   /** The connection is ready for the next request. */
   onIdle(connection: TargetConnection): void;
   /** The connection accepts no further requests. */
@@ -74,6 +84,7 @@
   private _closedByTarget = false;
   private _exchange: ExchangeEvents | undefined;
   private _isHead = false;
+  private _requestId = '';
   private _head: MessageHead | undefined;
   private _responseHeaders: ResponseHeaders | undefined;
   private readonly _body = new BodyCollector(true);
@@ -159,9 +170,10 @@
   }
 
   /** Sends a request; the connection must be idle. */
-  send(parts: readonly Buffer[], isHead: boolean, exchange: ExchangeEvents): void {
+  send(parts: readonly Buffer[], { requestId, isHead }: { requestId: string; isHead: boolean }, exchange: ExchangeEvents): void {
     this._exchange = exchange;
     this._isHead = isHead;
+    this._requestId = requestId;
     writeParts(this._socket, parts);
   }
 
@@ -211,6 +223,11 @@
       return;
     }
     const broken = fault !== undefined || this._unsolicited || this._exchange === undefined;
+    if (this._complete && (broken || this._parser.inMessage)) {
+      this._events.onUnsolicited('behind_response', this._requestId);
+    } else if (!this._complete && !this._exchange) {
+      this._events.onUnsolicited('without_request', '');
+    }
     if (this._complete) {
       this._deliverResponse(broken);
     } else if (broken) {
@@ -236,6 +253,9 @@
       return;
     }
     this._head = head;
+    if (isJoined(head)) {
+      this._events.onUnsolicited('joined_heads', this._requestId);
+    }
     if (!isFinalStatus(head.status)) {
       this._interimResponses++;
       this._refusedReason = this._interimResponses > kMaxInterimResponses ? kTooManyInterimReason : undefined;
@@ -347,3 +367,8 @@
 function isFinalStatus(status: number): boolean {
   return status >= 200;
 }
+
+/** Whether a status line is part of a reason phrase or a header value, as it is when an incomplete message precedes another. */
+function isJoined({ reason, headers }: MessageHead): boolean {
+  return kStatusLine.test(reason) || headers.some((text, i) => i % 2 === 1 && kStatusLine.test(text));
+}
--- a/packages/mesh/src/http/messageParser.ts
+++ b/packages/mesh/src/http/messageParser.ts
@@ -18,6 +18,8 @@
   target: string;
   /** 0 in requests. */
   status: number;
+  /** Reason phrase; empty in requests. */
+  reason: string;
   /** Alternating names and values, as received. */
   headers: string[];
   /** Whether the connection stays open after the message. */
@@ -77,7 +79,7 @@
     env: {
       wasm_on_message_begin: () => activeParser?.onMessageBegin() ?? kAbort,
       wasm_on_url: (_parser: number, at: number, bytes: number) => activeParser?.onTarget(textAt(at, bytes)) ?? kAbort,
-      wasm_on_status: () => kOk,
+      wasm_on_status: (_parser: number, at: number, bytes: number) => activeParser?.onReason(textAt(at, bytes)) ?? kAbort,
       wasm_on_header_field: (_parser: number, at: number, bytes: number) => activeParser?.onHeaderName(textAt(at, bytes)) ?? kAbort,
       wasm_on_header_value: (_parser: number, at: number, bytes: number) => activeParser?.onHeaderValue(textAt(at, bytes)) ?? kAbort,
       wasm_on_headers_complete: (_parser: number, status: number, _upgrade: number, keepAlive: number) =>
@@ -135,6 +137,7 @@
   maxHeadBytes = 65_536;
   private readonly _parser: number;
   private _target = '';
+  private _reason = '';
   private _headers: string[] = [];
   /** Whether the last text was a header name; names and values may be reported in parts. */
   private _lastWasName = false;
@@ -185,6 +188,7 @@
   /** @internal Called by the library, as are the next methods. */
   onMessageBegin(): number {
     this._target = '';
+    this._reason = '';
     this._headers = [];
     this._lastWasName = false;
     this._headBytes = 0;
@@ -198,6 +202,12 @@
     return this._countHeadBytes(text);
   }
 
+  /** @internal */
+  onReason(text: string): number {
+    this._reason += text;
+    return this._countHeadBytes(text);
+  }
+
   /** @internal */
   onHeaderName(text: string): number {
     if (this._lastWasName) {
@@ -231,7 +241,7 @@
     if (method === undefined) {
       return kAbort;
     }
-    this._events.onHead({ method, target: this._target, status, headers: this._headers, keepAlive });
+    this._events.onHead({ method, target: this._target, status, reason: this._reason, headers: this._headers, keepAlive });
     // Trailers are reported like headers, but are not part of the head.
     this._headers = [];
     return this._skipsBody() ? 1 : kOk;
