--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -22,7 +22,8 @@
   type TargetRecord,
 } from '@gentiandrum/core';
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
-import { type RunResult, TargetClient, type TargetEvents } from '../../client/targetClient.js';
+import type { RunResult } from '../../client/runResult.js';
+import { TargetClient, type TargetEvents } from '../../client/targetClient.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { TargetLoadTracker } from '../load/targetLoadTracker.js';
--- a/packages/mesh/src/app/meshMetrics.ts
+++ b/packages/mesh/src/app/meshMetrics.ts
@@ -7,7 +7,7 @@
 
 import type { GateRefusal, MemoryPlace, RankedRepeatCounts } from '@gentiandrum/core';
 import { Counter, Gauge, type Metric, Registry } from 'prom-client';
-import type { UnsolicitedData } from '../client/targetConnection.js';
+import type { UnsolicitedData } from '../client/targetExchange.js';
 import type { TargetLoadState } from './load/targetLoadTracker.js';
 import type { QuotaCounts } from './workspaces/quotaService.js';
 import { kLatencyBounds, LatencyMetric, type RequestTotals, type RequestOutcome } from './latencyMetric.js';
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -7,39 +7,24 @@
  * Runs calls on the target of this host, and accepts only complete responses that come from the target itself.
  */
 
-import { type CallResult, type MemoryAccount, monotonicMs, type ReachabilityEvidence } from '@gentiandrum/core';
+import { type MemoryAccount, monotonicMs, type ReachabilityEvidence } from '@gentiandrum/core';
 import { Deadlines, type Expirable } from '../app/calls/deadlines.js';
-import { HeaderReader, type ResponseHeaders } from '../http/headerReader.js';
+import { HeaderReader } from '../http/headerReader.js';
 import { encodeRequest } from '../http/messageText.js';
 import { kNoCondition, type TargetCondition } from '../http/targetCondition.js';
 import type { HeaderNames } from '../ports.js';
 import type { PeerCall } from './callCodec.js';
 import { type CheckConnection, type CheckEvents, CrashDetector, type SentCall } from './crashDetector.js';
-import {
-  type ExchangeOutcome,
-  type TargetConnectionEvents,
-  type TargetResponse,
-  TargetConnection,
-  type UnsolicitedData,
-} from './targetConnection.js';
+import { isForRequest, isFromTarget, lostRun, provesNoRateLimit, resultOfResponse, type RunResult } from './runResult.js';
+import { type TargetConnectionEvents, TargetConnection } from './targetConnection.js';
+import type { ExchangeOutcome, UnsolicitedData } from './targetExchange.js';
 
-/** Statuses that mean "not run". Without the target's proof such a response is not forwarded, and the call counts as lost. */
-const kNotRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Time after the deadline in which the target may still respond before the run is aborted, in milliseconds. */
 const kAbortGraceMs = 300;
 
-/** Longest retry delay of a target that is passed on, in milliseconds. */
-const kMaxRetryAfterMs = 60_000;
-
 /** Reason of the result of a run that was in flight when the target crashed. */
 const kTargetCrashedReason = 'target ended';
 
-export interface RunResult {
-  result: CallResult;
-  /** Whether the target itself responded, so that the run's duration counts for its latency. */
-  responded: boolean;
-}
-
 export interface TargetEvents {
   /** A connection attempt succeeded or failed. */
   onReachability(evidence: ReachabilityEvidence): void;
@@ -290,50 +275,16 @@
   private _resultOf(call: PeerCall, outcome: ExchangeOutcome, aborted: boolean): RunResult {
     switch (outcome.kind) {
       case 'answered':
-        return this._resultOfResponse(call, outcome.response);
+        if (!isForRequest(call, outcome.response.headers)) {
+          this._events.onUnsolicited('other_request', call.requestId);
+        }
+        return resultOfResponse(call, outcome.response);
       case 'unreachable':
         return { result: { kind: 'not_run', reason: aborted ? 'cancelled' : 'unreachable', retryAfterMs: 0 }, responded: false };
       case 'broken':
         return lostRun(aborted ? 'aborted' : `connection: ${outcome.reason}`);
     }
   }
-
-  private _resultOfResponse(call: PeerCall, { status, headers, body, memory }: TargetResponse): RunResult {
-    if (headers.requestId !== call.requestId && call.requestId !== '') {
-      this._events.onUnsolicited('other_request', call.requestId);
-      return { result: { kind: 'lost', reason: 'answer of another request' }, responded: false };
-    }
-    if (headers.notRun || status === 421) {
-      const reason = status === 421 ? 'wrong_instance' : 'target_refused';
-      const retryAfterMs = Math.min(kMaxRetryAfterMs, headers.retryAfterMs ?? 0);
-      return { result: { kind: 'not_run', reason, retryAfterMs }, responded: true };
-    }
-    // A response that ends with its connection cannot be distinguished from a truncated one, for example after a crash of the target.
-    if (!headers.framed) {
-      return { result: { kind: 'lost', reason: 'answer without a length' }, responded: false };
-    }
-    if (kNotRunStatuses.has(status)) {
-      return { result: { kind: 'lost', reason: `status ${status} without proof` }, responded: true };
-    }
-    if (status < 300 && !headers.sealed) {
-      return { result: { kind: 'lost', reason: 'success without the seal of the target' }, responded: false };
-    }
-    return { result: { kind: 'answered', answer: { status, headers: headers.forwarded, body, memory } }, responded: true };
-  }
-}
-
-/** Whether the head of a response was written by the target for this call, rather than for another call or by another target. */
-function isFromTarget(call: PeerCall, status: number, { requestId, sealed, notRun }: ResponseHeaders): boolean {
-  return requestId === call.requestId && status !== 421 && (sealed || notRun);
-}
-
-/** Whether a complete response proves that the target states no rate limit. */
-function provesNoRateLimit(call: PeerCall, { status, headers }: TargetResponse): boolean {
-  return headers.condition.rate.kind === 'none' && headers.sealed && headers.framed && isFromTarget(call, status, headers);
-}
-
-function lostRun(reason: string): RunResult {
-  return { result: { kind: 'lost', reason }, responded: false };
 }
 
 /** One request on a connection to the target. */
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -6,12 +6,13 @@
 /** A connection to the target of this host: sends one request at a time and reads its complete response. */
 
 import { connect, type Socket } from 'node:net';
-import { kShortBodyBytes, type MemoryAccount, type MemoryLease, type MessageBody, monotonicMs } from '@gentiandrum/core';
+import { kShortBodyBytes, type MemoryAccount, type MemoryLease, monotonicMs } from '@gentiandrum/core';
 import { splitAddress } from '../app/addresses.js';
 import type { ResponseHeaders, HeaderReader } from '../http/headerReader.js';
 import { BodyCollector } from '../http/bodyCollector.js';
 import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { writeParts } from '../http/messageText.js';
+import type { ExchangeEvents, ExchangeOutcome, UnsolicitedData } from './targetExchange.js';
 
 /** Connection timeout on the same host, in milliseconds. */
 const kConnectMs = 1_000;
@@ -31,39 +32,6 @@
 /** Read buffer shared by all connections; its bytes are parsed before the next read. Avoids an allocation for each read. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
 
-/** A complete response. */
-export interface TargetResponse {
-  status: number;
-  headers: ResponseHeaders;
-  body: MessageBody;
-  /** Memory of a long body. */
-  memory: MemoryLease | undefined;
-}
-
-/** Outcome of a request on a connection. */
-export type ExchangeOutcome =
-  | { kind: 'answered'; response: TargetResponse }
-  /** The connection was not established, so nothing was sent. */
-  | { kind: 'unreachable' }
-  /** The request was sent without a complete response; `byTarget` when the target closed the connection. */
-  | { kind: 'broken'; reason: string; byTarget: boolean };
-
-/**
- * Data of a target that is not a response to a request: received without a request, behind a complete response, as a response with the id
- * of another request, or as the first part of a message in the head of another one.
- */
-export type UnsolicitedData = 'without_request' | 'behind_response' | 'other_request' | 'joined_heads';
-
-/** Callbacks for a request on a connection. */
-export interface ExchangeEvents {
-  /** The head of the response was received; called before the body is complete. */
-  onHead(status: number, headers: ResponseHeaders): void;
-  /** There is no memory for the body of the response, of which `bytes` were stated or received; the exchange ends as broken. */
-  onRefused(bytes: number): void;
-  /** The exchange ended. */
-  onDone(outcome: ExchangeOutcome): void;
-}
-
 export interface TargetConnectionEvents {
   /** The connection attempt succeeded or failed. */
   onReachability(evidence: 'connected' | 'refused' | 'timed_out'): void;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -26,6 +26,7 @@
 export * from './client/callCodec.js';
 export * from './client/peerMessages.js';
 export * from './client/sharedNames.js';
+export type { RunResult } from './client/runResult.js';
 export * from './client/targetClient.js';
 export * from './http/headerReader.js';
 export * from './http/messageParser.js';
