Never read one head from two messages of a target, nor a response by an id that was sent twice

What callers saw: a response of their own run with the status of another response, a success instead of a failure among them.

Cause: a target sends a second response to a request, late and in two parts. The first part comes behind a complete response, in the same read, and the connection was used again with an incomplete message in its parser; or it comes after the next request was sent, when nothing shows it. The parser then takes the next status line for a part of a reason phrase or a header value, and the fields of the next response for those of the first one. A request id was also sent twice on one connection, and a request without an id accepted any response.

The fix: a connection on which an incomplete message follows a response is closed. On a connection that served an earlier request, a head whose reason phrase or a header value contains a status line is lost, interim heads too: a cut of a message followed by a whole one always leaves the second status line there, or is malformed. On a new connection nothing can be left over, and such a head is accepted. The request id and the seal may appear once; an empty id counts. An id is sent once on a connection; a request without an id has a connection of its own. A connection ends after 500 requests or 32,768 characters of ids, which bounds the ids that are kept. At the connection limit, an idle connection gives way to the new one.

Ruled out: waiting before a connection is used again (a late part may come at any time, and each request would pay).

--- a/packages/mesh/src/client/runResult.ts
+++ b/packages/mesh/src/client/runResult.ts
@@ -26,6 +26,9 @@
   if (!isForRequest(call, headers)) {
     return { result: { kind: 'lost', reason: 'answer of another request' }, responded: false };
   }
+  if (headers.repeatsIdentity) {
+    return { result: { kind: 'lost', reason: 'repeated request id or seal' }, responded: false };
+  }
   if (headers.notRun || status === 421) {
     const reason = status === 421 ? 'wrong_instance' : 'target_refused';
     const retryAfterMs = Math.min(kMaxRetryAfterMs, headers.retryAfterMs ?? 0);
@@ -50,8 +53,8 @@
 }
 
 /** Whether the head of a response was written by the target for this call, rather than for another call or by another target. */
-export function isFromTarget(call: PeerCall, status: number, { requestId, sealed, notRun }: ResponseHeaders): boolean {
-  return requestId === call.requestId && status !== 421 && (sealed || notRun);
+export function isFromTarget(call: PeerCall, status: number, { requestId, repeatsIdentity, sealed, notRun }: ResponseHeaders): boolean {
+  return requestId === call.requestId && !repeatsIdentity && status !== 421 && (sealed || notRun);
 }
 
 /** Whether a complete response proves that the target states no rate limit. */
--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -83,7 +83,7 @@
 
   /** Sends a call to the target. */
   run(call: PeerCall, remainingMs: number, done: (runResult: RunResult) => void): Run {
-    const connection = this._takeIdle() ?? this._open();
+    const connection = this._takeConnection(call.requestId);
     if (!connection) {
       setImmediate(done, { result: { kind: 'not_run', reason: 'no_connection', retryAfterMs: 0 }, responded: false } satisfies RunResult);
       return { abort: () => undefined };
@@ -193,15 +193,22 @@
     return encodeRequest(call.method, call.path, headers, call.body);
   }
 
-  private _takeIdle(): TargetConnection | undefined {
+  /** Returns an idle connection that allows the id, or a new one, for which an idle one is closed at the limit. */
+  private _takeConnection(requestId: string): TargetConnection | undefined {
     const now = monotonicMs();
-    for (let connection = this._idle.pop(); connection; connection = this._idle.pop()) {
-      if (connection.isReusable(now)) {
+    for (let i = this._idle.length - 1; i >= 0; i--) {
+      const connection = this._idle[i];
+      if (connection?.isReusable(now) === false) {
+        connection.close('idle');
+      } else if (connection?.allows(requestId)) {
+        this._idle.splice(i, 1);
         return connection;
       }
-      connection.close('idle');
     }
-    return undefined;
+    if (this._connections.size >= this._maxConnections()) {
+      this._idle[0]?.close('replaced by a new connection');
+    }
+    return this._open();
   }
 
   /** Opens a connection that no call uses before its release. */
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -12,6 +12,8 @@
 import { BodyCollector } from '../http/bodyCollector.js';
 import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { writeParts } from '../http/messageText.js';
+import { isJoinedHead } from '../http/statusLineScanner.js';
+import { ConnectionHistory } from './connectionHistory.js';
 import type { ExchangeEvents, ExchangeOutcome, UnsolicitedData } from './targetExchange.js';
 
 /** Connection timeout on the same host, in milliseconds. */
@@ -24,10 +26,9 @@
 /** Largest number of interim responses (1xx) before a response. */
 const kMaxInterimResponses = 100;
 
-const kStatusLine = /HTTP\/\d\.\d \d{3}/;
-
 const kTooLongReason = 'response too long for the memory of this daemon';
 const kTooManyInterimReason = 'too many interim responses';
+const kJoinedReason = 'response joined with another one';
 
 /** Read buffer shared by all connections; its bytes are parsed before the next read. Avoids an allocation for each read. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
@@ -59,6 +60,7 @@
   /** Memory of the long body that is received. */
   private _bodyMemory: MemoryLease | undefined;
   private _interimResponses = 0;
+  private readonly _history = new ConnectionHistory();
   /** Why the rest of the response is not read; set while a chunk is parsed. */
   private _refusedReason: string | undefined;
   /** The response is complete; it is delivered after the rest of the chunk has been parsed. */
@@ -132,16 +134,27 @@
     return this._closedByTarget;
   }
 
+  /** Number of requests that were sent. */
+  get requests(): number {
+    return this._history.requests;
+  }
+
   /** Whether the connection is within the target's keep-alive timeout. */
   isReusable(now: number): boolean {
     return !this._closed && now < this._idleUntil;
   }
 
-  /** Sends a request; the connection must be idle. */
+  /** Whether a late response to an earlier request would be told from the response to a request with this id. */
+  allows(requestId: string): boolean {
+    return this._history.allows(requestId);
+  }
+
+  /** Sends a request; the connection must be idle and allow its id. */
   send(parts: readonly Buffer[], { requestId, isHead }: { requestId: string; isHead: boolean }, exchange: ExchangeEvents): void {
     this._exchange = exchange;
     this._isHead = isHead;
     this._requestId = requestId;
+    this._history.add(requestId);
     writeParts(this._socket, parts);
   }
 
@@ -190,8 +203,9 @@
       this.close(this._refusedReason);
       return;
     }
-    const broken = fault !== undefined || this._unsolicited || this._exchange === undefined;
-    if (this._complete && (broken || this._parser.inMessage)) {
+    const behind = this._complete && this._parser.inMessage;
+    const broken = fault !== undefined || this._unsolicited || this._exchange === undefined || behind;
+    if (this._complete && broken) {
       this._events.onUnsolicited('behind_response', this._requestId);
     } else if (!this._complete && !this._exchange) {
       this._events.onUnsolicited('without_request', '');
@@ -217,22 +231,36 @@
 
   private _handleHead(head: MessageHead): void {
     this._unsolicited ||= this._exchange === undefined || this._complete;
-    if (this._unsolicited) {
+    if (this._unsolicited || this._refusedReason !== undefined) {
       return;
     }
-    this._head = head;
-    if (isJoined(head)) {
-      this._events.onUnsolicited('joined_heads', this._requestId);
+    // On a new connection, nothing can be left over of another message.
+    if (this._history.requests > 1 && isJoinedHead(head)) {
+      this._refuseMessage('joined_heads', kJoinedReason);
+      return;
     }
     if (!isFinalStatus(head.status)) {
+      this._head = head;
       this._interimResponses++;
       this._refusedReason = this._interimResponses > kMaxInterimResponses ? kTooManyInterimReason : undefined;
       return;
     }
     this._interimResponses = 0;
-    this._responseHeaders = this._headers.readResponse(head.headers, head.status);
-    this._exchange?.onHead(head.status, this._responseHeaders);
-    const { bodyBytes } = this._responseHeaders;
+    const headers = this._headers.readResponse(head.headers, head.status);
+    this._startResponse(head, headers);
+  }
+
+  /** Gives up the response once the current chunk is parsed, as it may be joined with other data. */
+  private _refuseMessage(kind: UnsolicitedData, reason: string): void {
+    this._refusedReason = reason;
+    this._events.onUnsolicited(kind, this._requestId);
+  }
+
+  private _startResponse(head: MessageHead, headers: ResponseHeaders): void {
+    this._head = head;
+    this._responseHeaders = headers;
+    this._exchange?.onHead(head.status, headers);
+    const { bodyBytes } = headers;
     if (bodyBytes !== undefined && bodyBytes > kShortBodyBytes && !this._isHead) {
       this._reserveMemory(bodyBytes);
     }
@@ -301,7 +329,7 @@
     this._complete = false;
     const exchange = this._exchange;
     this._exchange = undefined;
-    if (broken || !head.keepAlive) {
+    if (broken || !head.keepAlive || !this._history.allowsReuse) {
       this.close('connection not kept alive');
     } else {
       this._becomeIdle(headers.keepAliveSeconds);
@@ -335,8 +363,3 @@
 function isFinalStatus(status: number): boolean {
   return status >= 200;
 }
-
-/** Whether a status line is part of a reason phrase or a header value, as it is when an incomplete message precedes another. */
-function isJoined({ reason, headers }: MessageHead): boolean {
-  return kStatusLine.test(reason) || headers.some((text, i) => i % 2 === 1 && kStatusLine.test(text));
-}
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -29,7 +29,10 @@
 
 /** Headers of a response. */
 export interface ResponseHeaders {
+  /** The first value if it is repeated. */
   requestId: string;
+  /** Whether the request id or the seal is repeated, so that it does not identify the response. */
+  repeatsIdentity: boolean;
   /** Whether the end of the body can be distinguished from a lost connection. */
   framed: boolean;
   /** Content length, in bytes; undefined when the header is missing. */
@@ -150,6 +153,7 @@
     const names = this._names;
     const read: ResponseHeaders = {
       requestId: '',
+      repeatsIdentity: false,
       framed: status === 204 || status === 304,
       bodyBytes: undefined,
       notRun: false,
@@ -163,12 +167,14 @@
     let connection = '';
     let rateLimit: string | undefined;
     let leaving: string | undefined;
+    let hasRequestId = false;
     for (let i = 0; i < raw.length; i += 2) {
       const name = raw[i] ?? '';
       const value = raw[i + 1] ?? '';
       const lower = this._lowerCase.of(name);
       if (!this._consumedResponseHeaders.has(lower)) {
         read.forwarded.push(name, value);
+        read.repeatsIdentity ||= read.sealed && lower === names.seal;
         read.sealed ||= lower === names.seal;
         read.notRun ||= lower === names.notRun;
         if (lower === names.rateLimit) {
@@ -181,7 +187,9 @@
           read.retryAfterMs = parseRetryAfter(value);
         }
       } else if (lower === names.requestId) {
-        read.requestId ||= value;
+        read.repeatsIdentity ||= hasRequestId;
+        read.requestId = hasRequestId ? read.requestId : value;
+        hasRequestId = true;
       } else if (lower === 'content-length') {
         read.framed = true;
         read.bodyBytes = Number(value);
--- /dev/null
+++ b/packages/mesh/src/http/statusLineScanner.ts
@@ -0,0 +1,19 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Finds status lines where none belongs: an incomplete message takes the status line of the next one for a part of its own. */
+
+const kStatusLine = /HTTP\/\d\.\d \d{3}/;
+
+interface HeadText {
+  reason: string;
+  /** Alternating names and values. */
+  headers: readonly string[];
+}
+
+/** Whether a reason phrase or a header value contains a status line, so that the head may be that of two messages. */
+export function isJoinedHead({ reason, headers }: HeadText): boolean {
+  return kStatusLine.test(reason) || headers.some((text, i) => i % 2 === 1 && kStatusLine.test(text));
+}
--- a/tests/mesh/extraResponses.spec.ts
+++ b/tests/mesh/extraResponses.spec.ts
@@ -5,16 +5,11 @@
 
 /** Guards against a caller getting a status, headers or a body that the target did not send in one response to its request. */
 
-import { MemoryAccount } from '@gentiandrum/core';
-import { type PeerCall, type RunResult, TargetClient } from '@gentiandrum/mesh';
-import { platformDialect } from '@gentiandrum/platform';
-import { kDate, RawTarget, type RawRequest, responseText } from '../platform/rawTarget.js';
+import { type RawRequest, responseText } from '../platform/rawTarget.js';
 import { describe, itSerial } from '../support/describe.js';
 import { playExtraResponses } from './extraResponsePlay.js';
+import { kForms, type ResponseForm, textOf, wholeText, withTarget } from './targetPlay.js';
 
-const kMaxConnections = 10;
-const kRemainingMs = 500;
-const kCheckMs = 20;
 const kSeed = 1;
 const kPlayMs = 4_000;
 const kCallers = 30;
@@ -26,139 +21,96 @@
   [2, 0, 3, 1],
 ];
 
-const kCall: PeerCall = {
-  route: 'r',
-  service: 'reads',
-  waitMs: 100,
-  remainingMs: kRemainingMs,
-  repeat: false,
-  inner: false,
-  idempotent: false,
-  rank: undefined,
-  instance: 'i-1',
-  callerService: 'other',
-  workspace: undefined,
-  suspicion: undefined,
-  requestId: '',
+/** Forms with a length, by status. */
+const kStatusForms = kStatuses.map((status): ResponseForm => ({
+  name: `status ${status}`,
   method: 'POST',
-  path: '/a/x',
-  headers: [],
-  body: Buffer.alloc(0),
-};
-
-interface Play {
-  target: RawTarget;
-  run: (requestId: string, call?: Partial<PeerCall>) => Promise<RunResult['result']>;
-}
+  status,
+  body: 'own',
+  text: (id) => responseText(id, status, 'own'),
+}));
 
-/** Runs a test with a client of a target that responds as `respond` does. */
-async function withTarget(respond: (req: RawRequest) => void, body: (play: Play) => Promise<void>): Promise<void> {
-  const target = new RawTarget(respond);
-  await target.start();
-  const ignore = (): undefined => undefined;
-  const client = new TargetClient(
-    target.address,
-    'i-1',
-    () => kMaxConnections,
-    platformDialect.headers,
-    {
-      onReachability: ignore,
-      onCondition: ignore,
-      onLoad: ignore,
-      onNoRateLimit: ignore,
-      onResponseRefused: ignore,
-      onUnsolicited: ignore,
-      onCrash: ignore,
-    },
-    new MemoryAccount(2 ** 26),
-  );
-  const checking = setInterval(() => {
-    client.check();
-  }, kCheckMs);
-  try {
-    await body({
-      target,
-      run: (requestId, call = {}) =>
-        new Promise((resolve) => {
-          client.run({ ...kCall, requestId, ...call }, kRemainingMs, ({ result }) => {
-            resolve(result);
-          });
-        }),
-    });
-  } finally {
-    clearInterval(checking);
-    client.close();
-    target.close();
+/** Texts of a second response, cut at each offset. */
+function* cut(text: string): Generator<[string, string]> {
+  for (let at = 1; at < text.length; at++) {
+    yield [text.slice(0, at), text.slice(at)];
   }
 }
 
-/** Status, headers and body of a result as text; how it ended if it is no response. */
-function textOf(result: RunResult['result']): string {
-  return result.kind === 'answered' ? `${result.answer.status} ${result.answer.headers.join()} ${String(result.answer.body)}` : result.kind;
-}
-
-/** Text of a whole response. */
-function wholeText(id: string, status: number, body: string): string {
-  return `${status} X-Response-Seal,seal.${id},Date,${kDate} ${body}`;
-}
-
-/** Texts of the second response to a request, cut at each offset. */
-function* cutResponses(id: string): Generator<[string, string]> {
+/** Texts of the second response to a request with each status and order of header lines, cut at each offset. */
+function* cutResponses(): Generator<[string, string]> {
   for (const status of kStatuses) {
     for (const order of kOrders) {
-      const text = responseText(id, status, 'second', order);
-      for (let at = 1; at < text.length; at++) {
-        yield [text.slice(0, at), text.slice(at)];
-      }
+      yield* cut(responseText('first', status, 'second', order));
     }
   }
 }
 
+type Place = (parts: [string, string], first: string, own: string) => { first: string; own: string };
+
+/** The first part comes with the response before it, and the connection was used again with an incomplete message in its parser. */
+const kBehindFirst: Place = ([start, end], first, own) => ({ first: first + start, own: own + end });
+/** The first part arrives when the next request has been sent, so nothing shows that the connection must not be used. */
+const kAheadOfOwn: Place = ([start, end], first, own) => ({ first, own: start + own + end });
+
 /**
- * Sends two requests for each cut of the second response to the first one, and returns how many got a response that is not their own.
- * `place` joins the parts with the responses to both.
+ * Sends two requests on a connection for each cut of the second response to the first one, and returns how many got a response that is
+ * not their own. `place` joins the parts with the responses to both. A lost response is accepted only from the connection that was used
+ * again. Each cut has a client of its own, as one that has seen such data
+ * does not use a connection twice.
  */
-async function countMixed(
-  ownStatus: number,
-  place: (parts: [string, string], first: string, own: string) => { first: string; own: string },
-): Promise<number> {
+async function countMixed(cuts: Iterable<[string, string]>, firstForm: ResponseForm, ownForm: ResponseForm, place: Place): Promise<number> {
   let parts: [string, string] = ['', ''];
   let mixed = 0;
   const respond = ({ id, position, connection }: RawRequest): void => {
-    const isFirst = id.startsWith('first');
-    const text = responseText(id, isFirst ? 200 : ownStatus, isFirst ? 'first' : 'own');
+    const isFirst = id === 'first';
+    const text = (isFirst ? firstForm : ownForm).text(id);
     const placed = place(parts, text, text);
     connection.write(isFirst ? placed.first : position === 0 ? text : placed.own);
   };
-  await withTarget(respond, async ({ run }) => {
-    let n = 0;
-    for (parts of cutResponses('first')) {
-      const first = textOf(await run(`first-${n}`));
-      const own = textOf(await run(`own-${n}`));
-      mixed += first === wholeText(`first-${n}`, 200, 'first') || first === 'lost' ? 0 : 1;
-      mixed += own === wholeText(`own-${n}`, ownStatus, 'own') || own === 'lost' ? 0 : 1;
-      n++;
+  await withTarget(respond, async ({ run, renewClient }) => {
+    for (parts of cuts) {
+      for (const { id, form } of [
+        { id: 'first', form: firstForm },
+        { id: 'own', form: ownForm },
+      ]) {
+        const text = textOf(await run(id, { method: form.method }));
+        const mayBeLost = place === kAheadOfOwn && id === 'own';
+        mixed += text === wholeText(id, form.status, form.body) || (mayBeLost && text === 'lost') ? 0 : 1;
+      }
+      renewClient();
     }
   });
   return mixed;
 }
 
 describe('a target that sends a second response to a request in two parts', () => {
-  // The connection was used again with an incomplete message in its parser, which took the next status line for a part of a head.
+  const [plain] = kForms as readonly [ResponseForm, ...ResponseForm[]];
+
+  // The parser took the next status line for a part of a head, and callers got the status of another response.
   itSerial('should not have them joined with the next response when the first part follows a response', async (t) => {
-    for (const status of kStatuses) {
-      const mixed = await countMixed(status, ([start, end], first, own) => ({ first: first + start, own: own + end }));
-      t.is(mixed, 0, `status ${status}`);
+    for (const form of kStatusForms) {
+      t.is(await countMixed(cutResponses(), plain, form, kBehindFirst), 0, form.name);
     }
   });
 
-  // The first part arrives when the next request has been sent, so nothing shows that the connection must not be used.
+  // The same without a sign on the connection before the next request was sent.
   itSerial('should not have them joined with the next response when the first part precedes it', async (t) => {
-    for (const status of kStatuses) {
-      const mixed = await countMixed(status, ([start, end], first, own) => ({ first, own: start + own + end }));
-      t.is(mixed, 0, `status ${status}`);
+    for (const form of kStatusForms) {
+      t.is(await countMixed(cutResponses(), plain, form, kAheadOfOwn), 0, form.name);
     }
   });
+
+  // Interim heads, chunks, trailers, and responses whose status or method implies that they have no body end in different places.
+  for (const second of kForms) {
+    itSerial(`should not have them joined with the next response of any form when they are ${second.name}`, async (t) => {
+      for (const own of kForms) {
+        for (const place of [kBehindFirst, kAheadOfOwn]) {
+          t.is(await countMixed(cut(second.text('first')), second, own, place), 0, own.name);
+        }
+      }
+    });
+  }
 });
 
 describe('a target that responds late to an earlier request', () => {
