Discard a late response to an earlier request, and deliver the own one behind it

What callers saw: 502 for about every second late response of the target that was sent whole; the request had run, and a request that is not idempotent cannot be repeated. Its own response followed and was not read.

Cause: a complete response with another id ended the exchange, although the id shows that the response is that of an earlier request.

The fix: a response with the id of an earlier request of the connection is read and not kept, and reading goes on; the connection closes after the own response. Bounds: one response for each earlier id, 1 MiB for all of their bodies, the time limit of the request. Never where the end of the late response is in doubt: without a length or chunks, with a repeated id or seal, on a connection on which HEAD was sent, or when its body or a trailer contains a status line (an incomplete late response takes the next one for its own rest). These are lost, as is a response with an id that was never sent on the connection. The warning and the counter name discarded responses `other_request` too.

--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -12,7 +12,7 @@
 import { BodyCollector } from '../http/bodyCollector.js';
 import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { writeParts } from '../http/messageText.js';
-import { isJoinedHead } from '../http/statusLineScanner.js';
+import { isJoinedHead, StatusLineScanner } from '../http/statusLineScanner.js';
 import { ConnectionHistory } from './connectionHistory.js';
 import type { ExchangeEvents, ExchangeOutcome, UnsolicitedData } from './targetExchange.js';
 
@@ -29,6 +29,7 @@
 const kTooLongReason = 'response too long for the memory of this daemon';
 const kTooManyInterimReason = 'too many interim responses';
 const kJoinedReason = 'response joined with another one';
+const kLateReason = 'response to an earlier request';
 
 /** Read buffer shared by all connections; its bytes are parsed before the next read. Avoids an allocation for each read. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
@@ -61,6 +62,8 @@
   private _bodyMemory: MemoryLease | undefined;
   private _interimResponses = 0;
   private readonly _history = new ConnectionHistory();
+  /** Scans the late response to an earlier request that is being discarded. */
+  private _discarded: StatusLineScanner | undefined;
   /** Why the rest of the response is not read; set while a chunk is parsed. */
   private _refusedReason: string | undefined;
   /** The response is complete; it is delivered after the rest of the chunk has been parsed. */
@@ -86,8 +89,8 @@
             this._handleBody(part);
           }
         },
-        onEnd: () => {
-          this._handleMessageEnd();
+        onEnd: (trailers) => {
+          this._handleMessageEnd(trailers);
         },
       },
       () => this._isHead,
@@ -154,7 +157,7 @@
     this._exchange = exchange;
     this._isHead = isHead;
     this._requestId = requestId;
-    this._history.add(requestId);
+    this._history.add(requestId, isHead);
     writeParts(this._socket, parts);
   }
 
@@ -247,7 +250,18 @@
     }
     this._interimResponses = 0;
     const headers = this._headers.readResponse(head.headers, head.status);
-    this._startResponse(head, headers);
+    switch (this._history.ownerOf(headers)) {
+      case 'last_request':
+        this._startResponse(head, headers);
+        return;
+      case 'earlier_request':
+        this._discarded = new StatusLineScanner();
+        this._events.onUnsolicited('other_request', this._requestId);
+        return;
+      case 'doubtful':
+        this._refuseMessage('other_request', kLateReason);
+        return;
+    }
   }
 
   /** Gives up the response once the current chunk is parsed, as it may be joined with other data. */
@@ -285,6 +299,10 @@
   }
 
   private _handleBody(part: Buffer): void {
+    if (this._discarded) {
+      this._discard(this._discarded, part);
+      return;
+    }
     this._body.append(part);
     const { bytes } = this._body;
     if (bytes <= kShortBodyBytes || this._responseHeaders?.bodyBytes !== undefined) {
@@ -302,13 +320,29 @@
     }
   }
 
+  /** Discards a part of a late body. If it was incomplete, it contains the status line of the response to the request. */
+  private _discard(scanner: StatusLineScanner, part: Buffer): void {
+    if (scanner.push(part)) {
+      this._refuseMessage('joined_heads', kJoinedReason);
+    } else if (!this._history.discard(part.length)) {
+      this._refusedReason = kLateReason;
+    }
+  }
+
   /** Gives up the response once the current chunk is parsed. */
   private _refuseBody(bytes: number): void {
     this._refusedReason = kTooLongReason;
     this._exchange?.onRefused(bytes);
   }
 
-  private _handleMessageEnd(): void {
+  private _handleMessageEnd(trailers: readonly string[]): void {
+    if (this._discarded) {
+      this._discarded = undefined;
+      if (this._refusedReason === undefined && isJoinedHead({ reason: '', headers: trailers })) {
+        this._refuseMessage('joined_heads', kJoinedReason);
+      }
+      return;
+    }
     if (!this._unsolicited && this._head && isFinalStatus(this._head.status)) {
       this._complete = true;
     }
--- a/packages/mesh/src/client/targetExchange.ts
+++ b/packages/mesh/src/client/targetExchange.ts
@@ -26,8 +26,9 @@
   | { kind: 'broken'; reason: string; byTarget: boolean };
 
 /**
- * Data of a target that is not a response to a request: received without a request, behind a complete response, as a response with the id
- * of another request, or as the first part of a message in the head of another one.
+ * Data of a target that is not a response to the request: received without a request, behind a complete response, as a response with the id
+ * of another request, which is discarded if it is that of an earlier request of the connection, or as the first part of a message in the
+ * head of another one or in the body of a discarded one.
  */
 export type UnsolicitedData = 'without_request' | 'behind_response' | 'other_request' | 'joined_heads';
 
--- a/packages/mesh/src/http/messageParser.ts
+++ b/packages/mesh/src/http/messageParser.ts
@@ -31,7 +31,8 @@
   onHead(head: MessageHead): void;
   /** Part of the body; a view of the chunk that was passed to the parser. */
   onBody(part: Buffer): void;
-  onEnd(): void;
+  /** @param trailers alternating names and values behind a chunked body */
+  onEnd(trailers: readonly string[]): void;
 }
 
 /** Reason for rejecting a message. */
@@ -256,7 +257,7 @@
   /** @internal */
   onMessageComplete(): number {
     this._inMessage = false;
-    this._events.onEnd();
+    this._events.onEnd(this._headers);
     return kOk;
   }
 
--- a/packages/mesh/src/http/statusLineScanner.ts
+++ b/packages/mesh/src/http/statusLineScanner.ts
@@ -6,6 +6,7 @@
 /** Finds status lines where none belongs: an incomplete message takes the status line of the next one for a part of its own. */
 
 const kStatusLine = /HTTP\/\d\.\d \d{3}/;
+const kStatusLineBytes = 'HTTP/1.1 200'.length;
 
 interface HeadText {
   reason: string;
@@ -17,3 +18,15 @@
 export function isJoinedHead({ reason, headers }: HeadText): boolean {
   return kStatusLine.test(reason) || headers.some((text, i) => i % 2 === 1 && kStatusLine.test(text));
 }
+
+/** Finds a status line in a body, also across its parts. */
+export class StatusLineScanner {
+  private _end = '';
+
+  /** Scans the next part; returns whether a status line was found. */
+  push(part: Buffer): boolean {
+    const text = this._end + part.toString('latin1');
+    this._end = text.slice(1 - kStatusLineBytes);
+    return kStatusLine.test(text);
+  }
+}
