--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -6,12 +6,15 @@
 /** A connection to the target of this host: sends one request at a time and reads its complete response. */
 
 import { connect, type Socket } from 'node:net';
-import { kShortBodyBytes, type MemoryAccount, type MemoryLease, type MessageBody, monotonicMs } from '@gentiandrum/core';
+import { kShortBodyBytes, type MemoryAccount, type MemoryLease, monotonicMs } from '@gentiandrum/core';
 import { splitAddress } from '../app/addresses.js';
 import type { ResponseHeaders, HeaderReader } from '../http/headerReader.js';
 import { BodyCollector } from '../http/bodyCollector.js';
 import { MessageParser, type MessageHead } from '../http/messageParser.js';
 import { writeParts } from '../http/messageText.js';
+import { isJoinedHead, StatusLineScanner } from '../http/statusLineScanner.js';
+import { ConnectionHistory } from './connectionHistory.js';
+import type { ExchangeEvents, ExchangeOutcome, UnsolicitedData } from './targetExchange.js';
 
 /** Connection timeout on the same host, in milliseconds. */
 const kConnectMs = 1_000;
@@ -23,47 +26,14 @@
 /** Largest number of interim responses (1xx) before a response. */
 const kMaxInterimResponses = 100;
 
-const kStatusLine = /HTTP\/\d\.\d \d{3}/;
-
 const kTooLongReason = 'response too long for the memory of this daemon';
 const kTooManyInterimReason = 'too many interim responses';
+const kJoinedReason = 'response joined with another one';
+const kLateReason = 'response to an earlier request';
 
 /** Read buffer shared by all connections; its bytes are parsed before the next read. Avoids an allocation for each read. */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
 
-/** A complete response. */
-export interface TargetResponse {
-  status: number;
-  headers: ResponseHeaders;
-  body: MessageBody;
-  /** Memory of a long body. */
-  memory: MemoryLease | undefined;
-}
-
-/** Outcome of a request on a connection. */
-export type ExchangeOutcome =
-  | { kind: 'answered'; response: TargetResponse }
-  /** The connection was not established, so nothing was sent. */
-  | { kind: 'unreachable' }
-  /** The request was sent without a complete response; `byTarget` when the target closed the connection. */
-  | { kind: 'broken'; reason: string; byTarget: boolean };
-
-/**
- * Data of a target that is not a response to a request: received without a request, behind a complete response, as a response with the id
- * of another request, or as the first part of a message in the head of another one.
- */
-export type UnsolicitedData = 'without_request' | 'behind_response' | 'other_request' | 'joined_heads';
-
-/** Callbacks for a request on a connection. */
-export interface ExchangeEvents {
-  /** The head of the response was received; called before the body is complete. */
-  onHead(status: number, headers: ResponseHeaders): void;
-  /** There is no memory for the body of the response, of which `bytes` were stated or received; the exchange ends as broken. */
-  onRefused(bytes: number): void;
-  /** The exchange ended. */
-  onDone(outcome: ExchangeOutcome): void;
-}
-
 export interface TargetConnectionEvents {
   /** The connection attempt succeeded or failed. */
   onReachability(evidence: 'connected' | 'refused' | 'timed_out'): void;
@@ -91,6 +61,9 @@
   /** Memory of the long body that is received. */
   private _bodyMemory: MemoryLease | undefined;
   private _interimResponses = 0;
+  private readonly _history = new ConnectionHistory();
+  /** Scans the late response to an earlier request that is being discarded. */
+  private _discarded: StatusLineScanner | undefined;
   /** Why the rest of the response is not read; set while a chunk is parsed. */
   private _refusedReason: string | undefined;
   /** The response is complete; it is delivered after the rest of the chunk has been parsed. */
@@ -116,8 +89,8 @@
             this._handleBody(part);
           }
         },
-        onEnd: () => {
-          this._handleMessageEnd();
+        onEnd: (trailers) => {
+          this._handleMessageEnd(trailers);
         },
       },
       () => this._isHead,
@@ -164,16 +137,27 @@
     return this._closedByTarget;
   }
 
+  /** Number of requests that were sent. */
+  get requests(): number {
+    return this._history.requests;
+  }
+
   /** Whether the connection is within the target's keep-alive timeout. */
   isReusable(now: number): boolean {
     return !this._closed && now < this._idleUntil;
   }
 
-  /** Sends a request; the connection must be idle. */
+  /** Whether a late response to an earlier request would be told from the response to a request with this id. */
+  allows(requestId: string): boolean {
+    return this._history.allows(requestId);
+  }
+
+  /** Sends a request; the connection must be idle and allow its id. */
   send(parts: readonly Buffer[], { requestId, isHead }: { requestId: string; isHead: boolean }, exchange: ExchangeEvents): void {
     this._exchange = exchange;
     this._isHead = isHead;
     this._requestId = requestId;
+    this._history.add(requestId, isHead);
     writeParts(this._socket, parts);
   }
 
@@ -222,8 +206,9 @@
       this.close(this._refusedReason);
       return;
     }
-    const broken = fault !== undefined || this._unsolicited || this._exchange === undefined;
-    if (this._complete && (broken || this._parser.inMessage)) {
+    const behind = this._complete && this._parser.inMessage;
+    const broken = fault !== undefined || this._unsolicited || this._exchange === undefined || behind;
+    if (this._complete && broken) {
       this._events.onUnsolicited('behind_response', this._requestId);
     } else if (!this._complete && !this._exchange) {
       this._events.onUnsolicited('without_request', '');
@@ -249,22 +234,47 @@
 
   private _handleHead(head: MessageHead): void {
     this._unsolicited ||= this._exchange === undefined || this._complete;
-    if (this._unsolicited) {
+    if (this._unsolicited || this._refusedReason !== undefined) {
       return;
     }
-    this._head = head;
-    if (isJoined(head)) {
-      this._events.onUnsolicited('joined_heads', this._requestId);
+    // On a new connection, nothing can be left over of another message.
+    if (this._history.requests > 1 && isJoinedHead(head)) {
+      this._refuseMessage('joined_heads', kJoinedReason);
+      return;
     }
     if (!isFinalStatus(head.status)) {
+      this._head = head;
       this._interimResponses++;
       this._refusedReason = this._interimResponses > kMaxInterimResponses ? kTooManyInterimReason : undefined;
       return;
     }
     this._interimResponses = 0;
-    this._responseHeaders = this._headers.readResponse(head.headers, head.status);
-    this._exchange?.onHead(head.status, this._responseHeaders);
-    const { bodyBytes } = this._responseHeaders;
+    const headers = this._headers.readResponse(head.headers, head.status);
+    switch (this._history.ownerOf(headers)) {
+      case 'last_request':
+        this._startResponse(head, headers);
+        return;
+      case 'earlier_request':
+        this._discarded = new StatusLineScanner();
+        this._events.onUnsolicited('other_request', this._requestId);
+        return;
+      case 'doubtful':
+        this._refuseMessage('other_request', kLateReason);
+        return;
+    }
+  }
+
+  /** Gives up the response once the current chunk is parsed, as it may be joined with other data. */
+  private _refuseMessage(kind: UnsolicitedData, reason: string): void {
+    this._refusedReason = reason;
+    this._events.onUnsolicited(kind, this._requestId);
+  }
+
+  private _startResponse(head: MessageHead, headers: ResponseHeaders): void {
+    this._head = head;
+    this._responseHeaders = headers;
+    this._exchange?.onHead(head.status, headers);
+    const { bodyBytes } = headers;
     if (bodyBytes !== undefined && bodyBytes > kShortBodyBytes && !this._isHead) {
       this._reserveMemory(bodyBytes);
     }
@@ -289,6 +299,10 @@
   }
 
   private _handleBody(part: Buffer): void {
+    if (this._discarded) {
+      this._discard(this._discarded, part);
+      return;
+    }
     this._body.append(part);
     const { bytes } = this._body;
     if (bytes <= kShortBodyBytes || this._responseHeaders?.bodyBytes !== undefined) {
@@ -306,13 +320,29 @@
     }
   }
 
+  /** Discards a part of a late body. If it was incomplete, it contains the status line of the response to the request. */
+  private _discard(scanner: StatusLineScanner, part: Buffer): void {
+    if (scanner.push(part)) {
+      this._refuseMessage('joined_heads', kJoinedReason);
+    } else if (!this._history.discard(part.length)) {
+      this._refusedReason = kLateReason;
+    }
+  }
+
   /** Gives up the response once the current chunk is parsed. */
   private _refuseBody(bytes: number): void {
     this._refusedReason = kTooLongReason;
     this._exchange?.onRefused(bytes);
   }
 
-  private _handleMessageEnd(): void {
+  private _handleMessageEnd(trailers: readonly string[]): void {
+    if (this._discarded) {
+      this._discarded = undefined;
+      if (this._refusedReason === undefined && isJoinedHead({ reason: '', headers: trailers })) {
+        this._refuseMessage('joined_heads', kJoinedReason);
+      }
+      return;
+    }
     if (!this._unsolicited && this._head && isFinalStatus(this._head.status)) {
       this._complete = true;
     }
@@ -333,7 +363,7 @@
     this._complete = false;
     const exchange = this._exchange;
     this._exchange = undefined;
-    if (broken || !head.keepAlive) {
+    if (broken || !head.keepAlive || !this._history.allowsReuse) {
       this.close('connection not kept alive');
     } else {
       this._becomeIdle(headers.keepAliveSeconds);
@@ -367,8 +397,3 @@
 function isFinalStatus(status: number): boolean {
   return status >= 200;
 }
-
-/** Whether a status line is part of a reason phrase or a header value, as it is when an incomplete message precedes another. */
-function isJoined({ reason, headers }: MessageHead): boolean {
-  return kStatusLine.test(reason) || headers.some((text, i) => i % 2 === 1 && kStatusLine.test(text));
-}
