Start and follow the log past records that are nested too deeply to use

In a patch it ended the loop that follows the log for good, and `StreamTail` kept the rejected read, so that every later poll failed as well. Deep patches that conflicted, which are not applied, were cached, and failed when they were passed on to other daemons.

A rejected record stores no verdict, and is passed on as null, which other daemons skip likewise. An error in the use of a record fails that one read only.

Ruled out: `JSON.parse` and the schemas do not recurse over unknown values; claims and member records strip them.

--- a/packages/daemon/src/app/configService.ts
+++ b/packages/daemon/src/app/configService.ts
@@ -8,7 +8,7 @@
  * peers. Every daemon also polls the log at a low rate.
  */
 
-import { type Config, kConfigStream, kSnapshotStream, type PatchRecord } from '@gentiandrum/protocol';
+import { type Config, kConfigStream, kSnapshotStream, type PatchRecord, patchRecordSchema } from '@gentiandrum/protocol';
 import {
   type AppendResult,
   ConfigFold,
@@ -167,7 +167,7 @@
 
   private async _followLoop(): Promise<void> {
     while (!this._stopped) {
-      const result = this.isReader ? await this._tail.follow(kFollowWaitMs) : undefined;
+      const result = this.isReader ? await this._follow() : undefined;
       if (result?.kind !== 'read') {
         await this._wait(kRetryMs);
       } else if (this._isSnapshotPending()) {
@@ -176,6 +176,16 @@
     }
   }
 
+  /** Waits for new records. An error in the use of a record is a failed read, so that the records after it are read. */
+  private async _follow(): Promise<ReadResult> {
+    try {
+      return await this._tail.follow(kFollowWaitMs);
+    } catch (err) {
+      this._logger.error('config', 'Using a record of the log failed.', { err: err instanceof Error ? err.stack : String(err) });
+      return { kind: 'unavailable' };
+    }
+  }
+
   private async _appendSnapshot(): Promise<AppendResult> {
     const result = await this._log.append(kSnapshotStream, this.fold.snapshot(hexDigest));
     if (result.kind === 'appended') {
@@ -213,7 +223,8 @@
       return;
     }
     const changed = this.fold.apply(offset, value);
-    this._cachedRecords.push({ offset, value });
+    // Other daemons need the offset of every record, but only the content of patches; anything else may be impossible to serialize.
+    this._cachedRecords.push({ offset, value: patchRecordSchema.safeParse(value).data ?? null });
     this._cachedRecords = this._cachedRecords.slice(-kMaxCachedRecords);
     if (changed) {
       this._notifyVersion();
--- a/packages/daemon/src/client/streamTail.ts
+++ b/packages/daemon/src/client/streamTail.ts
@@ -37,10 +37,10 @@
       await inProgress;
       return this.readUpTo(upTo);
     }
-    this._reading = this._readPages(upTo, 0);
-    const result = await this._reading;
-    this._reading = undefined;
-    return result;
+    this._reading = this._readPages(upTo, 0).finally(() => {
+      this._reading = undefined;
+    });
+    return this._reading;
   }
 
   /** Waits up to `waitMs` for new records and applies them. */
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -6,6 +6,7 @@
 /** Headers and JSON schemas of the HTTP interface between daemons, targets, operators and callers. */
 
 import * as z from 'zod';
+import { shallowValueSchema } from './nesting.js';
 
 /** Request header with the opaque token that identifies the call chain. */
 export const kChainHeader = 'gentiandrum-chain';
@@ -43,7 +44,7 @@
   patchId: z.string().min(8).max(64),
   base: z.int().min(0),
   author: z.string().min(1).max(100),
-  patch: z.record(z.string(), z.unknown()),
+  patch: z.record(z.string(), shallowValueSchema),
 });
 
 /** Evidence that requests with one fingerprint crash targets. */
--- a/packages/protocol/src/recordSchemas.ts
+++ b/packages/protocol/src/recordSchemas.ts
@@ -6,6 +6,7 @@
 /** Schemas of the JSON records in the streams that the daemons keep in the platform's log. */
 
 import * as z from 'zod';
+import { shallowValueSchema } from './nesting.js';
 
 /** Stream of configuration patches. */
 export const kConfigStream = 'gentiandrum.config';
@@ -25,7 +26,7 @@
   base: z.int().min(0),
   author: z.string().max(100),
   /** RFC 7396 merge patch. */
-  patch: z.record(z.string(), z.unknown()),
+  patch: z.record(z.string(), shallowValueSchema),
 });
 
 /** Configuration that results from all patches below an offset of the configuration stream. */
@@ -33,8 +34,8 @@
   /** Offset of the first record that the snapshot does not include. */
   offset: z.int().min(0),
   version: z.int().min(0),
-  config: z.unknown(),
-  recentPatches: z.array(z.object({ patchId: z.string(), verdict: z.unknown() })),
+  config: shallowValueSchema,
+  recentPatches: z.array(z.object({ patchId: z.string(), verdict: shallowValueSchema })),
   digest: z.string(),
 });
 
--- a/tests/standins/logStandin.ts
+++ b/tests/standins/logStandin.ts
@@ -64,6 +64,11 @@
     return this._stream(stream).records;
   }
 
+  /** Appends a record by its JSON text, which may be nested more deeply than `JSON.stringify` can write. */
+  putText(name: string, json: string): void {
+    this._add(this._stream(name), Buffer.from(json));
+  }
+
   private async _serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://log');
     const body = await readJson(req);
@@ -96,17 +101,14 @@
     this.appends++;
     const stream = this._stream(name);
     const offset = stream.oldest + stream.records.length;
-    stream.records.push(value);
+    this._add(stream, value);
     if (this.faults.duplicate > 0) {
       this.faults.duplicate--;
-      stream.records.push(value);
+      this._add(stream, value);
     }
     const surplus = Math.max(0, stream.records.length - this.faults.retain);
     stream.records.splice(0, surplus);
     stream.oldest += surplus;
-    stream.waiters.forEach((wake) => {
-      wake();
-    });
     if (this.faults.loseReplies > 0) {
       this.faults.loseReplies--;
       res.destroy();
@@ -115,6 +117,13 @@
     sendJson(res, 200, { offset });
   }
 
+  private _add(stream: Stream, value: unknown): void {
+    stream.records.push(value);
+    stream.waiters.forEach((wake) => {
+      wake();
+    });
+  }
+
   private async _read(name: string, query: URLSearchParams, res: ServerResponse): Promise<void> {
     this.reads++;
     const stream = this._stream(name);
@@ -124,8 +133,11 @@
       await this._waitFor(stream, Number(query.get('wait_ms') ?? 0));
     }
     const values = stream.records.slice(from - stream.oldest, from - stream.oldest + limit);
-    const records = values.map((value, i) => ({ offset: from + i, value }));
-    sendJson(res, 200, { records, next: from + records.length, oldest: stream.oldest });
+    const records = values.map(
+      (value, i) => `{"offset":${from + i},"value":${value instanceof Buffer ? value.toString() : JSON.stringify(value)}}`,
+    );
+    const page = `{"records":[${records.join()}],"next":${from + records.length},"oldest":${stream.oldest}}`;
+    res.writeHead(200, { 'content-type': 'application/json' }).end(page);
   }
 
   private _waitFor(stream: Stream, ms: number): Promise<void> {
