--- a/packages/mesh/src/app/meshDaemon.ts
+++ b/packages/mesh/src/app/meshDaemon.ts
@@ -111,7 +111,7 @@
     this._chainControl = new ChainControl({ load: _settings.load, chains: this._chains });
     this._metrics = new MeshMetrics(_settings.zone, () => this._view());
     this._memory = new BodyMemory(_settings.memoryMb, this._metrics, _events);
-    this._metricsServer = new HostServer(async (req) => serveSuspects(req, this._suspects) ?? (await this._serveMetrics()));
+    this._metricsServer = new HostServer(async (req) => serveSuspects(req, this._suspects) ?? (await this._serveMetrics()), _events);
     this._configs = new ConfigHolder((cfg) => {
       this._calls.configure(cfg);
       this._workspaces.configApplied(cfg);
@@ -131,8 +131,8 @@
     this._gate = new TargetGate(this._gateDeps());
     this._network = new PeerNetwork(_settings.id, this._directory, this._networkEvents(), _events, this._memory.account);
     this._calls = new CallServer(this._callDeps());
-    this._ready = new HostServer((req) => this._serveReady(req));
-    this._announcements = new HostServer((req) => this._serveAnnouncement(req));
+    this._ready = new HostServer((req) => this._serveReady(req), _events);
+    this._announcements = new HostServer((req) => this._serveAnnouncement(req), _events);
     const { _gate: gate, _follower: follower, _network: network, _deadlines: deadlines, _workspaces: workspaces, _calls: calls } = this;
     this._periodicWork = new PeriodicWork({ gate, follower, network, deadlines, workspaces, calls }, _events);
   }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -32,3 +32,4 @@
 export * from './http/statedLoad.js';
 export * from './http/targetCondition.js';
 export * from './ports.js';
+export * from './server/hostServer.js';
