Restore the record of a running host that another writer replaced in the log

What callers saw: after one odd entry under the key of a running host, the other daemons kept the state of that entry for good, as no later record of the host counted as newer; or the log kept the entry, so that daemons that started later did not know the host.

Cause: a record in the epoch of the running daemon but with a later revision was ignored by that daemon, though all others took it. Entries that cannot be used were skipped, and the writer of the zone went on taking the record before them for the newest in the log. So it did with an entry of the same version but with another address, state or number of slots.

An entry that cannot be used, or contradicts the known record of its version, counts as missing from the log, and is written again.

The check in foreignWriters.spec.ts that odd records are skipped now expects the key of each one to be reported as invalid, in addition to the valid record; before, it expected the valid one alone, as invalid ones were not reported at all.

Ruled out: deep nesting in unknown fields (100,000 levels) was harmless before and after.

--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -51,3 +51,12 @@
 export function isNewerRecord(a: RecordVersion, b: RecordVersion): boolean {
   return a.epoch !== b.epoch ? a.epoch > b.epoch : a.revision > b.revision;
 }
+
+/** Fields that only change with the version of a record. */
+const kVersionedFields = ['zone', 'peers', 'service', 'instance', 'state', 'slots'] as const satisfies (keyof TargetRecord)[];
+
+/** Whether two records of one host have the same version, but were not both written by its daemon, as they differ in other fields. */
+export function isContradiction(a: TargetRecord, b: TargetRecord): boolean {
+  const isSameVersion = a.epoch === b.epoch && a.revision === b.revision;
+  return isSameVersion && kVersionedFields.some((field) => a[field] !== b[field]);
+}
--- a/packages/mesh/src/app/records/hostRecords.ts
+++ b/packages/mesh/src/app/records/hostRecords.ts
@@ -7,6 +7,7 @@
 
 import {
   type ChainModel,
+  isContradiction,
   isSameIncarnation,
   type LearnedChains,
   type Placement,
@@ -203,7 +204,7 @@
     const { settings, follower } = this._deps;
     switch (change.kind) {
       case 'record':
-        follower().recordLogged(change.record);
+        this._recordLogged(change.record);
         if (change.record.host === settings.id) {
           this._applyOwn(change.record);
         } else {
@@ -213,6 +214,20 @@
       case 'erased':
         follower().recordErased(change.host, true);
         this._removeOther(change.host);
+        return;
+      case 'invalid':
+        follower().recordErased(change.host, false);
+    }
+  }
+
+  /** Marks a record as present in the log, unless another writer put it in place of the one of that version, which has to be written again. */
+  private _recordLogged(record: TargetRecord): void {
+    const { directory, follower } = this._deps;
+    const known = directory.get(record.host);
+    if (known && isContradiction(known, record)) {
+      follower().recordErased(record.host, false);
+    } else {
+      follower().recordLogged(record);
     }
   }
 
@@ -249,6 +264,7 @@
   /** Restores the state that an earlier daemon of this host published, and raises the epoch above that of its record. */
   private _applyOwn(record: TargetRecord): void {
     if (record.epoch === this._epoch) {
+      this._replaceForeign(record);
       return;
     }
     this._predecessorAt = Math.max(this._predecessorAt ?? 0, record.epoch);
@@ -256,11 +272,26 @@
     this._applyLearned(record);
     this._deps.suspects.restore(record.suspects ?? []);
     if (record.epoch > this._epoch) {
-      this._epoch = record.epoch + 1;
-      this.updateOwn();
+      this._raiseEpoch(record);
     }
   }
 
+  /** A revision of this epoch that this daemon has not published is by another writer, and would displace its next ones. */
+  private _replaceForeign(record: TargetRecord): void {
+    if (record.revision > this._revision) {
+      this._deps.events.warn('log', 'Replacing a record of this host that another writer wrote.', {
+        got: record.revision,
+        own: this._revision,
+      });
+      this._raiseEpoch(record);
+    }
+  }
+
+  private _raiseEpoch({ epoch }: TargetRecord): void {
+    this._epoch = epoch + 1;
+    this.updateOwn();
+  }
+
   /** Adopts what other hosts of the same service learned about its routes, until this daemon has learned call ratios itself. */
   private _applyLearned({ learned, host, service }: TargetRecord): void {
     const { chains, settings } = this._deps;
--- a/packages/mesh/src/ports.ts
+++ b/packages/mesh/src/ports.ts
@@ -63,7 +63,11 @@
 }
 
 /** A change to the hosts' records in the log. */
-export type RecordChange = { kind: 'record'; record: TargetRecord } | { kind: 'erased'; host: string };
+export type RecordChange =
+  | { kind: 'record'; record: TargetRecord }
+  | { kind: 'erased'; host: string }
+  /** Another writer replaced the record of the host, if there is such a host, by one that cannot be used. */
+  | { kind: 'invalid'; host: string };
 
 /** The hosts' records in the platform's log. */
 export interface RecordLog extends LogView {
--- a/tests/platform/foreignWriters.spec.ts
+++ b/tests/platform/foreignWriters.spec.ts
@@ -138,7 +138,8 @@
       store.put(kTopic, 'bytes', '\u0000\u0001{');
       store.put(kTopic, 'h1', JSON.stringify(kRecord));
       t.true(await records.readNewest());
-      t.deepEqual(seen, [{ kind: 'record', record: kRecord }]);
+      const bad = [...values.map((_, i) => `bad-${i}`), 'bytes'].sort((x, y) => (x < y ? -1 : 1));
+      t.deepEqual(seen, [...bad.map((host): RecordChange => ({ kind: 'invalid', host })), { kind: 'record', record: kRecord }]);
     } finally {
       records.stop();
       store.close();
