--- a/tests/platform/foreignWriters.spec.ts
+++ b/tests/platform/foreignWriters.spec.ts
@@ -5,7 +5,7 @@
 
 /** Guards against malformed heartbeats, records and configurations from other writers being used or displacing valid ones. */
 
-import type { TargetRecord } from '@gentiandrum/core';
+import { TargetLifecycle, type TargetRecord } from '@gentiandrum/core';
 import { EventLog, type RecordChange } from '@gentiandrum/mesh';
 import { decodeConfig, platformDialect, StoreClient, StoreRecordLog } from '@gentiandrum/platform';
 import fc from 'fast-check';
@@ -85,6 +85,29 @@
     t.is(platformDialect.readAnnouncement('DELETE', kPath, Buffer.alloc(0))?.state, 'gone');
   });
 
+  // A number that no later heartbeat exceeds made all of them count as late, so that a draining target was not noticed.
+  it('should not keep later heartbeats from being applied', (t) => {
+    const draining = { ...kHeartbeat, status: { ...kHeartbeat.status, state: 'draining', sequence: 5 } };
+    const isApplied = (field: string, odd: string): boolean => {
+      const lifecycle = new TargetLifecycle(kHeartbeat.address);
+      const text = JSON.stringify(kHeartbeat).replace(new RegExp(`("${field}":)[^,}]+`), `$1${odd}`);
+      for (const body of [text, JSON.stringify(draining)]) {
+        const announcement = platformDialect.readAnnouncement('PUT', kPath, Buffer.from(body));
+        if (announcement) {
+          lifecycle.announce(announcement);
+        }
+      }
+      const { state, slots, coldMs } = lifecycle.known;
+      return state === 'draining' && slots === 8 && coldMs === 0;
+    };
+    const fields = ['born', 'slots', 'sequence', 'cold_remaining_ms'];
+    const cases = fields.flatMap((field) => ['1e308', '1e999', '9007199254740993', '9007199254740991'].map((odd) => [field, odd] as const));
+    t.deepEqual(
+      cases.filter((each) => !isApplied(...each)),
+      [],
+    );
+  });
+
   itSerial('should not replace the target', (t) =>
     withFleet(async (fleet) => {
       fleet.configure([{ prefix: '/a/', service: 'reads' }]);
