Skip a configuration whose version does not have eight digits

What callers saw: nothing that was reported.

Cause: the version was parsed as a hexadecimal number of any length, up to the first other character.

Evidence: tests/platform/foreignWriters.spec.ts before: read as version.

Not told apart: `ffffffff` is a version, and blocks all later ones.

--- a/tests/platform/foreignWriters.spec.ts
+++ b/tests/platform/foreignWriters.spec.ts
@@ -179,4 +179,17 @@
       }),
     );
   });
+
+  // A version with more digits was in force, or blocked all later ones.
+  it('should be rejected when their version is not one of eight digits, however deeply the rest is nested', (t) => {
+    const limits = { max_header_bytes: 16_384, max_body_bytes: 1_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 };
+    const text = JSON.stringify({ version: '?', routes: [], services: [], limits, extra: ['?deep'] });
+    const deep = text.replace('"?deep"', () => `${'['.repeat(100_000)}${']'.repeat(100_000)}`);
+    const decode = (version: string): number | undefined => decodeConfig(Buffer.from(deep.replace('?', version)))?.version;
+    for (const odd of ['1fffffffffffff', 'fffffffff', '1e999', '-0000001', '0000000g', '0x00000c', ' 000000c', '', '12']) {
+      t.is(decode(odd), undefined, odd);
+    }
+    t.is(decode('0000000c'), 12);
+    t.is(decode('ffffffff'), 0xffffffff);
+  });
 });
