--- a/packages/core/src/quarantine/suspects.ts
+++ b/packages/core/src/quarantine/suspects.ts
@@ -17,7 +17,7 @@
 const kMaxSnapshot = 100;
 
 /** Maximum number of suspicions stored in the record of one host. */
-const kMaxPersisted = 8;
+export const kMaxPersistedSuspects = 8;
 
 /** Changes that are reported to the operator. */
 export type SuspectEvent =
@@ -74,7 +74,7 @@
     return this._table
       .list()
       .filter((suspicion) => verdictOf(suspicion) === 'quarantined' && suspicion.marks.some(({ crash }) => this._localCrashes.has(crash)))
-      .slice(0, kMaxPersisted);
+      .slice(0, kMaxPersistedSuspects);
   }
 
   /** All suspicions with crashes that count, most severe first. */
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -54,7 +54,7 @@
 /** Number of crashes during probes at which a fingerprint is quarantined; a single one may be a coincidence. */
 const kMaxProbedCrashes = 2;
 /** Maximum number of marks per suspicion. The latest crashes are kept, so all daemons keep the same marks regardless of arrival order. */
-const kMaxMarks = 8;
+export const kMaxMarks = 8;
 
 /** Number of crashes that still count: a release clears any of them, a completed request only those outside a probe. */
 export function crashesOf({ marks }: Pick<Suspicion, 'marks'>): number {
--- a/tests/platform/foreignWriters.spec.ts
+++ b/tests/platform/foreignWriters.spec.ts
@@ -34,6 +34,35 @@
   revision: 1,
 };
 
+const kSuspicion = { fingerprint: 'f', screen: 1, route: 'r', marks: [] };
+
+/** Log that keeps its warnings. */
+class WarningLog extends EventLog {
+  readonly lines: string[] = [];
+
+  override warn(...line: Parameters<EventLog['warn']>): void {
+    this.lines.push(JSON.stringify(line));
+  }
+}
+
+type RecordsTest = (store: StoreStandin, records: StoreRecordLog, seen: RecordChange[], lines: readonly string[]) => Promise<void>;
+
+async function withRecords(body: RecordsTest): Promise<void> {
+  const store = new StoreStandin();
+  const client = new StoreClient(await store.start(), new EventLog('h1', 0, 0));
+  const log = new WarningLog('h0', 0, 0);
+  const records = new StoreRecordLog(client, log);
+  const seen: RecordChange[] = [];
+  records.onChanges((changes) => seen.push(...changes));
+  try {
+    await body(store, records, seen, log.lines);
+  } finally {
+    records.stop();
+    store.close();
+    await client.close();
+  }
+}
+
 /** Generates copies of an object with one field, at any depth, replaced by an arbitrary value. */
 function withReplacedField(original: object): fc.Arbitrary<unknown> {
   const paths = fieldPaths(original);
@@ -146,14 +175,8 @@
     }),
   );
 
-  itSerial('should be skipped while valid records are read', async (t) => {
-    const store = new StoreStandin();
-    const address = await store.start();
-    const client = new StoreClient(address, new EventLog('h1', 0, 0));
-    const records = new StoreRecordLog(client, new EventLog('h0', 0, 0));
-    const seen: RecordChange[] = [];
-    records.onChanges((changes) => seen.push(...changes));
-    try {
+  itSerial('should be skipped while valid records are read', (t) =>
+    withRecords(async (store, records, seen) => {
       const values = fc.sample(withReplacedField(kRecord), { numRuns: 200, seed: 5 });
       values.forEach((value, i) => {
         store.put(kTopic, `bad-${i}`, JSON.stringify(value));
@@ -163,12 +186,35 @@
       t.true(await records.readNewest());
       const bad = [...values.map((_, i) => `bad-${i}`), 'bytes'].sort((x, y) => (x < y ? -1 : 1));
       t.deepEqual(seen, [...bad.map((host): RecordChange => ({ kind: 'invalid', host })), { kind: 'record', record: kRecord }]);
-    } finally {
-      records.stop();
-      store.close();
-      await client.close();
-    }
-  });
+    }),
+  );
+
+  // One record made a line of ten megabytes.
+  itSerial('should be logged with a few of their faults', (t) =>
+    withRecords(async (store, records, _, lines) => {
+      const calls = Object.fromEntries(Array.from({ length: 15_000 }, (_, i) => [`r${i}`, i]));
+      store.put(kTopic, 'h1', JSON.stringify({ ...kRecord, learned: { calls, inner: {} } }));
+      store.put(kTopic, 'h2', JSON.stringify({ ...kRecord, suspects: [{ ...kSuspicion, marks: Array(100_000).fill(0) }] }));
+      store.put(kTopic, 'h3', JSON.stringify({ ...kRecord, learned: { calls: { ['r'.repeat(200_000)]: 1 }, inner: {} } }));
+      t.true(await records.readNewest());
+      t.is(lines.length, 3);
+      t.true(lines.every((line) => line.length < 1_000));
+    }),
+  );
+
+  // A run without an end kept a request from running on any other host.
+  itSerial('should be used without runs, and not with more suspicions than a host publishes', (t) =>
+    withRecords(async (store, records, seen) => {
+      const suspects = [{ ...kSuspicion, runs: [{ host: 'h9', startedAt: 1e308, remainingMs: 1e308 }] }];
+      store.put(kTopic, 'h1', JSON.stringify({ ...kRecord, suspects }));
+      store.put(kTopic, 'h2', JSON.stringify({ ...kRecord, host: 'h2', suspects: Array(9).fill(kSuspicion) }));
+      t.true(await records.readNewest());
+      t.deepEqual(seen, [
+        { kind: 'record', record: { ...kRecord, suspects: [kSuspicion] } },
+        { kind: 'invalid', host: 'h2' },
+      ]);
+    }),
+  );
 });
 
 describe('configurations', () => {
