Evict the same suspicions on all daemons, so that they do not exchange them without end

What callers saw, in trials with three daemons in one process: after 1,000 odd records with 8 suspicions each, the process answered nothing more; with 50 each, 2 of 20 requests got 504 and 1.27 GB were in use when output ended.

Cause: above 1,000 fingerprints, a daemon evicted the entries that it had changed least recently. Each suspicion that arrived displaced one that another daemon still had and sent again, and each change was forwarded to up to four daemons.

Evidence: tests/quarantine/suspectFlood.spec.ts, 3 daemons and 1,200 fingerprints, read in three orders. Before: still exchanging at the limit of 10,800 messages, which is each one forwarded by each daemon to each other one. After: the exchange ends below it, and all daemons keep the same 1,000.

Why it works: entries are evicted by the number of crashes, then by the time of the last one, and a suspicion that is not kept is not forwarded. Every daemon thus ranks the same ones highest, and what it evicted does not displace anything when it arrives again.

Ruled out: 8,000 records of hosts that do not exist, without suspicions: 199 of 200 requests got 200, one 503 (a trial).

--- a/packages/core/src/quarantine/suspectTable.ts
+++ b/packages/core/src/quarantine/suspectTable.ts
@@ -111,7 +111,7 @@
     return this._updateMarks(fingerprint, (mark) => ({ ...mark, released: true }));
   }
 
-  /** Merges suspicions; returns those that changed. */
+  /** Merges suspicions; returns those that changed and were kept. */
   merge(received: readonly Suspicion[]): Suspicion[] {
     const changed: Suspicion[] = [];
     for (const suspicion of received) {
@@ -123,7 +123,7 @@
       }
     }
     this._evictSurplus();
-    return changed;
+    return changed.filter(({ fingerprint }) => this._entries.has(fingerprint));
   }
 
   /** Removes expired entries; called periodically. */
@@ -178,15 +178,22 @@
     }
   }
 
-  /** Evicts entries above the capacity: those with the fewest crashes first, then the least recently changed. */
+  /**
+   * Evicts entries above the capacity: those with the fewest crashes first, then those with the earliest last crash. The order is the same on
+   * all daemons, as they would otherwise send each other the entries that they evicted, without end.
+   */
   private _evictSurplus(): void {
     const surplus = this._entries.size - kMaxFingerprints;
     if (surplus <= 0) {
       return;
     }
-    const oldestFirst = [...this._entries.values()].map(({ suspicion }) => suspicion);
-    oldestFirst
-      .sort((a, b) => crashesOf(a) - crashesOf(b))
+    const ranked = [...this._entries.values()].map(({ suspicion }) => ({
+      fingerprint: suspicion.fingerprint,
+      crashes: crashesOf(suspicion),
+      lastAt: Math.max(...suspicion.marks.map(({ at }) => at)),
+    }));
+    ranked
+      .sort((a, b) => a.crashes - b.crashes || a.lastAt - b.lastAt || (a.fingerprint < b.fingerprint ? -1 : 1))
       .slice(0, surplus)
       .forEach(({ fingerprint }) => {
         this._delete(fingerprint);
