--- a/tests/platform/foreignWriters.spec.ts
+++ b/tests/platform/foreignWriters.spec.ts
@@ -5,7 +5,7 @@
 
 /** Guards against malformed heartbeats, records and configurations from other writers being used or displacing valid ones. */
 
-import type { TargetRecord } from '@gentiandrum/core';
+import { TargetLifecycle, type TargetRecord } from '@gentiandrum/core';
 import { EventLog, type RecordChange } from '@gentiandrum/mesh';
 import { decodeConfig, platformDialect, StoreClient, StoreRecordLog } from '@gentiandrum/platform';
 import fc from 'fast-check';
@@ -34,6 +34,35 @@
   revision: 1,
 };
 
+const kSuspicion = { fingerprint: 'f', screen: 1, route: 'r', marks: [] };
+
+/** Log that keeps its warnings. */
+class WarningLog extends EventLog {
+  readonly lines: string[] = [];
+
+  override warn(...line: Parameters<EventLog['warn']>): void {
+    this.lines.push(JSON.stringify(line));
+  }
+}
+
+type RecordsTest = (store: StoreStandin, records: StoreRecordLog, seen: RecordChange[], lines: readonly string[]) => Promise<void>;
+
+async function withRecords(body: RecordsTest): Promise<void> {
+  const store = new StoreStandin();
+  const client = new StoreClient(await store.start(), new EventLog('h1', 0, 0));
+  const log = new WarningLog('h0', 0, 0);
+  const records = new StoreRecordLog(client, log);
+  const seen: RecordChange[] = [];
+  records.onChanges((changes) => seen.push(...changes));
+  try {
+    await body(store, records, seen, log.lines);
+  } finally {
+    records.stop();
+    store.close();
+    await client.close();
+  }
+}
+
 /** Generates copies of an object with one field, at any depth, replaced by an arbitrary value. */
 function withReplacedField(original: object): fc.Arbitrary<unknown> {
   const paths = fieldPaths(original);
@@ -85,6 +114,29 @@
     t.is(platformDialect.readAnnouncement('DELETE', kPath, Buffer.alloc(0))?.state, 'gone');
   });
 
+  // A number that no later heartbeat exceeds made all of them count as late, so that a draining target was not noticed.
+  it('should not keep later heartbeats from being applied', (t) => {
+    const draining = { ...kHeartbeat, status: { ...kHeartbeat.status, state: 'draining', sequence: 5 } };
+    const isApplied = (field: string, odd: string): boolean => {
+      const lifecycle = new TargetLifecycle(kHeartbeat.address);
+      const text = JSON.stringify(kHeartbeat).replace(new RegExp(`("${field}":)[^,}]+`), `$1${odd}`);
+      for (const body of [text, JSON.stringify(draining)]) {
+        const announcement = platformDialect.readAnnouncement('PUT', kPath, Buffer.from(body));
+        if (announcement) {
+          lifecycle.announce(announcement);
+        }
+      }
+      const { state, slots, coldMs } = lifecycle.known;
+      return state === 'draining' && slots === 8 && coldMs === 0;
+    };
+    const fields = ['born', 'slots', 'sequence', 'cold_remaining_ms'];
+    const cases = fields.flatMap((field) => ['1e308', '1e999', '9007199254740993', '9007199254740991'].map((odd) => [field, odd] as const));
+    t.deepEqual(
+      cases.filter((each) => !isApplied(...each)),
+      [],
+    );
+  });
+
   itSerial('should not replace the target', (t) =>
     withFleet(async (fleet) => {
       fleet.configure([{ prefix: '/a/', service: 'reads' }]);
@@ -123,14 +175,8 @@
     }),
   );
 
-  itSerial('should be skipped while valid records are read', async (t) => {
-    const store = new StoreStandin();
-    const address = await store.start();
-    const client = new StoreClient(address, new EventLog('h1', 0, 0));
-    const records = new StoreRecordLog(client, new EventLog('h0', 0, 0));
-    const seen: RecordChange[] = [];
-    records.onChanges((changes) => seen.push(...changes));
-    try {
+  itSerial('should be skipped while valid records are read', (t) =>
+    withRecords(async (store, records, seen) => {
       const values = fc.sample(withReplacedField(kRecord), { numRuns: 200, seed: 5 });
       values.forEach((value, i) => {
         store.put(kTopic, `bad-${i}`, JSON.stringify(value));
@@ -138,13 +184,37 @@
       store.put(kTopic, 'bytes', '\u0000\u0001{');
       store.put(kTopic, 'h1', JSON.stringify(kRecord));
       t.true(await records.readNewest());
-      t.deepEqual(seen, [{ kind: 'record', record: kRecord }]);
-    } finally {
-      records.stop();
-      store.close();
-      await client.close();
-    }
-  });
+      const bad = [...values.map((_, i) => `bad-${i}`), 'bytes'].sort((x, y) => (x < y ? -1 : 1));
+      t.deepEqual(seen, [...bad.map((host): RecordChange => ({ kind: 'invalid', host })), { kind: 'record', record: kRecord }]);
+    }),
+  );
+
+  // One record made a line of ten megabytes.
+  itSerial('should be logged with a few of their faults', (t) =>
+    withRecords(async (store, records, _, lines) => {
+      const calls = Object.fromEntries(Array.from({ length: 15_000 }, (_, i) => [`r${i}`, i]));
+      store.put(kTopic, 'h1', JSON.stringify({ ...kRecord, learned: { calls, inner: {} } }));
+      store.put(kTopic, 'h2', JSON.stringify({ ...kRecord, suspects: [{ ...kSuspicion, marks: Array(100_000).fill(0) }] }));
+      store.put(kTopic, 'h3', JSON.stringify({ ...kRecord, learned: { calls: { ['r'.repeat(200_000)]: 1 }, inner: {} } }));
+      t.true(await records.readNewest());
+      t.is(lines.length, 3);
+      t.true(lines.every((line) => line.length < 1_000));
+    }),
+  );
+
+  // A run without an end kept a request from running on any other host.
+  itSerial('should be used without runs, and not with more suspicions than a host publishes', (t) =>
+    withRecords(async (store, records, seen) => {
+      const suspects = [{ ...kSuspicion, runs: [{ host: 'h9', startedAt: 1e308, remainingMs: 1e308 }] }];
+      store.put(kTopic, 'h1', JSON.stringify({ ...kRecord, suspects }));
+      store.put(kTopic, 'h2', JSON.stringify({ ...kRecord, host: 'h2', suspects: Array(9).fill(kSuspicion) }));
+      t.true(await records.readNewest());
+      t.deepEqual(seen, [
+        { kind: 'record', record: { ...kRecord, suspects: [kSuspicion] } },
+        { kind: 'invalid', host: 'h2' },
+      ]);
+    }),
+  );
 });
 
 describe('configurations', () => {
@@ -155,4 +225,17 @@
       }),
     );
   });
+
+  // A version with more digits was in force, or blocked all later ones.
+  it('should be rejected when their version is not one of eight digits, however deeply the rest is nested', (t) => {
+    const limits = { max_header_bytes: 16_384, max_body_bytes: 1_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 };
+    const text = JSON.stringify({ version: '?', routes: [], services: [], limits, extra: ['?deep'] });
+    const deep = text.replace('"?deep"', () => `${'['.repeat(100_000)}${']'.repeat(100_000)}`);
+    const decode = (version: string): number | undefined => decodeConfig(Buffer.from(deep.replace('?', version)))?.version;
+    for (const odd of ['1fffffffffffff', 'fffffffff', '1e999', '-0000001', '0000000g', '0x00000c', ' 000000c', '', '12']) {
+      t.is(decode(odd), undefined, odd);
+    }
+    t.is(decode('0000000c'), 12);
+    t.is(decode('ffffffff'), 0xffffffff);
+  });
 });
