Match responses of targets to their requests by an id, or by a connection of their own

Cause: a response was taken for the one to the request in flight on its connection. undici closes a connection on which data arrives without a request, so a second response does no harm in one read with the first one or on an idle connection. It does when it arrives after the next request was sent, and then nothing but its content shows that it is another one.

Change: requests to targets carry gentiandrum-attempt-id. A connection is used again only if its last response repeated the id of its request in a head that can't be joined from two (standard reason phrase, no status line in a value). On a used connection no other response is accepted; the attempt ends as lost, which may have run. The first response on a connection needs no id.

Why it works: the bytes of a second response precede the whole response that was awaited, so the head that is read either is that of the second one, with another id, or contains the status line of the awaited one in its phrase or a value; elsewhere the parser rejects it. undici reports only the last piece of a phrase, so a phrase that ends another standard one does not keep a connection either.

One connection for each request of every target would cost most of the latency that the layer may add; one for each request only after evidence would deliver the first wrong response. So targets that repeat ids keep their connections, and the others get whole answers at that price, by default.

Ruled out: a check in undici's handler without the connection, as the first response on a connection of a target without ids must be accepted; reset requests, as the target is known to repeat ids only from its response.

--- a/packages/daemon/src/app/offerService.ts
+++ b/packages/daemon/src/app/offerService.ts
@@ -23,7 +23,7 @@
   type Suspicion,
   wallMs,
 } from '@gentiandrum/core';
-import { kChainHeader, kTimeoutHeader, type OfferTerms } from '@gentiandrum/protocol';
+import { kAttemptIdHeader, kChainHeader, kTimeoutHeader, type OfferTerms } from '@gentiandrum/protocol';
 import { type ExchangeResult, HttpExchange } from '../client/httpExchange.js';
 import type { Pools } from '../client/pools.js';
 import { type ChainTokens, withBaggage } from './chainToken.js';
@@ -159,7 +159,7 @@
     const remainingMs = deadline - monotonicMs();
     const headers = this._headersFor(terms, payload, remainingMs);
     this._deps.suspects.started(attempt);
-    const pool = this._deps.pools.get(announcement.url, announcement.connections);
+    const pool = this._deps.pools.getTarget(announcement.url, announcement.connections);
     return new Promise((resolve) => {
       let abortReason: 'timeout' | 'cancelled' | undefined;
       const done = (result: ExchangeResult): void => {
@@ -216,6 +216,7 @@
     const baggage = payload.headers.baggage;
     return {
       ...payload.headers,
+      [kAttemptIdHeader]: terms.attempt,
       [kChainHeader]: token,
       baggage: withBaggage(Array.isArray(baggage) ? baggage.join(',') : baggage, token),
       [kTimeoutHeader]: String(Math.max(1, Math.floor(remainingMs))),
--- a/packages/daemon/src/client/pools.ts
+++ b/packages/daemon/src/client/pools.ts
@@ -6,10 +6,18 @@
 /** HTTP connection pools, one for each origin. */
 
 import { Pool } from 'undici';
+import { TargetPool } from './targetPool.js';
 
 const kKeepAliveMs = 60_000;
 const kConnectTimeoutMs = 1_000;
 const kMaxHeaderBytes = 65_536;
+const kOptions: Pool.Options = {
+  pipelining: 1,
+  keepAliveTimeout: kKeepAliveMs,
+  keepAliveMaxTimeout: kKeepAliveMs,
+  connect: { timeout: kConnectTimeoutMs },
+  maxHeaderSize: kMaxHeaderBytes,
+};
 
 export class Pools {
   private readonly _pools = new Map<string, Pool>();
@@ -18,20 +26,13 @@
   constructor(private readonly _connections: number) {}
 
   /** Returns the pool for an origin such as `http://10.1.2.3:80`; creates it on first use. */
-  get(origin: string, connections = this._connections): Pool {
-    let pool = this._pools.get(origin);
-    if (!pool) {
-      pool = new Pool(origin, {
-        connections,
-        pipelining: 1,
-        keepAliveTimeout: kKeepAliveMs,
-        keepAliveMaxTimeout: kKeepAliveMs,
-        connect: { timeout: kConnectTimeoutMs },
-        maxHeaderSize: kMaxHeaderBytes,
-      });
-      this._pools.set(origin, pool);
-    }
-    return pool;
+  get(origin: string): Pool {
+    return this._pools.get(origin) ?? this._add(origin, new Pool(origin, { ...kOptions, connections: this._connections }));
+  }
+
+  /** Returns the pool for a target with this maximum number of connections. */
+  getTarget(origin: string, connections: number): Pool {
+    return this._pools.get(origin) ?? this._add(origin, new TargetPool(origin, { ...kOptions, connections }));
   }
 
   /** Closes the pools of all other origins, each after its requests in flight. */
@@ -48,4 +49,9 @@
   async destroy(): Promise<void> {
     await Promise.all([...this._pools.values()].map((pool) => pool.destroy()));
   }
+
+  private _add(origin: string, pool: Pool): Pool {
+    this._pools.set(origin, pool);
+    return pool;
+  }
 }
--- a/packages/protocol/src/apiSchemas.ts
+++ b/packages/protocol/src/apiSchemas.ts
@@ -13,6 +13,8 @@
 export const kBaggageKey = 'gentiandrum-chain';
 /** Request header with the caller's timeout, in milliseconds. */
 export const kTimeoutHeader = 'gentiandrum-timeout-ms';
+/** Request header to targets with the id of the attempt; a target that repeats it in its responses keeps its connections. */
+export const kAttemptIdHeader = 'gentiandrum-attempt-id';
 /** Response header with the request id. */
 export const kRequestIdHeader = 'gentiandrum-request-id';
 /** Response header with the outcome of the call: `not_run`, `unknown` or `ran`. */
--- a/tests/standins/targetStandin.ts
+++ b/tests/standins/targetStandin.ts
@@ -7,6 +7,7 @@
 
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, request as httpRequest, type Server, type ServerResponse } from 'node:http';
+import { kAttemptIdHeader } from '@gentiandrum/protocol';
 import { readBody, readJson, sendJson } from './httpJson.js';
 import { sendEndlessly } from './sendEndlessly.js';
 
@@ -128,6 +129,7 @@
       await this._control(req, res);
       return;
     }
+    res.setHeader(kAttemptIdHeader, req.headers[kAttemptIdHeader] ?? '');
     if (this._running >= this.behaviour.slots) {
       res.writeHead(503, { 'retry-after': '1' }).end('shed');
       return;
