Refuse CONNECT, whose body was read as the next request

What callers saw: a request inside the body of another one was run (routing daemon).

Cause: llhttp takes what follows the head of CONNECT for the data of a tunnel, whatever its framing headers say. The daemon offers no tunnel, resumed the parser behind the head, and so parsed the body as a request. CONNECT to a path was forwarded without its body.

Evidence: the new test sends CONNECT to an authority and to a path, without a body, with a length and chunked, each with a request behind the head. On the code before, the request in the body reached the target, and up to three responses came on one connection.

Why it works: nothing behind a rejected request is read, as after other malformed ones. CONNECT has no use at a gateway without tunnels (RFC 9110, 9.3.6).

Ruled out: reading its body in the parser, as the library reports no framing for it.

--- a/packages/mesh/src/server/callerConnection.ts
+++ b/packages/mesh/src/server/callerConnection.ts
@@ -266,7 +266,10 @@
       this._sequence.chooseLast();
     }
     this._reading = req;
-    if (headers.bodyBytes > this._owner.limits.bodyBytes) {
+    if (method === 'CONNECT') {
+      // The parser takes what follows for the data of a tunnel, also a body, which must not be read as the next request.
+      this._rejectRequest(req, 'malformed');
+    } else if (headers.bodyBytes > this._owner.limits.bodyBytes) {
       this._rejectRequest(req, 'body_too_long');
     } else if (headers.bodyBytes > kShortBodyBytes) {
       this._reserveMemory(req);
--- a/tests/mesh/callers.spec.ts
+++ b/tests/mesh/callers.spec.ts
@@ -119,6 +119,25 @@
     }),
   );
 
+  // The body of CONNECT, which the parser takes for the data of a tunnel, was read as the next request and run.
+  itSerial('should not be able to smuggle a request behind CONNECT', (t) =>
+    withFleet(async (fleet) => {
+      const host = await startHost(fleet);
+      const before = host.target.seen.length;
+      const inner = requestText('/a/inner', 'c2');
+      for (const target of ['app.example:80', '/a/1']) {
+        for (const headers of [[], [`Content-Length: ${inner.length}`], ['Transfer-Encoding: chunked']]) {
+          const caller = await RawCaller.open(host.calls);
+          caller.write(requestText(target, 'c1', { method: 'CONNECT', headers, body: inner }));
+          caller.write(inner);
+          const text = await caller.untilClosed();
+          t.is(text.match(/HTTP\/1.1 \d/g)?.length, 1, `${target} ${headers.join()}: ${text}`);
+        }
+      }
+      t.false(host.target.seen.slice(before).some(({ id }) => id === 'c2'));
+    }),
+  );
+
   itSerial('should have an idempotent request aborted on the target when they disconnect, and a non-idempotent one completed', (t) =>
     withFleet(async (fleet) => {
       const host = await startHost(fleet);
