Tests of second responses: no names of the platform

utils/checkNames.mjs rejects names of the platform outside its folders; two new tests of the daemon for callers with headers used its header for the id of a request. The id is in the path now, and the header lines are plain ones. The cases, offsets, statuses, orders and checks are the same.

--- a/tests/e2e/secondResponses.spec.ts
+++ b/tests/e2e/secondResponses.spec.ts
@@ -6,7 +6,7 @@
 /** Guards against a caller getting the response to another request from a target that responds to an earlier one again. */
 
 import test from 'ava';
-import { RawTarget, responseText } from '../platform/rawTarget.js';
+import { RawTarget } from '../platform/rawTarget.js';
 import { describe, itSerial } from '../support/describe.js';
 import { Fleet } from '../support/fleet.js';
 import { kSampleConfig } from '../support/sampleConfig.js';
@@ -17,8 +17,8 @@
 let fleet: Fleet;
 /** Response to the newest request, which is sent again ahead of the next one on each connection. */
 let late = '';
-const target = new RawTarget(({ id, position, connection }) => {
-  const response = responseText(id, 200, id);
+const target = new RawTarget(({ path, position, connection }) => {
+  const response = `HTTP/1.1 200 OK\r\nContent-Length: ${path.length}\r\n\r\n${path}`;
   connection.write(position > 0 ? late + response : response);
   late = response;
 });
@@ -53,10 +53,10 @@
       const results: string[] = [];
       const call = async (caller: number): Promise<void> => {
         for (let n = 0; n < kRequests / kCallers; n++) {
-          const id = `${host}-${caller}-${n}`;
-          const res = await fetch(`http://${fleet.host(host).address}/alpha/x`, { headers: { 'x-attempt-id': id } });
+          const path = `/${host}-${caller}-${n}`;
+          const res = await fetch(`http://${fleet.host(host).address}/alpha${path}`);
           const body = await res.text();
-          results.push(res.status === 200 && body === id ? 'own' : `${res.status} ${body}`);
+          results.push(res.status === 200 && body === path ? 'own' : `${res.status} ${body}`);
         }
       };
       await Promise.all(Array.from({ length: kCallers }, (_, caller) => call(caller)));
--- a/tests/targets/secondResponses.spec.ts
+++ b/tests/targets/secondResponses.spec.ts
@@ -10,7 +10,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { exchange, Pools } from '@gentiandrum/daemon';
 import { kAttemptIdHeader } from '@gentiandrum/protocol';
-import { RawTarget, responseText } from '../platform/rawTarget.js';
+import { RawTarget, type RawRequest } from '../platform/rawTarget.js';
 import { describe, itSerial } from '../support/describe.js';
 
 const kTimeoutMs = 2_000;
@@ -34,20 +34,23 @@
   end?: string;
 }
 
-/** Writes the text of a response. */
-type Style = typeof responseText;
+/** Returns the text of a response; `order` lists the indexes of its header lines. */
+type Style = (id: string, status: number, body: string, order?: readonly number[]) => string;
 type Place = (start: string, end: string) => Surplus;
 
-const responseTextWithId: Style = (id, status, body, order) =>
-  responseText(id, status, body, order)
-    .replace('X-Attempt-Id', kAttemptIdHeader)
-    .replace('Some Reason', STATUS_CODES[status] ?? '');
+/** Returns a style with this name of the header with the id, and this phrase in place of the standard one. */
+function styleOf(idHeader: string, ownPhrase?: string): Style {
+  return (id, status, body, order = [0, 1, 2, 3]) => {
+    const lines = [`${idHeader}: ${id}`, 'Server: raw', `Content-Length: ${body.length}`, 'Date: Sat, 05 Dec 2026 10:00:00 GMT'];
+    return `HTTP/1.1 ${status} ${ownPhrase ?? STATUS_CODES[status] ?? ''}\r\n${order.map((i) => lines[i]).join('\r\n')}\r\n\r\n${body}`;
+  };
+}
 
+const kWithIds = styleOf(kAttemptIdHeader);
 const kStyles: Record<string, Style> = {
-  'repeats attempt ids': responseTextWithId,
-  'repeats attempt ids and has its own reason phrases': (id, status, body, order) =>
-    responseText(id, status, body, order).replace('X-Attempt-Id', kAttemptIdHeader),
-  'repeats no attempt ids': responseText,
+  'repeats attempt ids': kWithIds,
+  'repeats attempt ids and has its own reason phrases': styleOf(kAttemptIdHeader, 'Some Reason'),
+  'repeats no attempt ids': styleOf('X-Other-Id', 'Some Reason'),
 };
 
 const kWhole: Record<string, Place> = {
@@ -75,14 +78,16 @@
 
 /** Runs a test with a target and a function that sends it a request with this id. */
 async function withTarget(
-  respond: ConstructorParameters<typeof RawTarget>[0],
+  respond: (id: string, req: RawRequest) => void,
   body: (send: (id: string) => Promise<string>, target: RawTarget) => Promise<void>,
 ): Promise<void> {
-  const target = new RawTarget(respond);
+  const target = new RawTarget((req) => {
+    respond(req.path.slice(1), req);
+  });
   await target.start();
   const pools = new Pools(1);
   const send = async (id: string): Promise<string> => {
-    const req = { method: 'GET', path: '/x', headers: { [kAttemptIdHeader]: id, 'x-attempt-id': id }, body: new Uint8Array() };
+    const req = { method: 'GET', path: `/${id}`, headers: { [kAttemptIdHeader]: id }, body: new Uint8Array() };
     const result = await exchange(pools.getTarget(`http://${target.address}`, 1), req, kMaxBytes, kTimeoutMs);
     return result.kind === 'answered' ? `${result.status} ${String(result.body)}` : result.kind;
   };
@@ -100,7 +105,7 @@
   let ownStatus = 500;
   let socket: Socket | undefined;
   const mixed: string[] = [];
-  const respond: ConstructorParameters<typeof RawTarget>[0] = ({ id, position, connection }) => {
+  const respond = (id: string, { position, connection }: RawRequest): void => {
     if (id.startsWith('first')) {
       socket = connection;
       connection.write(style(id, 200, id) + (surplus.behind ?? ''));
@@ -154,8 +159,8 @@
     for (const status of [200, 302]) {
       for (let at = 1; at < 'HTTP/1.1 404 Not Found'.length; at++) {
         await withTarget(
-          ({ id, position, connection }) => {
-            const text = responseTextWithId(id, position === 0 ? 200 : 404, id);
+          (id, { position, connection }) => {
+            const text = kWithIds(id, position === 0 ? 200 : 404, id);
             connection.write(position === 0 ? text : `HTTP/1.1 ${status} ${text.slice(0, at)}`);
             setTimeout(() => connection.write(position === 0 ? '' : text.slice(at)), kIdleMs);
           },
@@ -175,7 +180,7 @@
   for (const [i, [kind, style]] of Object.entries(kStyles).entries()) {
     itSerial(`should be ${kConnections[i] ?? 0} for ${kRequests} requests when it ${kind}`, async (t) => {
       await withTarget(
-        ({ id, connection }) => connection.write(style(id, 200, id)),
+        (id, { connection }) => connection.write(style(id, 200, id)),
         async (send, target) => {
           for (let n = 0; n < kRequests; n++) {
             t.is(await send(`own-${n}`), `200 own-${n}`);
