Add tests that fail: responses of targets cut at every byte

Responses of 24 framings and statuses, four of them also with another order of headers and after one and two interim responses, are cut at every offset; the target then closes the connection, resets it or sends nothing more, on a new connection and on one behind a whole response. The clients of both daemons must report a failure unless the whole response was sent and its end can be told from the loss of the connection.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -12,6 +12,7 @@
 export { ChainTokens } from './app/chainToken.js';
 export { loadSettings } from './app/loadSettings.js';
 export { exchange, HttpExchange } from './client/httpExchange.js';
+export { Pools } from './client/pools.js';
 export { main } from './server/main.js';
 export { startServer } from './server/startServer.js';
 export * from './client/connectionCheck.js';
--- /dev/null
+++ b/tests/targets/cutResponses.spec.ts
@@ -0,0 +1,99 @@
+/**
+ * Copyright (c) The gentiandrum authors.
+ * SPDX-License-Identifier: Apache-2.0
+ */
+
+/** Guards against a caller getting a response that its target did not send completely. */
+
+import { bodyParts, MemoryAccount } from '@gentiandrum/core';
+import { HttpExchange, Pools } from '@gentiandrum/daemon';
+import { type PeerCall, TargetClient } from '@gentiandrum/mesh';
+import { platformDialect } from '@gentiandrum/platform';
+import { type CutClient, playCuts } from '../platform/cutResponses.js';
+import { describe, itSerial } from '../support/describe.js';
+
+const kParallel = 32;
+const kRemainingMs = 60_000;
+const kMaxBytes = 1_000;
+
+const kCall: PeerCall = {
+  route: 'r',
+  service: 'reads',
+  waitMs: 100,
+  remainingMs: kRemainingMs,
+  repeat: false,
+  inner: false,
+  idempotent: true,
+  rank: undefined,
+  instance: 'i-1',
+  callerService: 'other',
+  workspace: undefined,
+  suspicion: undefined,
+  requestId: '',
+  method: 'GET',
+  path: '/a/x',
+  headers: [],
+  body: Buffer.alloc(0),
+};
+
+/** Client of the routing daemon. */
+function openTargetClient(address: string): CutClient {
+  const ignore = (): undefined => undefined;
+  const events = { onReachability: ignore, onCondition: ignore, onLoad: ignore, onNoRateLimit: ignore, onResponseRefused: ignore };
+  const client = new TargetClient(
+    address,
+    'i-1',
+    () => 1,
+    platformDialect.headers,
+    { ...events, onUnsolicited: ignore, onCrash: ignore },
+    new MemoryAccount(2 ** 20),
+  );
+  return {
+    run: (requestId, method, silent) =>
+      new Promise((resolve) => {
+        const run = client.run({ ...kCall, requestId, method }, kRemainingMs, ({ result }) => {
+          resolve(result.kind === 'answered' ? `${result.answer.status} ${bodyParts(result.answer.body).join('')}` : 'failed');
+        });
+        void silent.then(() => {
+          run.abort();
+        });
+      }),
+    close: () => {
+      client.close();
+    },
+  };
+}
+
+/** Client of the daemon for callers with headers. */
+function openExchange(address: string): CutClient {
+  const pools = new Pools(1);
+  return {
+    run: (id, method, silent) =>
+      new Promise((resolve) => {
+        const req = { method, path: '/a/x', headers: { [platformDialect.headers.requestId]: id }, body: Buffer.alloc(0) };
+        const exchange = new HttpExchange(pools.get(`http://${address}`), req, kMaxBytes, (result) => {
+          resolve(result.kind === 'answered' ? `${result.status} ${String(result.body)}` : 'failed');
+        });
+        void silent.then(() => {
+          exchange.abort();
+        });
+      }),
+    close: () => void pools.destroy(),
+  };
+}
+
+describe('a response that stops at any byte', () => {
+  for (const [name, open] of [
+    ['the routing daemon', openTargetClient],
+    ['the daemon for callers with headers', openExchange],
+  ] as const) {
+    for (const kept of [false, true]) {
+      // The end of a connection was taken for the end of a response that states none.
+      itSerial(`should be a failure at ${name}, on a ${kept ? 'kept' : 'new'} connection`, async (t) => {
+        const { cuts, wrong } = await playCuts(open, { kept, parallel: kParallel });
+        t.log(`${cuts} cuts`);
+        t.deepEqual(wrong, {});
+      });
+    }
+  }
+});
