Treat a response that ends with its connection as truncated

What callers saw: a 200 with an empty or short body and a length that fits it, through the daemon for callers with headers, when a target that states no length crashed or was reset in the middle of its response. The daemon sends a Content-Length of its own, so nothing shows that the rest is missing.

Cause: the HTTP client completes a response without a length, or with a transfer coding other than chunked, at the end of its connection. The system closes the connections of a crashed process in the same way as a process does that is done; even a reset counts as the end of such a response in the client.

Why it works: the response counts as truncated (502 answer_truncated, "unknown"; idempotent requests are retried) unless it states a length, is sent in chunks, or never has a body (HEAD, 204, 304).

Responses of the log keep being accepted without a length, as part of their JSON text is none and the interface asks for no length.

Ruled out: telling a crash by a check of the target after such a response; a target that is restarted at once, or one process of several, passes the check. Refusing resets only; a crash closes cleanly.

--- a/packages/daemon/src/client/httpExchange.ts
+++ b/packages/daemon/src/client/httpExchange.ts
@@ -26,9 +26,13 @@
   path: string;
   headers: Record<string, string | string[]>;
   body: Uint8Array;
+  /** Whether the body of the response shows its own end, as JSON does; a response that ends with its connection is accepted then. */
+  endsItself?: boolean;
 }
 
 const kEmptyBody = Buffer.alloc(0);
+/** Statuses of responses that never have a body. */
+const kBodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** An exchange in progress. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
@@ -51,17 +55,18 @@
    */
   constructor(
     dispatcher: Dispatcher,
-    req: ExchangeRequest,
+    private readonly _req: ExchangeRequest,
     private readonly _maxBytes: number,
     private readonly _onResult: (result: ExchangeResult) => void,
     private readonly _memory?: RequestMemory,
   ) {
+    const { method, path, headers, body } = _req;
     dispatcher.dispatch(
       {
-        method: req.method,
-        path: req.path,
-        headers: req.headers,
-        body: req.body.byteLength > 0 ? req.body : null,
+        method,
+        path,
+        headers,
+        body: body.byteLength > 0 ? body : null,
         headersTimeout: 0,
         bodyTimeout: 0,
       },
@@ -106,6 +111,10 @@
   }
 
   onResponseEnd(): void {
+    if (!this._isFramed()) {
+      this._settle({ kind: 'truncated' });
+      return;
+    }
     this._memory?.completeResponse();
     const [first] = this._chunks;
     const body = this._chunks.length === 1 && first ? first : this._chunks.length === 0 ? kEmptyBody : Buffer.concat(this._chunks);
@@ -116,6 +125,21 @@
     this._settle(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written, cause: err.message });
   }
 
+  /**
+   * Whether the end of the response can be distinguished from a lost connection, for example after a crash of the target. Transfer codings
+   * other than chunked are not requested, and not decoded.
+   */
+  private _isFramed(): boolean {
+    if (this._req.method === 'HEAD' || kBodilessStatuses.has(this._status)) {
+      return true;
+    }
+    const { 'transfer-encoding': coding, 'content-length': length } = this._headers ?? {};
+    if (coding !== undefined) {
+      return String(coding).toLowerCase() === 'chunked';
+    }
+    return length !== undefined || this._req.endsItself === true;
+  }
+
   /** Reserves memory for a response of known length; it is not read until that is available. */
   private _reserveMemory(controller: Dispatcher.DispatchController, bytes: number): void {
     this._reserved = true;
--- a/packages/daemon/src/client/logClient.ts
+++ b/packages/daemon/src/client/logClient.ts
@@ -57,7 +57,8 @@
 
   private async _send(method: string, path: string, body: Buffer, timeoutMs: number): Promise<ExchangeResult> {
     const headers = { 'content-type': 'application/json' };
-    const result = await exchange(this._pools.get(this._url), { method, path, headers, body }, kMaxResponseBytes, timeoutMs);
+    const req = { method, path, headers, body, endsItself: true };
+    const result = await exchange(this._pools.get(this._url), req, kMaxResponseBytes, timeoutMs);
     this.traffic.bytes += body.byteLength + path.length + (result.kind === 'answered' ? result.body.byteLength : 0);
     return result;
   }
--- a/tests/targets/cutResponses.spec.ts
+++ b/tests/targets/cutResponses.spec.ts
@@ -6,10 +6,11 @@
 /** Guards against a caller getting a response that its target did not send completely. */
 
 import { bodyParts, MemoryAccount } from '@gentiandrum/core';
-import { HttpExchange, Pools } from '@gentiandrum/daemon';
+import { exchange, HttpExchange, Pools } from '@gentiandrum/daemon';
 import { type PeerCall, TargetClient } from '@gentiandrum/mesh';
 import { platformDialect } from '@gentiandrum/platform';
 import { type CutClient, playCuts } from '../platform/cutResponses.js';
+import { RawTarget } from '../platform/rawTarget.js';
 import { describe, itSerial } from '../support/describe.js';
 
 const kParallel = 32;
@@ -97,3 +98,17 @@
     }
   }
 });
+
+describe('a response that ends with its connection', () => {
+  // Logs that answer so would be out of use, though a part of a JSON text is none.
+  itSerial('should be whole if its body shows its own end', async (t) => {
+    const log = new RawTarget(({ connection }) => connection.end('HTTP/1.0 200 OK\r\n\r\n{"offset":1}'));
+    await log.start();
+    const pools = new Pools(1);
+    const req = { method: 'GET', path: '/', headers: {}, body: Buffer.alloc(0), endsItself: true };
+    const result = await exchange(pools.get(`http://${log.address}`), req, kMaxBytes, kRemainingMs);
+    t.is(result.kind === 'answered' ? String(result.body) : result.kind, '{"offset":1}');
+    await pools.destroy();
+    log.close();
+  });
+});
