Accept a 304 that states the length of the content

What callers saw: 502 answer_truncated, "unknown", for a complete 304 with a Content-Length, through the daemon for callers with headers.

Cause: the length is that of the content which a 200 would have (RFC 9110, 8.6), and a 304 ends with its head; the HTTP client expects a body of that length and reports a mismatch once the head is complete.

Why it works: the mismatch is reported only when the message is complete, so for a 304 it says that the whole head was received. The connection is closed by the client, which costs a new one.

Ruled out: another parser for responses; dropping the header before the client sees it.

--- a/packages/daemon/src/client/httpExchange.ts
+++ b/packages/daemon/src/client/httpExchange.ts
@@ -11,7 +11,7 @@
  */
 
 import { kShortBodyBytes } from '@gentiandrum/core';
-import type { Dispatcher } from 'undici';
+import { type Dispatcher, errors } from 'undici';
 import type { RequestMemory } from '../app/requestMemory.js';
 
 /** Result of an exchange. `written` is true if any byte of the request may have been sent. */
@@ -31,8 +31,9 @@
 }
 
 const kEmptyBody = Buffer.alloc(0);
+const kNotModified = 304;
 /** Statuses of responses that never have a body. */
-const kBodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+const kBodilessStatuses: ReadonlySet<number> = new Set([204, kNotModified]);
 
 /** An exchange in progress. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
@@ -122,6 +123,11 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    if (this._status === kNotModified && err instanceof errors.ResponseContentLengthMismatchError) {
+      // The length is that of a response of 200 (RFC 9110, 8.6), but the client expects a body of that length.
+      this.onResponseEnd();
+      return;
+    }
     this._settle(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written, cause: err.message });
   }
 
