Do not accept responses with other transfer codings at the routing daemon

What callers saw: a 200 with an empty or short body and a length that fits it, when a target that sends "Transfer-Encoding: gzip" or "chunked, gzip" stopped after its head; and a body in a coding that no header names, when it sent all of it.

Cause: any transfer coding counted as one that shows the end of the body. Only chunked does if it is the last one (RFC 9112, 6.3); otherwise the body ends with the connection, which a crash closes too. The header is not forwarded, and the body not decoded.

Why it works: the response counts as lost (502, may have run) unless its only coding is chunked. Codings are never requested: the TE header of callers is not forwarded.

Ruled out: the cut within a head, after interim responses, within chunks and trailers, beside a length; none of these was ever accepted.

--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -30,7 +30,7 @@
 /** Headers of a response. */
 export interface ResponseHeaders {
   requestId: string;
-  /** Whether the end of the body can be distinguished from a lost connection. */
+  /** Whether the end of the body can be distinguished from a lost connection, and the body is not coded. */
   framed: boolean;
   /** Content length, in bytes; undefined when the header is missing. */
   bodyBytes: number | undefined;
@@ -163,6 +163,7 @@
     let connection = '';
     let rateLimit: string | undefined;
     let leaving: string | undefined;
+    let coding: string | undefined;
     for (let i = 0; i < raw.length; i += 2) {
       const name = raw[i] ?? '';
       const value = raw[i + 1] ?? '';
@@ -186,7 +187,7 @@
         read.framed = true;
         read.bodyBytes = Number(value);
       } else if (lower === 'transfer-encoding') {
-        read.framed = true;
+        coding = appendToList(coding, value);
       } else if (lower === 'keep-alive') {
         read.keepAliveSeconds = parseKeepAliveTimeout(value);
       } else if (lower === 'connection') {
@@ -196,6 +197,10 @@
     if (rateLimit !== undefined || leaving !== undefined) {
       read.condition = parseCondition(rateLimit, leaving);
     }
+    if (coding !== undefined) {
+      // Other transfer codings are not requested, and not decoded; with them a body may end with its connection (RFC 9112, 6.3).
+      read.framed = coding.toLowerCase() === 'chunked';
+    }
     read.forwarded = this._withoutConnectionOptions(read.forwarded, connection);
     return read;
   }
