Accept a response to HEAD that states no length

What callers saw: 502 for each HEAD request whose target sends no Content-Length, through the routing daemon.

Cause: a response without a length counts as lost, since its end cannot be told from a crash of the target; a response to HEAD ends with its head (RFC 9112, 6.3), so it can.

--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -309,7 +309,7 @@
       return { result: { kind: 'not_run', reason, retryAfterMs }, responded: true };
     }
     // A response that ends with its connection cannot be distinguished from a truncated one, for example after a crash of the target.
-    if (!headers.framed) {
+    if (!headers.framed && call.method !== 'HEAD') {
       return { result: { kind: 'lost', reason: 'answer without a length' }, responded: false };
     }
     if (kNotRunStatuses.has(status)) {
--- a/tests/platform/cutResponses.ts
+++ b/tests/platform/cutResponses.ts
@@ -51,6 +51,7 @@
   sample('chunks, close, status 404', [kChunked, 'Connection: close'], `${kChunks}\r\n`, { status: 404 }),
   sample('chunks and trailers', [kChunked, 'Trailer: X-Sum'], `${kChunks}X-Sum: 1\r\nX-More: 2\r\n\r\n`),
   sample('HEAD', [kLength], '', { method: 'HEAD', body: '' }),
+  sample('HEAD, no length', [], '', { method: 'HEAD', body: '' }),
   sample('status 204', [], '', { status: 204, body: '' }),
   sample('status 304', [kLength], '', { status: 304, body: '' }),
 ];
