Do not take the stated length of a response without a body for memory that it needs

What callers saw: 502 for a 304, and through the daemon for callers with headers also for a response to HEAD, whose Content-Length is above the limit for bodies. Below it, memory was reserved for bodies that never come, and the response waited for it.

Cause: such a length is that of the content of another response (RFC 9110, 8.6). Only the routing daemon, and only for HEAD, knew that.

--- a/packages/daemon/src/client/httpExchange.ts
+++ b/packages/daemon/src/client/httpExchange.ts
@@ -94,7 +94,7 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
     this._status = status;
     this._headers = headers as Record<string, string | string[]>;
-    const stated = Number(headers['content-length'] ?? 0);
+    const stated = this._hasBody() ? Number(headers['content-length'] ?? 0) : 0;
     if (stated > this._maxBytes) {
       this._refuseBody(controller);
     } else if (stated > kShortBodyBytes) {
@@ -131,12 +131,17 @@
     this._settle(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written, cause: err.message });
   }
 
+  /** Whether the response has a body; a length that it states otherwise is that of the content of another one (RFC 9110, 8.6). */
+  private _hasBody(): boolean {
+    return this._req.method !== 'HEAD' && !kBodilessStatuses.has(this._status);
+  }
+
   /**
    * Whether the end of the response can be distinguished from a lost connection, for example after a crash of the target. Transfer codings
    * other than chunked are not requested, and not decoded.
    */
   private _isFramed(): boolean {
-    if (this._req.method === 'HEAD' || kBodilessStatuses.has(this._status)) {
+    if (!this._hasBody()) {
       return true;
     }
     const { 'transfer-encoding': coding, 'content-length': length } = this._headers ?? {};
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -32,7 +32,7 @@
   requestId: string;
   /** Whether the end of the body can be distinguished from a lost connection, and the body is not coded. */
   framed: boolean;
-  /** Content length, in bytes; undefined when the header is missing. */
+  /** Content length, in bytes; undefined when the header is missing or the status allows no body. */
   bodyBytes: number | undefined;
   /** Whether the response proves that the target has not run the request. */
   notRun: boolean;
@@ -148,9 +148,10 @@
   /** Reads the headers of a response. */
   readResponse(raw: readonly string[], status: number): ResponseHeaders {
     const names = this._names;
+    const hasBody = status !== 204 && status !== 304;
     const read: ResponseHeaders = {
       requestId: '',
-      framed: status === 204 || status === 304,
+      framed: !hasBody,
       bodyBytes: undefined,
       notRun: false,
       sealed: false,
@@ -185,7 +186,7 @@
         read.requestId ||= value;
       } else if (lower === 'content-length') {
         read.framed = true;
-        read.bodyBytes = Number(value);
+        read.bodyBytes = hasBody ? Number(value) : undefined;
       } else if (lower === 'transfer-encoding') {
         coding = appendToList(coding, value);
       } else if (lower === 'keep-alive') {
--- a/tests/platform/cutResponses.ts
+++ b/tests/platform/cutResponses.ts
@@ -39,6 +39,8 @@
 }
 
 const kLength = `Content-Length: ${kBody.length}`;
+/** Longer than any body that the clients accept. */
+const kTooLong = 'Content-Length: 100000000';
 const kChunked = 'Transfer-Encoding: chunked';
 
 const kFramed = [
@@ -52,8 +54,10 @@
   sample('chunks and trailers', [kChunked, 'Trailer: X-Sum'], `${kChunks}X-Sum: 1\r\nX-More: 2\r\n\r\n`),
   sample('HEAD', [kLength], '', { method: 'HEAD', body: '' }),
   sample('HEAD, no length', [], '', { method: 'HEAD', body: '' }),
+  sample('HEAD, length beyond the limit', [kTooLong], '', { method: 'HEAD', body: '' }),
   sample('status 204', [], '', { status: 204, body: '' }),
   sample('status 304', [kLength], '', { status: 304, body: '' }),
+  sample('status 304, length beyond the limit', [kTooLong], '', { status: 304, body: '' }),
 ];
 
 const kUnframed = [
