--- a/packages/daemon/src/client/httpExchange.ts
+++ b/packages/daemon/src/client/httpExchange.ts
@@ -11,7 +11,7 @@
  */
 
 import { kShortBodyBytes } from '@gentiandrum/core';
-import type { Dispatcher } from 'undici';
+import { type Dispatcher, errors } from 'undici';
 import type { RequestMemory } from '../app/requestMemory.js';
 
 /** Result of an exchange. `written` is true if any byte of the request may have been sent. */
@@ -26,9 +26,14 @@
   path: string;
   headers: Record<string, string | string[]>;
   body: Uint8Array;
+  /** Whether the body of the response shows its own end, as JSON does; a response that ends with its connection is accepted then. */
+  endsItself?: boolean;
 }
 
 const kEmptyBody = Buffer.alloc(0);
+const kNotModified = 304;
+/** Statuses of responses that never have a body. */
+const kBodilessStatuses: ReadonlySet<number> = new Set([204, kNotModified]);
 
 /** An exchange in progress. */
 export class HttpExchange implements Dispatcher.DispatchHandler {
@@ -51,17 +56,18 @@
    */
   constructor(
     dispatcher: Dispatcher,
-    req: ExchangeRequest,
+    private readonly _req: ExchangeRequest,
     private readonly _maxBytes: number,
     private readonly _onResult: (result: ExchangeResult) => void,
     private readonly _memory?: RequestMemory,
   ) {
+    const { method, path, headers, body } = _req;
     dispatcher.dispatch(
       {
-        method: req.method,
-        path: req.path,
-        headers: req.headers,
-        body: req.body.byteLength > 0 ? req.body : null,
+        method,
+        path,
+        headers,
+        body: body.byteLength > 0 ? body : null,
         headersTimeout: 0,
         bodyTimeout: 0,
       },
@@ -88,7 +94,7 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
     this._status = status;
     this._headers = headers as Record<string, string | string[]>;
-    const stated = Number(headers['content-length'] ?? 0);
+    const stated = this._hasBody() ? Number(headers['content-length'] ?? 0) : 0;
     if (stated > this._maxBytes) {
       this._refuseBody(controller);
     } else if (stated > kShortBodyBytes) {
@@ -106,6 +112,10 @@
   }
 
   onResponseEnd(): void {
+    if (!this._isFramed()) {
+      this._settle({ kind: 'truncated' });
+      return;
+    }
     this._memory?.completeResponse();
     const [first] = this._chunks;
     const body = this._chunks.length === 1 && first ? first : this._chunks.length === 0 ? kEmptyBody : Buffer.concat(this._chunks);
@@ -113,9 +123,34 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    if (this._status === kNotModified && err instanceof errors.ResponseContentLengthMismatchError) {
+      // The length is that of a response of 200 (RFC 9110, 8.6), but the client expects a body of that length.
+      this.onResponseEnd();
+      return;
+    }
     this._settle(this._headers ? { kind: 'truncated' } : { kind: 'lost', written: this._written, cause: err.message });
   }
 
+  /** Whether the response has a body; a length that it states otherwise is that of the content of another one (RFC 9110, 8.6). */
+  private _hasBody(): boolean {
+    return this._req.method !== 'HEAD' && !kBodilessStatuses.has(this._status);
+  }
+
+  /**
+   * Whether the end of the response can be distinguished from a lost connection, for example after a crash of the target. Transfer codings
+   * other than chunked are not requested, and not decoded.
+   */
+  private _isFramed(): boolean {
+    if (!this._hasBody()) {
+      return true;
+    }
+    const { 'transfer-encoding': coding, 'content-length': length } = this._headers ?? {};
+    if (coding !== undefined) {
+      return String(coding).toLowerCase() === 'chunked';
+    }
+    return length !== undefined || this._req.endsItself === true;
+  }
+
   /** Reserves memory for a response of known length; it is not read until that is available. */
   private _reserveMemory(controller: Dispatcher.DispatchController, bytes: number): void {
     this._reserved = true;
--- a/packages/mesh/src/client/runResult.ts
+++ b/packages/mesh/src/client/runResult.ts
@@ -35,7 +35,7 @@
     return { result: { kind: 'not_run', reason, retryAfterMs }, responded: true };
   }
   // A response that ends with its connection cannot be distinguished from a truncated one, for example after a crash of the target.
-  if (!headers.framed) {
+  if (!headers.framed && call.method !== 'HEAD') {
     return { result: { kind: 'lost', reason: 'answer without a length' }, responded: false };
   }
   if (kNotRunStatuses.has(status)) {
--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -33,9 +33,9 @@
   requestId: string;
   /** Whether the request id or the seal is repeated, so that it does not identify the response. */
   repeatsIdentity: boolean;
-  /** Whether the end of the body can be distinguished from a lost connection. */
+  /** Whether the end of the body can be distinguished from a lost connection, and the body is not coded. */
   framed: boolean;
-  /** Content length, in bytes; undefined when the header is missing. */
+  /** Content length, in bytes; undefined when the header is missing or the status allows no body. */
   bodyBytes: number | undefined;
   /** Whether the response proves that the target has not run the request. */
   notRun: boolean;
@@ -151,10 +151,11 @@
   /** Reads the headers of a response. */
   readResponse(raw: readonly string[], status: number): ResponseHeaders {
     const names = this._names;
+    const hasBody = status !== 204 && status !== 304;
     const read: ResponseHeaders = {
       requestId: '',
       repeatsIdentity: false,
-      framed: status === 204 || status === 304,
+      framed: !hasBody,
       bodyBytes: undefined,
       notRun: false,
       sealed: false,
@@ -168,6 +169,7 @@
     let rateLimit: string | undefined;
     let leaving: string | undefined;
     let hasRequestId = false;
+    let coding: string | undefined;
     for (let i = 0; i < raw.length; i += 2) {
       const name = raw[i] ?? '';
       const value = raw[i + 1] ?? '';
@@ -192,9 +194,9 @@
         hasRequestId = true;
       } else if (lower === 'content-length') {
         read.framed = true;
-        read.bodyBytes = Number(value);
+        read.bodyBytes = hasBody ? Number(value) : undefined;
       } else if (lower === 'transfer-encoding') {
-        read.framed = true;
+        coding = appendToList(coding, value);
       } else if (lower === 'keep-alive') {
         read.keepAliveSeconds = parseKeepAliveTimeout(value);
       } else if (lower === 'connection') {
@@ -204,6 +206,10 @@
     if (rateLimit !== undefined || leaving !== undefined) {
       read.condition = parseCondition(rateLimit, leaving);
     }
+    if (coding !== undefined) {
+      // Other transfer codings are not requested, and not decoded; with them a body may end with its connection (RFC 9112, 6.3).
+      read.framed = coding.toLowerCase() === 'chunked';
+    }
     read.forwarded = this._withoutConnectionOptions(read.forwarded, connection);
     return read;
   }
