--- a/packages/mesh/src/client/targetClient.ts
+++ b/packages/mesh/src/client/targetClient.ts
@@ -22,12 +22,6 @@
 /** Time after the deadline in which the target may still respond before the run is aborted, in milliseconds. */
 const kAbortGraceMs = 300;
 
-/**
- * Time for which connections are used for one request only after data that belongs to no request, in milliseconds. The cause is in the
- * target and lasts, as a rule, until it is repaired; the cost is a connection a request.
- */
-const kSingleUseMs = 60_000;
-
 /** Reason of the result of a run that was in flight when the target crashed. */
 const kTargetCrashedReason = 'target ended';
 
@@ -62,8 +56,6 @@
   private readonly _connections = new Set<TargetConnection>();
   private readonly _runs = new Deadlines();
   private readonly _crashDetector: CrashDetector;
-  /** Monotonic time until which connections are used for one request only. */
-  private _singleUseUntil = -Infinity;
 
   constructor(
     private readonly _address: string,
@@ -219,23 +211,6 @@
     return this._open();
   }
 
-  private _addIdle(connection: TargetConnection): void {
-    if (connection.requests > 0 && monotonicMs() < this._singleUseUntil) {
-      connection.close('used for one request only');
-    } else {
-      this._idle.push(connection);
-    }
-  }
-
-  /** Uses connections for one request each for some time, so that no response can meet what is left over of an earlier one. */
-  private _handleUnsolicited(kind: UnsolicitedData, requestId: string): void {
-    this._singleUseUntil = monotonicMs() + kSingleUseMs;
-    for (const connection of this._idle.filter(({ requests }) => requests > 0)) {
-      connection.close('used for one request only');
-    }
-    this._events.onUnsolicited(kind, requestId);
-  }
-
   /** Opens a connection that no call uses before its release. */
   private _openForCheck(events: CheckEvents): CheckConnection | undefined {
     const reserved = { held: true };
@@ -245,7 +220,7 @@
       },
       onIdle: (idle) => {
         if (!reserved.held) {
-          this._addIdle(idle);
+          this._idle.push(idle);
         }
       },
       onClosed: () => {
@@ -259,7 +234,7 @@
       release: () => {
         reserved.held = false;
         if (connection.isReusable(monotonicMs()) && connection.connectedAt < Infinity) {
-          this._addIdle(connection);
+          this._idle.push(connection);
         }
       },
     };
@@ -275,12 +250,12 @@
         this._handleReachability(evidence);
       },
       onUnsolicited: (kind, requestId) => {
-        this._handleUnsolicited(kind, requestId);
+        this._events.onUnsolicited(kind, requestId);
       },
       onIdle:
         events.onIdle ??
         ((idle) => {
-          this._addIdle(idle);
+          this._idle.push(idle);
         }),
       onClosed: (closed) => {
         this._connections.delete(closed);
@@ -308,7 +283,7 @@
     switch (outcome.kind) {
       case 'answered':
         if (!isForRequest(call, outcome.response.headers)) {
-          this._handleUnsolicited('other_request', call.requestId);
+          this._events.onUnsolicited('other_request', call.requestId);
         }
         return resultOfResponse(call, outcome.response);
       case 'unreachable':
