Check heads on new connections too in the daemon for callers with headers

What callers could get: the status of a response that the target broke off, with the headers and the body of the whole one behind it. The first response on a connection needs no attempt id, and its head wasn't checked.

The fix: a response whose reason phrase or a header value contains a status line is not delivered on any connection.

--- a/packages/daemon/src/client/identifiedResponse.ts
+++ b/packages/daemon/src/client/identifiedResponse.ts
@@ -50,7 +50,7 @@
     if (status >= kOk) {
       this._identified = id !== undefined && id === this._attemptId && isOneHead(status, headers, phrase);
       const foreign = id !== undefined && id !== this._attemptId;
-      if (foreign || (this._connection?.used === true && !this._identified)) {
+      if (foreign || hasStatusLine(headers, phrase) || (this._connection?.used === true && !this._identified)) {
         controller.abort(new Error(`expected a response with the attempt id "${this._attemptId ?? ''}", got "${String(id ?? '')}"`));
         return;
       }
@@ -77,11 +77,10 @@
 
 /** Whether a head can't be the beginning of one response and the rest of another, whose status line would be in a phrase or a value. */
 function isOneHead(status: number, headers: Headers, phrase: string | undefined): boolean {
-  const hasOwnPhrase = phrase !== undefined && phrase === STATUS_CODES[status] && kDistinctPhrases.has(phrase);
-  return (
-    hasOwnPhrase &&
-    !Object.values(headers)
-      .flat()
-      .some((value) => value !== undefined && kStatusLine.test(value))
-  );
+  return phrase !== undefined && phrase === STATUS_CODES[status] && kDistinctPhrases.has(phrase) && !hasStatusLine(headers, phrase);
+}
+
+/** Whether a status line is in a phrase or a value, as when a head was cut and another response follows on the connection. */
+function hasStatusLine(headers: Headers, phrase = ''): boolean {
+  return [phrase, ...Object.values(headers).flat()].some((text) => text !== undefined && kStatusLine.test(text));
 }
--- a/tests/targets/secondResponses.spec.ts
+++ b/tests/targets/secondResponses.spec.ts
@@ -174,6 +174,23 @@
   });
 });
 
+describe('a target that breaks off a response', () => {
+  // The first response on a connection needs no id, so it was accepted with the status of the one that was broken off.
+  itSerial('should not have it joined with a whole one to the same request', async (t) => {
+    for (const style of Object.values(kStyles)) {
+      const [head = ''] = style('own', 200, 'broken off').split('broken off');
+      for (let at = 1; at < head.length; at++) {
+        await withTarget(
+          (id, { connection }) => connection.write(head.slice(0, at) + style(id, 504, 'own')),
+          async (send) => {
+            t.true(['504 own', 'lost', 'truncated'].includes(await send('own')), `cut at ${at}`);
+          },
+        );
+      }
+    }
+  });
+});
+
 describe('connections to a target', () => {
   // A connection for each request costs targets that can identify their responses latency.
   const kConnections = [1, kRequests, kRequests];
