Bound the lines about data of a target that is no response

The first of each kind and incarnation is written as before; further ones take from the budget of frequent events. The counter counts all.

--- a/packages/mesh/src/app/calls/targetGate.ts
+++ b/packages/mesh/src/app/calls/targetGate.ts
@@ -24,6 +24,7 @@
 import type { CallWorkspace, PeerCall } from '../../client/callCodec.js';
 import type { RunResult } from '../../client/runResult.js';
 import { TargetClient, type TargetEvents } from '../../client/targetClient.js';
+import type { UnsolicitedData } from '../../client/targetExchange.js';
 import type { HeaderNames } from '../../ports.js';
 import type { EventLog } from '../eventLog.js';
 import { TargetLoadTracker } from '../load/targetLoadTracker.js';
@@ -340,6 +341,7 @@
       return;
     }
     const reachability = this._reachability;
+    const reportedKinds = new Set<UnsolicitedData>();
     const events: TargetEvents = {
       ...statementEvents(() => reachability === this._reachability, this._condition, this._targetLoad),
       onReachability: (evidence) => {
@@ -347,11 +349,14 @@
       },
       onUnsolicited: (kind, requestId) => {
         this._deps.metrics.unsolicited(kind);
-        this._deps.events.warn('target', 'The target sent data that is not a response to the request.', {
-          instance,
-          kind,
-          req: requestId,
-        });
+        const text = 'The target sent data that is not a response to the request.';
+        const fields = { instance, kind, req: requestId };
+        if (reportedKinds.has(kind)) {
+          this._deps.events.infoLowPriority('target', text, () => fields);
+        } else {
+          reportedKinds.add(kind);
+          this._deps.events.warn('target', text, fields);
+        }
       },
       onCrash: (calls) => {
         this._handleCrash(calls);
