--- a/packages/mesh/src/http/headerReader.ts
+++ b/packages/mesh/src/http/headerReader.ts
@@ -152,19 +152,7 @@
   readResponse(raw: readonly string[], status: number): ResponseHeaders {
     const names = this._names;
     const hasBody = status !== 204 && status !== 304;
-    const read: ResponseHeaders = {
-      requestId: '',
-      repeatsIdentity: false,
-      framed: !hasBody,
-      bodyBytes: undefined,
-      notRun: false,
-      sealed: false,
-      condition: kNoCondition,
-      load: undefined,
-      retryAfterMs: undefined,
-      keepAliveSeconds: undefined,
-      forwarded: [],
-    };
+    const read = noResponseHeaders(hasBody);
     let connection = '';
     let rateLimit: string | undefined;
     let leaving: string | undefined;
@@ -229,6 +217,23 @@
   return Number.isFinite(number) && number >= 0 ? number : undefined;
 }
 
+/** Headers of a response that sends none. */
+function noResponseHeaders(hasBody: boolean): ResponseHeaders {
+  return {
+    requestId: '',
+    repeatsIdentity: false,
+    framed: !hasBody,
+    bodyBytes: undefined,
+    notRun: false,
+    sealed: false,
+    condition: kNoCondition,
+    load: undefined,
+    retryAfterMs: undefined,
+    keepAliveSeconds: undefined,
+    forwarded: [],
+  };
+}
+
 function appendToList(list: string | undefined, value: string): string {
   return list === undefined ? value : `${list},${value}`;
 }
