Keep the log's record of a host that this daemon presumes gone

What would be seen: a host whose address another one took over was written to the log as gone, though only one daemon presumes so and its own record said otherwise; a daemon that starts would leave it out.

Cause: records that another writer replaced are told by their version, which is that of the known record, and other fields that differ. The state of a host that is presumed gone differs likewise.

The fix: a known record in the state gone proves nothing.

--- a/packages/core/src/membership/targetRecord.ts
+++ b/packages/core/src/membership/targetRecord.ts
@@ -55,8 +55,11 @@
 /** Fields that only change with the version of a record. */
 const kVersionedFields = ['zone', 'peers', 'service', 'instance', 'state', 'slots'] as const satisfies (keyof TargetRecord)[];
 
-/** Whether two records of one host have the same version, but were not both written by its daemon, as they differ in other fields. */
-export function isContradiction(a: TargetRecord, b: TargetRecord): boolean {
-  const isSameVersion = a.epoch === b.epoch && a.revision === b.revision;
-  return isSameVersion && kVersionedFields.some((field) => a[field] !== b[field]);
+/**
+ * Whether a record in the log was not written by the daemon of its host, as it has the version of the known record but differs from it. A
+ * known record may have been marked as gone by this daemon alone, so that it does not prove anything.
+ */
+export function isContradiction(known: TargetRecord, logged: TargetRecord): boolean {
+  const isSameVersion = known.epoch === logged.epoch && known.revision === logged.revision;
+  return isSameVersion && known.state !== 'gone' && kVersionedFields.some((field) => known[field] !== logged[field]);
 }
--- a/tests/membership/targetDirectory.spec.ts
+++ b/tests/membership/targetDirectory.spec.ts
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-import { TargetDirectory, type TargetRecord } from '@gentiandrum/core';
+import { isContradiction, TargetDirectory, type TargetRecord } from '@gentiandrum/core';
 import { describe, it } from '../support/describe.js';
 
 function recordOf(host: string, revision = 1, state: TargetRecord['state'] = 'ready'): TargetRecord {
@@ -42,3 +42,13 @@
     t.deepEqual(one.digests, directoryOf(recordOf('h1'), recordOf('h2', 2)).digests);
   });
 });
+
+describe('a record in the log', () => {
+  // A host that this daemon alone presumes gone was taken for one whose record another writer had replaced, and written as gone.
+  it('should contradict the known one of the same version unless the host is presumed gone', (t) => {
+    t.true(isContradiction(recordOf('h1'), recordOf('h1', 1, 'gone')));
+    t.false(isContradiction(recordOf('h1'), recordOf('h1')));
+    t.false(isContradiction(recordOf('h1'), recordOf('h1', 2, 'gone')));
+    t.false(isContradiction(recordOf('h1', 1, 'gone'), recordOf('h1')));
+  });
+});
