--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export * from './config/configFold.js';
 export * from './config/mergePatch.js';
 export * from './connections/responseSequence.js';
+export * from './connections/statusLine.js';
 export * from './errors/errorKind.js';
 export * from './memory/memoryAccount.js';
 export * from './memory/messageBody.js';
--- a/packages/daemon/src/client/identifiedResponse.ts
+++ b/packages/daemon/src/client/identifiedResponse.ts
@@ -11,6 +11,7 @@
  */
 
 import { STATUS_CODES } from 'node:http';
+import { containsStatusLine } from '@gentiandrum/core';
 import { kAttemptIdHeader } from '@gentiandrum/protocol';
 import type { Dispatcher } from 'undici';
 import type { ConnectionUse } from './connectionUse.js';
@@ -19,7 +20,6 @@
 type Headers = Record<string, string | string[] | undefined>;
 
 const kOk = 200;
-const kStatusLine = /HTTP\/\d\.\d \d{3}/;
 const kPhrases = Object.values(STATUS_CODES).filter((phrase) => phrase !== undefined);
 /** The parser of undici reports only the last piece of a reason phrase, which must not be the end of another standard phrase. */
 const kDistinctPhrases: ReadonlySet<string> = new Set(
@@ -48,9 +48,13 @@
   onResponseStart(controller: Controller, status: number, headers: Headers, phrase?: string): void {
     const { [kAttemptIdHeader]: id, ...others } = headers;
     if (status >= kOk) {
-      this._identified = id !== undefined && id === this._attemptId && isOneHead(status, headers, phrase);
+      this._identified = id !== undefined && id === this._attemptId && hasDistinctPhrase(status, phrase);
       const foreign = id !== undefined && id !== this._attemptId;
-      if (foreign || hasStatusLine(headers, phrase) || (this._connection?.used === true && !this._identified)) {
+      if (hasStatusLine(headers, phrase)) {
+        controller.abort(new Error('expected the head of one response, got a status line within it'));
+        return;
+      }
+      if (foreign || (this._connection?.used === true && !this._identified)) {
         controller.abort(new Error(`expected a response with the attempt id "${this._attemptId ?? ''}", got "${String(id ?? '')}"`));
         return;
       }
@@ -75,12 +79,12 @@
   }
 }
 
-/** Whether a head can't be the beginning of one response and the rest of another, whose status line would be in a phrase or a value. */
-function isOneHead(status: number, headers: Headers, phrase: string | undefined): boolean {
-  return phrase !== undefined && phrase === STATUS_CODES[status] && kDistinctPhrases.has(phrase) && !hasStatusLine(headers, phrase);
+/** Whether the phrase shows that the status is its own: it can't be the rest of the status line of another response. */
+function hasDistinctPhrase(status: number, phrase: string | undefined): boolean {
+  return phrase !== undefined && phrase === STATUS_CODES[status] && kDistinctPhrases.has(phrase);
 }
 
 /** Whether a status line is in a phrase or a value, as when a head was cut and another response follows on the connection. */
 function hasStatusLine(headers: Headers, phrase = ''): boolean {
-  return [phrase, ...Object.values(headers).flat()].some((text) => text !== undefined && kStatusLine.test(text));
+  return [phrase, ...Object.values(headers).flat()].some((text) => text !== undefined && containsStatusLine(text));
 }
--- a/packages/mesh/src/client/connectionHistory.ts
+++ b/packages/mesh/src/client/connectionHistory.ts
@@ -30,11 +30,6 @@
   private _hasDiscarded = false;
   private _discardedBytes = 0;
 
-  /** Number of requests that were sent. */
-  get requests(): number {
-    return this._count;
-  }
-
   /** Whether the connection may be used again after the response to the last request. */
   get allowsReuse(): boolean {
     return this._lastId !== '' && !this._hasDiscarded && this._count < kMaxRequests && this._idChars < kMaxIdChars;
--- a/packages/mesh/src/client/targetConnection.ts
+++ b/packages/mesh/src/client/targetConnection.ts
@@ -137,11 +137,6 @@
     return this._closedByTarget;
   }
 
-  /** Number of requests that were sent. */
-  get requests(): number {
-    return this._history.requests;
-  }
-
   /** Whether the connection is within the target's keep-alive timeout. */
   isReusable(now: number): boolean {
     return !this._closed && now < this._idleUntil;
--- a/packages/mesh/src/http/statusLineScanner.ts
+++ b/packages/mesh/src/http/statusLineScanner.ts
@@ -3,12 +3,9 @@
  * SPDX-License-Identifier: Apache-2.0
  */
 
-/** Finds status lines where none belongs: an incomplete message takes the status line of the next one for a part of its own. */
+/** Finds status lines in heads, and in bodies that are received in parts. */
 
-import { bodyParts, type MessageBody } from '@gentiandrum/core';
-
-const kStatusLine = /HTTP\/\d\.\d \d{3}/;
-const kStatusLineBytes = 'HTTP/1.1 200'.length;
+import { bodyParts, containsStatusLine, kMinStatusLineChars, type MessageBody } from '@gentiandrum/core';
 
 interface HeadText {
   reason: string;
@@ -18,7 +15,7 @@
 
 /** Whether a reason phrase or a header value contains a status line, so that the head may be that of two messages. */
 export function isJoinedHead({ reason, headers }: HeadText): boolean {
-  return kStatusLine.test(reason) || headers.some((text, i) => i % 2 === 1 && kStatusLine.test(text));
+  return containsStatusLine(reason) || headers.some((text, i) => i % 2 === 1 && containsStatusLine(text));
 }
 
 /** Whether a body contains a status line. */
@@ -34,7 +31,7 @@
   /** Scans the next part; returns whether a status line was found. */
   push(part: Buffer): boolean {
     const text = this._end + part.toString('latin1');
-    this._end = text.slice(1 - kStatusLineBytes);
-    return kStatusLine.test(text);
+    this._end = text.slice(1 - kMinStatusLineChars);
+    return containsStatusLine(text);
   }
 }
--- a/tests/mesh/extraResponses.spec.ts
+++ b/tests/mesh/extraResponses.spec.ts
@@ -56,8 +56,7 @@
 /**
  * Sends two requests on a connection for each cut of the second response to the first one, and returns how many got a response that is
  * not their own. `place` joins the parts with the responses to both. A lost response is accepted only from the connection that was used
- * again. Each cut has a client of its own, as one that has seen such data
- * does not use a connection twice.
+ * again. Each cut has a client of its own, whose connection has had no other request.
  */
 async function countMixed(cuts: Iterable<[string, string]>, firstForm: ResponseForm, ownForm: ResponseForm, place: Place): Promise<number> {
   let parts: [string, string] = ['', ''];
--- a/tests/mesh/targetPlay.ts
+++ b/tests/mesh/targetPlay.ts
@@ -13,7 +13,7 @@
 const kRemainingMs = 500;
 const kCheckMs = 20;
 
-const kCall: PeerCall = {
+export const kCall: PeerCall = {
   route: 'r',
   service: 'reads',
   waitMs: 100,
--- a/tests/targets/cutResponses.spec.ts
+++ b/tests/targets/cutResponses.spec.ts
@@ -7,8 +7,9 @@
 
 import { bodyParts, MemoryAccount } from '@gentiandrum/core';
 import { exchange, HttpExchange, Pools } from '@gentiandrum/daemon';
-import { type PeerCall, TargetClient } from '@gentiandrum/mesh';
+import { TargetClient } from '@gentiandrum/mesh';
 import { platformDialect } from '@gentiandrum/platform';
+import { kCall } from '../mesh/targetPlay.js';
 import { type CutClient, playCuts } from '../platform/cutResponses.js';
 import { RawTarget } from '../platform/rawTarget.js';
 import { describe, itSerial } from '../support/describe.js';
@@ -17,26 +18,6 @@
 const kRemainingMs = 60_000;
 const kMaxBytes = 1_000;
 
-const kCall: PeerCall = {
-  route: 'r',
-  service: 'reads',
-  waitMs: 100,
-  remainingMs: kRemainingMs,
-  repeat: false,
-  inner: false,
-  idempotent: true,
-  rank: undefined,
-  instance: 'i-1',
-  callerService: 'other',
-  workspace: undefined,
-  suspicion: undefined,
-  requestId: '',
-  method: 'GET',
-  path: '/a/x',
-  headers: [],
-  body: Buffer.alloc(0),
-};
-
 /** Client of the routing daemon. */
 function openTargetClient(address: string): CutClient {
   const ignore = (): undefined => undefined;
@@ -52,7 +33,7 @@
   return {
     run: (requestId, method, silent) =>
       new Promise((resolve) => {
-        const run = client.run({ ...kCall, requestId, method }, kRemainingMs, ({ result }) => {
+        const run = client.run({ ...kCall, remainingMs: kRemainingMs, idempotent: true, requestId, method }, kRemainingMs, ({ result }) => {
           resolve(result.kind === 'answered' ? `${result.answer.status} ${bodyParts(result.answer.body).join('')}` : 'failed');
         });
         void silent.then(() => {
